--- /dev/null
+++ b/src/model/errors.ts
@@ -0,0 +1,113 @@
+/**
+ * Typed errors. Each error has a kind that programs switch on, and a message
+ * that says what is wrong and ends with the remedy. Expected failures are
+ * returned in a `Result`; only programming errors are thrown.
+ */
+
+/** Kinds that callers and operators can switch on. */
+export type ErrorKind =
+  | 'invalid-input'
+  | 'not-found'
+  | 'conflict'
+  | 'refused'
+  | 'unavailable'
+  | 'timeout'
+  | 'unknown-effect'
+  | 'protocol';
+
+/** An error as it is sent to a caller, an operator or a peer. */
+export interface ErrorReport {
+  readonly kind: ErrorKind;
+  readonly message: string;
+  readonly remedy: string;
+}
+
+/** Base of all errors of the system. */
+export abstract class SystemError extends Error {
+  abstract readonly kind: ErrorKind;
+
+  constructor(
+    readonly problem: string,
+    readonly remedy: string,
+  ) {
+    super(`${problem}; ${remedy}`);
+    this.name = new.target.name;
+  }
+
+  /** The form that leaves the process. */
+  report(): ErrorReport {
+    return {kind: this.kind, message: this.problem, remedy: this.remedy};
+  }
+}
+
+/** Input from outside the process that does not match its schema. */
+export class InvalidInputError extends SystemError {
+  override readonly kind = 'invalid-input';
+
+  constructor(
+    /** Path of the field, for example `customer.guarantees.0.cells`. */
+    readonly field: string,
+    problem: string,
+    remedy: string,
+  ) {
+    super(`${field}: ${problem}`, remedy);
+  }
+}
+
+/** The named thing does not exist. */
+export class NotFoundError extends SystemError {
+  override readonly kind = 'not-found';
+}
+
+/** Another writer changed the value first. */
+export class ConflictError extends SystemError {
+  override readonly kind = 'conflict';
+}
+
+/** The other side received the call and did not carry it out. */
+export class RefusedError extends SystemError {
+  override readonly kind = 'refused';
+}
+
+/** The other side could not be reached; the call had no effect. */
+export class UnavailableError extends SystemError {
+  override readonly kind = 'unavailable';
+}
+
+/** No answer in time; the call may still have had an effect. */
+export class TimeoutError extends SystemError {
+  override readonly kind = 'timeout';
+}
+
+/** The answer was lost after the call was sent; it may have had an effect. */
+export class UnknownEffectError extends SystemError {
+  override readonly kind = 'unknown-effect';
+}
+
+/** The other side sent something that its protocol does not allow. */
+export class ProtocolError extends SystemError {
+  override readonly kind = 'protocol';
+}
+
+/** A failed call to another process. */
+export type CallError =
+  | InvalidInputError
+  | NotFoundError
+  | ConflictError
+  | RefusedError
+  | UnavailableError
+  | TimeoutError
+  | UnknownEffectError
+  | ProtocolError;
+
+/** True if the failed call certainly had no effect on the other side. */
+export function hadNoEffect(error: CallError): boolean {
+  switch (error.kind) {
+    case 'timeout':
+    case 'unknown-effect':
+    case 'protocol':
+      return false;
+    default:
+      return true;
+  }
+}
--- /dev/null
+++ b/src/model/ids.ts
@@ -0,0 +1,89 @@
+/**
+ * Branded identifiers and times. Every id is a string at run time; the brand
+ * keeps an id of one kind from being passed where another kind is expected.
+ * The zod schemas check ids that arrive from outside the process.
+ */
+
+import {randomUUID} from 'node:crypto';
+import {z} from 'zod';
+
+const MAXIMUM_ID_LENGTH = 128;
+
+/** Ids may be used in store keys and URL paths without escaping. */
+const ID_PATTERN = /^[A-Za-z0-9][A-Za-z0-9._:-]*$/;
+
+const idString = z.string().max(MAXIMUM_ID_LENGTH).regex(ID_PATTERN, {
+  error:
+    'use letters, digits, ".", "_", ":" and "-", starting with a letter or digit',
+});
+
+export const customerIdSchema = idString.brand<'CustomerId'>();
+export const workClassIdSchema = idString.brand<'WorkClassId'>();
+export const availabilityZoneSchema = idString.brand<'AvailabilityZone'>();
+export const rackIdSchema = idString.brand<'RackId'>();
+export const vmIdSchema = idString.brand<'VmId'>();
+export const daemonIdSchema = idString.brand<'DaemonId'>();
+export const jobIdSchema = idString.brand<'JobId'>();
+export const gangIdSchema = idString.brand<'GangId'>();
+export const taskIdSchema = idString.brand<'TaskId'>();
+export const requestIdSchema = idString.brand<'RequestId'>();
+export const callerKeySchema = idString.brand<'CallerKey'>();
+export const changeIdSchema = idString.brand<'ChangeId'>();
+/** Milliseconds since the Unix epoch. */
+export const instantSchema = z.number().nonnegative().brand<'Instant'>();
+
+/** A customer of the site; a team with its own quota is a customer too. */
+export type CustomerId = z.infer<typeof customerIdSchema>;
+/** A class of jobs or requests that a customer's questionnaire defines. */
+export type WorkClassId = z.infer<typeof workClassIdSchema>;
+export type AvailabilityZone = z.infer<typeof availabilityZoneSchema>;
+export type RackId = z.infer<typeof rackIdSchema>;
+/** A VM of the platform: an entry VM, a worker or a minion. */
+export type VmId = z.infer<typeof vmIdSchema>;
+/** One run of a daemon; a restarted daemon has a new id. */
+export type DaemonId = z.infer<typeof daemonIdSchema>;
+export type JobId = z.infer<typeof jobIdSchema>;
+/** One attempt to run a job. */
+export type GangId = z.infer<typeof gangIdSchema>;
+/** One member of a gang on one worker; never reused for a second attempt. */
+export type TaskId = z.infer<typeof taskIdSchema>;
+export type RequestId = z.infer<typeof requestIdSchema>;
+/** The caller's idempotency key, unique per customer. */
+export type CallerKey = z.infer<typeof callerKeySchema>;
+export type ChangeId = z.infer<typeof changeIdSchema>;
+/** Milliseconds since the Unix epoch. */
+export type Instant = z.infer<typeof instantSchema>;
+
+type BrandedId =
+  | CustomerId
+  | WorkClassId
+  | AvailabilityZone
+  | RackId
+  | VmId
+  | DaemonId
+  | JobId
+  | GangId
+  | TaskId
+  | RequestId
+  | CallerKey
+  | ChangeId;
+
+/** Creates a random id with a readable prefix, for example `job-<uuid>`. */
+export function randomId<T extends BrandedId>(prefix: string): T {
+  return `${prefix}-${randomUUID()}` as T;
+}
+
+/** Brands a string that the caller knows to be valid, such as a literal. */
+export function trustedId<T extends BrandedId>(value: string): T {
+  return value as T;
+}
+
+/** Brands a number of milliseconds since the Unix epoch. */
+export function instant(milliseconds: number): Instant {
+  return milliseconds as Instant;
+}
+
+/** Returns the instant `milliseconds` after `start`. */
+export function after(start: Instant, milliseconds: number): Instant {
+  return (start + milliseconds) as Instant;
+}
