Add settings, logs and the operator's command-line tool

Cause: the daemon and its tool need settings that are checked before start, logs with a fixed prefix per part, and typed messages between the two. Ruled out: settings without cross-field checks (a worker lease shorter than three watch waits lapses after one lost renewal).

--- /dev/null
+++ b/src/cli/main.ts
@@ -0,0 +1,52 @@
+#!/usr/bin/env node
+/**
+ * The operator's command-line tool.
+ */
+
+import {Builtins, Cli} from 'clipanion';
+import {
+  ConfigurationHistoryCommand,
+  ConfigurationShowCommand,
+  PowerCommand,
+  QuestionnaireApplyCommand,
+  QuestionnaireCheckCommand,
+} from './configuration_commands.js';
+import {
+  JobsCancelCommand,
+  JobsExplainCommand,
+  JobsListCommand,
+  JobsShowCommand,
+} from './job_commands.js';
+import {
+  AuditCommand,
+  DrainCommand,
+  StatusCommand,
+} from './operation_commands.js';
+
+const VERSION = '0.1.0';
+
+const cli = new Cli({
+  binaryName: 'bramleystep',
+  binaryLabel: 'bramleystep',
+  binaryVersion: VERSION,
+});
+for (const command of [
+  Builtins.HelpCommand,
+  Builtins.VersionCommand,
+  QuestionnaireCheckCommand,
+  QuestionnaireApplyCommand,
+  ConfigurationShowCommand,
+  ConfigurationHistoryCommand,
+  PowerCommand,
+  JobsListCommand,
+  JobsShowCommand,
+  JobsCancelCommand,
+  JobsExplainCommand,
+  StatusCommand,
+  DrainCommand,
+  AuditCommand,
+]) {
+  cli.register(command);
+}
+
+process.exitCode = await cli.run(process.argv.slice(2));
--- /dev/null
+++ b/src/cli/operator_client.ts
@@ -0,0 +1,157 @@
+/**
+ * Calls of the command-line tool to the operators' interface of one daemon.
+ */
+
+import {Result} from 'true-myth';
+import {request} from 'undici';
+import type {z} from 'zod';
+import {
+  errorReplySchema,
+  statusSchema,
+  auditSchema,
+  configurationReplySchema,
+  editResultSchema,
+  historySchema,
+  jobListSchema,
+} from '../daemon/operator_messages.js';
+import type {
+  Audit,
+  EditResult,
+  History,
+  JobList,
+  PowerSubmission,
+  QuestionnaireSubmission,
+  Status,
+} from '../daemon/operator_messages.js';
+import type {Configuration} from '../model/configuration.js';
+import {jobReportSchema} from '../platform/peer_client.js';
+import type {JobReport} from '../platform/peer_client.js';
+
+const CALL_TIMEOUT_MS = 10_000;
+
+/** A failed call, with the exit code that the tool ends with. */
+export class OperatorCallError extends Error {
+  constructor(
+    message: string,
+    readonly exitCode: number,
+  ) {
+    super(message);
+  }
+}
+
+/** The daemon refused the input. */
+export const EXIT_REFUSED = 1;
+/** The daemon could not be reached or did not answer. */
+export const EXIT_UNREACHABLE = 3;
+
+type CallResult<T> = Promise<Result<T, OperatorCallError>>;
+
+export class OperatorClient {
+  /** `address` is the operators' address of any daemon, `IP:port`. */
+  constructor(private readonly address: string) {}
+
+  status(): CallResult<Status> {
+    return this.call('GET', '/operator/status', statusSchema);
+  }
+
+  configuration(): CallResult<Configuration> {
+    return this.call(
+      'GET',
+      '/operator/configuration',
+      configurationReplySchema,
+    );
+  }
+
+  history(): CallResult<History> {
+    return this.call('GET', '/operator/configuration/history', historySchema);
+  }
+
+  submitQuestionnaire(
+    submission: QuestionnaireSubmission,
+  ): CallResult<EditResult> {
+    const path = '/operator/questionnaires';
+    return this.call('POST', path, editResultSchema, submission);
+  }
+
+  setPower(submission: PowerSubmission): CallResult<EditResult> {
+    return this.call('POST', '/operator/power', editResultSchema, submission);
+  }
+
+  jobs(): CallResult<JobList> {
+    return this.call('GET', '/operator/jobs', jobListSchema);
+  }
+
+  job(jobId: string): CallResult<JobReport> {
+    const path = `/operator/jobs/${encodeURIComponent(jobId)}`;
+    return this.call('GET', path, jobReportSchema);
+  }
+
+  cancelJob(jobId: string): CallResult<JobReport> {
+    const path = `/operator/jobs/${encodeURIComponent(jobId)}`;
+    return this.call('DELETE', path, jobReportSchema);
+  }
+
+  drain(): CallResult<Status> {
+    return this.call('POST', '/operator/drain', statusSchema, {});
+  }
+
+  audit(): CallResult<Audit> {
+    return this.call('GET', '/operator/audit', auditSchema);
+  }
+
+  private async call<T>(
+    method: 'GET' | 'POST' | 'DELETE',
+    path: string,
+    schema: z.ZodType<T>,
+    body?: unknown,
+  ): CallResult<T> {
+    try {
+      const response = await request(`http://${this.address}${path}`, {
+        method,
+        headersTimeout: CALL_TIMEOUT_MS,
+        bodyTimeout: CALL_TIMEOUT_MS,
+        ...(body === undefined
+          ? {}
+          : {
+              body: JSON.stringify(body),
+              headers: {'content-type': 'application/json'},
+            }),
+      });
+      return readReply(response.statusCode, await response.body.json(), schema);
+    } catch (error) {
+      return Result.err(unreachable(this.address, error));
+    }
+  }
+}
+
+function readReply<T>(
+  statusCode: number,
+  reply: unknown,
+  schema: z.ZodType<T>,
+): Result<T, OperatorCallError> {
+  if (statusCode >= 200 && statusCode < 300) {
+    const parsed = schema.safeParse(reply);
+    if (parsed.success) return Result.ok(parsed.data);
+    return Result.err(
+      new OperatorCallError(
+        'the daemon sent an answer that this tool does not understand; ' +
+          'use the tool of the same release as the daemon',
+        EXIT_UNREACHABLE,
+      ),
+    );
+  }
+  const parsed = errorReplySchema.safeParse(reply);
+  const text = parsed.success
+    ? `${parsed.data.error.message}; ${parsed.data.error.remedy}`
+    : `the daemon answered with status ${statusCode}`;
+  return Result.err(new OperatorCallError(text, EXIT_REFUSED));
+}
+
+function unreachable(address: string, error: unknown): OperatorCallError {
+  const detail = error instanceof Error ? error.message : String(error);
+  return new OperatorCallError(
+    `no answer from ${address} (${detail}); ` +
+      "check --daemon and that the daemon's VM is live, or ask another daemon",
+    EXIT_UNREACHABLE,
+  );
+}
--- /dev/null
+++ b/src/daemon/log.ts
@@ -0,0 +1,68 @@
+/**
+ * Logs as JSON lines. Each part of the daemon has a fixed prefix, so that a
+ * search for `[zone]` finds everything that the zone controller said.
+ */
+
+import bunyan from 'bunyan';
+
+/** Parts of the daemon that write logs. */
+export type LogPart =
+  | 'audit'
+  | 'callers'
+  | 'configuration'
+  | 'daemon'
+  | 'membership'
+  | 'operators'
+  | 'peers'
+  | 'requests'
+  | 'vms'
+  | 'zone';
+
+/** Ids that tie the lines of one request or job together across daemons. */
+export interface LogFields {
+  readonly requestId?: string;
+  readonly jobId?: string;
+  readonly gangId?: string;
+  readonly customerId?: string;
+  readonly workerId?: string;
+  readonly minionId?: string;
+  readonly peer?: string;
+  readonly version?: number;
+}
+
+/** Writes short sentences with the prefix of one part. */
+export class PartLog {
+  constructor(
+    private readonly logger: bunyan,
+    private readonly part: LogPart,
+  ) {}
+
+  debug(sentence: string, fields: LogFields = {}): void {
+    this.logger.debug(fields, `[${this.part}] ${sentence}`);
+  }
+
+  info(sentence: string, fields: LogFields = {}): void {
+    this.logger.info(fields, `[${this.part}] ${sentence}`);
+  }
+
+  warn(sentence: string, fields: LogFields = {}): void {
+    this.logger.warn(fields, `[${this.part}] ${sentence}`);
+  }
+
+  error(sentence: string, fields: LogFields = {}): void {
+    this.logger.error(fields, `[${this.part}] ${sentence}`);
+  }
+}
+
+/** Creates the logs of one daemon; lines go to standard output. */
+export class DaemonLog {
+  private readonly logger: bunyan;
+
+  constructor(vmId: string, level: bunyan.LogLevelString) {
+    this.logger = bunyan.createLogger({name: 'bramleystepd', vmId, level});
+  }
+
+  part(part: LogPart): PartLog {
+    return new PartLog(this.logger, part);
+  }
+}
--- /dev/null
+++ b/src/daemon/settings.ts
@@ -0,0 +1,216 @@
+/**
+ * Settings of one daemon, read from a JSON file and checked against a schema.
+ * The reference in `docs/settings.md` is generated from this schema.
+ */
+
+import {readFile} from 'node:fs/promises';
+import {Result} from 'true-myth';
+import {z} from 'zod';
+import {InvalidInputError} from '../model/errors.js';
+import {availabilityZoneSchema, vmIdSchema} from '../model/ids.js';
+import {validateJson} from '../model/validation.js';
+import {addressSchema} from '../platform/vm_list.js';
+
+const SECOND_MS = 1_000;
+const MINUTE_MS = 60 * SECOND_MS;
+const HOUR_MS = 60 * MINUTE_MS;
+
+function milliseconds(defaultMs: number, description: string) {
+  return z
+    .int()
+    .min(1)
+    .max(24 * HOUR_MS)
+    .default(defaultMs)
+    .describe(description);
+}
+
+function count(defaultCount: number, description: string) {
+  return z
+    .int()
+    .min(1)
+    .max(1_000_000)
+    .default(defaultCount)
+    .describe(description);
+}
+
+const timingsSchema = z.strictObject({
+  heartbeatIntervalMs: milliseconds(
+    500,
+    'Time between heartbeats to the peers of the own zone.',
+  ),
+  crossZoneHeartbeatIntervalMs: milliseconds(
+    5 * SECOND_MS,
+    'Time between heartbeats to the peers of other zones.',
+  ),
+  peerTimeoutMs: milliseconds(
+    2 * SECOND_MS,
+    'A peer of the own zone that was not heard for this long is not live.',
+  ),
+  peerCallTimeoutMs: milliseconds(
+    SECOND_MS,
+    'Time limit of a call to a peer; longer ones carry their own limit.',
+  ),
+  storeCallTimeoutMs: milliseconds(
+    SECOND_MS,
+    'Time limit of a call to the key-value service.',
+  ),
+  watchWaitMs: milliseconds(
+    20 * SECOND_MS,
+    'How long a watch on the store or the VM list waits for a change.',
+  ),
+  workerCallTimeoutMs: milliseconds(
+    SECOND_MS,
+    'Time limit of a call to a worker.',
+  ),
+  workerWatchWaitMs: milliseconds(
+    10 * SECOND_MS,
+    'How long a watch on a worker waits for a change; 300000 at full size.',
+  ),
+  workerLeaseMs: milliseconds(
+    MINUTE_MS,
+    'Lease of a worker; at least three times workerWatchWaitMs.',
+  ),
+  workerLostAfterMs: milliseconds(
+    15 * SECOND_MS,
+    'A worker whose calls failed for this long counts as lost.',
+  ),
+  reclaimBoundMs: milliseconds(
+    SECOND_MS,
+    'Longest time that a borrower gets for its checkpoint.',
+  ),
+  starvationBoundMs: milliseconds(
+    2 * MINUTE_MS,
+    'A gang that waited for this long gets a reservation.',
+  ),
+  gangSkewBoundMs: milliseconds(
+    5 * SECOND_MS,
+    'Longest time that a part of a gang may run without the whole.',
+  ),
+  claimRetentionMs: milliseconds(
+    HOUR_MS,
+    'How long the key of a non-idempotent request is remembered.',
+  ),
+  stopDeadlineMs: milliseconds(
+    30 * SECOND_MS,
+    'Longest time that a planned stop waits for requests in progress.',
+  ),
+  lingerMs: milliseconds(
+    SECOND_MS,
+    'Time between the leaving flag and the end of the listeners.',
+  ),
+});
+/** Times in milliseconds. */
+export type Timings = z.infer<typeof timingsSchema>;
+
+const limitsSchema = z.strictObject({
+  minionQueueLength: count(
+    64,
+    'Requests that wait for one minion before more are refused.',
+  ),
+  workerCallConcurrency: count(
+    32,
+    'Calls to workers that are in progress at once.',
+  ),
+  rememberedOutcomes: count(
+    10_000,
+    'Outcomes of requests that are kept in memory.',
+  ),
+});
+/** Limits on counts. */
+export type Limits = z.infer<typeof limitsSchema>;
+
+export const settingsSchema = z.strictObject({
+  vmId: vmIdSchema.describe('Id of this entry VM in the VM list.'),
+  availabilityZone: availabilityZoneSchema.describe('Zone of this entry VM.'),
+  callers: z.strictObject({
+    listen: addressSchema.describe('Address for callers, IP number and port.'),
+  }),
+  operators: z.strictObject({
+    listen: addressSchema.describe(
+      'Address for operators and metrics; keep it off public networks.',
+    ),
+  }),
+  peers: z.strictObject({
+    listen: addressSchema.describe('Address for other daemons.'),
+    advertise: addressSchema
+      .optional()
+      .describe('Address that peers use, if it differs from listen.'),
+    seeds: z
+      .array(addressSchema)
+      .max(64)
+      .default([])
+      .describe('Peer addresses to contact when the platform is away.'),
+  }),
+  platform: z.strictObject({
+    address: addressSchema.describe(
+      'Address of the key-value service and the VM list.',
+    ),
+  }),
+  claimsDuringOutage: z
+    .enum(['refuse'])
+    .default('refuse')
+    .describe('What happens to keyed non-idempotent requests in an outage.'),
+  logLevel: z
+    .enum(['trace', 'debug', 'info', 'warn', 'error'])
+    .default('info')
+    .describe('Least severe level that is logged.'),
+  timings: timingsSchema.prefault({}),
+  limits: limitsSchema.prefault({}),
+});
+/** Everything that a daemon is told before it starts. */
+export type Settings = z.infer<typeof settingsSchema>;
+
+/** A lease may miss two renewals in a row before it lapses. */
+const RENEWALS_PER_LEASE = 3;
+
+/** Checks the text of a settings file. */
+export function parseSettings(
+  text: string,
+): Result<Settings, InvalidInputError> {
+  return validateJson(settingsSchema, text, 'settings').andThen(checkTimings);
+}
+
+/** Reads and checks a settings file. */
+export async function readSettings(
+  path: string,
+): Promise<Result<Settings, InvalidInputError>> {
+  let text: string;
+  try {
+    text = await readFile(path, 'utf8');
+  } catch (error) {
+    const detail = error instanceof Error ? error.message : String(error);
+    return Result.err(
+      new InvalidInputError(
+        'settings',
+        detail,
+        'name a readable JSON file with --settings',
+      ),
+    );
+  }
+  return parseSettings(text);
+}
+
+function checkTimings(settings: Settings): Result<Settings, InvalidInputError> {
+  const {timings} = settings;
+  const leastLeaseMs = RENEWALS_PER_LEASE * timings.workerWatchWaitMs;
+  if (timings.workerLeaseMs < leastLeaseMs) {
+    return Result.err(
+      new InvalidInputError(
+        'settings.timings.workerLeaseMs',
+        `${timings.workerLeaseMs} is less than ${RENEWALS_PER_LEASE} times ` +
+          `workerWatchWaitMs (${timings.workerWatchWaitMs})`,
+        `set it to ${leastLeaseMs} or more`,
+      ),
+    );
+  }
+  if (timings.peerTimeoutMs < 2 * timings.heartbeatIntervalMs) {
+    return Result.err(
+      new InvalidInputError(
+        'settings.timings.peerTimeoutMs',
+        `${timings.peerTimeoutMs} is less than two heartbeat intervals`,
+        `set it to ${2 * timings.heartbeatIntervalMs} or more`,
+      ),
+    );
+  }
+  return Result.ok(settings);
+}
