--- /dev/null
+++ b/src/controllers/job_router.ts
@@ -0,0 +1,367 @@
+/**
+ * Takes jobs from callers at any entry VM, records them and passes them to
+ * the scheduler of their zone. While the store is away, an accepted job is
+ * held in the memory of the scheduler and of one other daemon of the zone.
+ */
+
+import {createHash, randomUUID} from 'node:crypto';
+import {Result} from 'true-myth';
+import type {
+  Configuration,
+  Customer,
+  JobClass,
+} from '../model/configuration.js';
+import {
+  InvalidInputError,
+  NotFoundError,
+  RefusedError,
+  UnavailableError,
+} from '../model/errors.js';
+import type {CallError} from '../model/errors.js';
+import {hasEnded, jobRecordSchema} from '../model/jobs.js';
+import type {JobRecord, JobSubmission} from '../model/jobs.js';
+import {cellSizeFor} from '../model/shapes.js';
+import type {AvailabilityZone, Instant, JobId} from '../model/ids.js';
+import type {Clock} from '../lifecycle/clock.js';
+import type {CleanupScope} from '../lifecycle/cleanup_scope.js';
+import {ABSENT_REVISION} from '../platform/key_value_store.js';
+import type {KeyValueStore} from '../platform/key_value_store.js';
+import type {JobReport} from '../platform/peer_client.js';
+
+/** A waiting caller's job is read again after this time. */
+const REPORT_INTERVAL_MS = 250;
+/** Separates the zone from the rest of a job id. */
+const ZONE_SEPARATOR = '.';
+const KEY_DIGEST_LENGTH = 32;
+
+/** Where an accepted job is kept. */
+export type JobKeeping =
+  | {readonly durability: 'store'}
+  | {
+      readonly durability: 'memory';
+      /** Daemons that hold the job until the store is back. */
+      readonly holders: number;
+    };
+
+export interface AcceptedJob {
+  readonly record: JobRecord;
+  readonly keeping: JobKeeping;
+}
+
+/** A daemon that takes jobs of one zone: this one or a peer. */
+export abstract class JobHolder {
+  /** Repeating the call with the same record has no further effect. */
+  abstract submitJob(record: JobRecord): Promise<Result<void, CallError>>;
+  abstract job(jobId: JobId): Promise<Result<JobReport, CallError>>;
+  abstract cancelJob(jobId: JobId): Promise<Result<JobReport, CallError>>;
+  abstract jobs(): Promise<Result<readonly JobReport[], CallError>>;
+}
+
+/** The daemons of each zone, as membership knows them now. */
+export abstract class JobHolders {
+  /** The scheduler of a zone, if one is known. */
+  abstract scheduler(zone: AvailabilityZone): JobHolder | undefined;
+  /** Live daemons of a zone except its scheduler. */
+  abstract others(zone: AvailabilityZone): readonly JobHolder[];
+}
+
+export interface JobRouterOptions {
+  readonly availabilityZone: AvailabilityZone;
+  readonly clock: Clock;
+  readonly store: KeyValueStore;
+  readonly holders: JobHolders;
+  readonly configuration: () => Configuration;
+}
+
+export class JobRouter {
+  constructor(private readonly options: JobRouterOptions) {}
+
+  /** Checks, records and hands over a job. */
+  async submit(
+    submission: JobSubmission,
+  ): Promise<Result<AcceptedJob, CallError>> {
+    const now = this.options.clock.now();
+    const drafted = draftRecord(
+      submission,
+      this.options.configuration(),
+      this.options.availabilityZone,
+      now,
+    );
+    if (drafted.isErr) return Result.err(drafted.error);
+    return this.keep(drafted.value);
+  }
+
+  /** Reads a job; waits until it has ended or `waitMs` have passed. */
+  async report(
+    jobId: JobId,
+    waitMs: number,
+    scope: CleanupScope,
+  ): Promise<Result<JobReport, CallError>> {
+    const startedAt = this.options.clock.now();
+    for (;;) {
+      const report = await this.read(jobId);
+      if (report.isErr || hasEnded(report.value.record.state)) return report;
+      const waitedMs = this.options.clock.now() - startedAt;
+      if (waitedMs >= waitMs || scope.closed) return report;
+      await scope.sleep(Math.min(REPORT_INTERVAL_MS, waitMs - waitedMs));
+    }
+  }
+
+  async cancel(jobId: JobId): Promise<Result<JobReport, CallError>> {
+    const zone = zoneOfJob(jobId);
+    if (zone === undefined) return Result.err(notFound(jobId));
+    const scheduler = this.options.holders.scheduler(zone);
+    if (scheduler === undefined) return Result.err(noScheduler(zone));
+    return scheduler.cancelJob(jobId);
+  }
+
+  /** Lists the jobs of all given zones that can be reached. */
+  async list(zones: readonly AvailabilityZone[]): Promise<JobReport[]> {
+    const lists = await Promise.all(
+      zones.map(async (zone) => {
+        const jobs = await this.options.holders.scheduler(zone)?.jobs();
+        return jobs?.unwrapOr([]) ?? [];
+      }),
+    );
+    return lists.flat();
+  }
+
+  private async keep(
+    record: JobRecord,
+  ): Promise<Result<AcceptedJob, CallError>> {
+    const key = jobKey(record.availabilityZone, record.jobId);
+    const text = JSON.stringify(record);
+    const written = await this.options.store.put(key, text, ABSENT_REVISION);
+    if (written.isOk) return this.keptInStore(record);
+    switch (written.error.kind) {
+      case 'conflict':
+      case 'unknown-effect':
+        return this.readBack(record);
+      case 'unavailable':
+      case 'refused':
+        return this.keepInMemory(record);
+    }
+  }
+
+  private keptInStore(record: JobRecord): Result<AcceptedJob, CallError> {
+    const scheduler = this.options.holders.scheduler(record.availabilityZone);
+    // The scheduler also finds the record with its watch on the store, so a
+    // failed call only costs time.
+    void scheduler?.submitJob(record);
+    return Result.ok({record, keeping: {durability: 'store'}});
+  }
+
+  private async readBack(
+    record: JobRecord,
+  ): Promise<Result<AcceptedJob, CallError>> {
+    const stored = await this.readStored(record.jobId);
+    if (stored.isErr) return this.keepInMemory(record);
+    if (stored.value === undefined) return this.keepInMemory(record);
+    return this.keptInStore(stored.value);
+  }
+
+  private async keepInMemory(
+    record: JobRecord,
+  ): Promise<Result<AcceptedJob, CallError>> {
+    const {holders} = this.options;
+    const zone = record.availabilityZone;
+    const scheduler = holders.scheduler(zone);
+    if (scheduler === undefined) return Result.err(noScheduler(zone));
+    const handedOver = await scheduler.submitJob(record);
+    if (handedOver.isErr) return Result.err(handedOver.error);
+    let holderCount = 1;
+    for (const other of holders.others(zone)) {
+      const copied = await other.submitJob(record);
+      if (copied.isOk) {
+        holderCount += 1;
+        break;
+      }
+    }
+    const keeping = {durability: 'memory', holders: holderCount} as const;
+    return Result.ok({record, keeping});
+  }
+
+  private async read(jobId: JobId): Promise<Result<JobReport, CallError>> {
+    const zone = zoneOfJob(jobId);
+    if (zone === undefined) return Result.err(notFound(jobId));
+    const live = await this.options.holders.scheduler(zone)?.job(jobId);
+    if (live?.isOk) return live;
+    const stored = await this.readStored(jobId);
+    if (stored.isErr) return Result.err(stored.error);
+    if (stored.value === undefined) return Result.err(notFound(jobId));
+    return Result.ok({record: stored.value, inStore: true});
+  }
+
+  private async readStored(
+    jobId: JobId,
+  ): Promise<Result<JobRecord | undefined, CallError>> {
+    const zone = zoneOfJob(jobId);
+    if (zone === undefined) return Result.ok(undefined);
+    const entry = await this.options.store.get(jobKey(zone, jobId));
+    if (entry.isErr) return Result.err(entry.error);
+    if (entry.value === undefined) return Result.ok(undefined);
+    const parsed = jobRecordSchema.safeParse(JSON.parse(entry.value.value));
+    return Result.ok(parsed.success ? parsed.data : undefined);
+  }
+}
+
+/** Returns the store key of a job's record. */
+export function jobKey(zone: AvailabilityZone, jobId: JobId): string {
+  return `jobs/${zone}/${jobId}`;
+}
+
+/** Returns the zone that a job id names. */
+export function zoneOfJob(jobId: JobId): AvailabilityZone | undefined {
+  const end = jobId.lastIndexOf(ZONE_SEPARATOR);
+  return end > 0 ? (jobId.slice(0, end) as AvailabilityZone) : undefined;
+}
+
+/**
+ * Builds the record of a new job. Refuses unknown classes and customers,
+ * shapes that fit no rack and shapes above the customer's ceiling.
+ */
+export function draftRecord(
+  submission: JobSubmission,
+  configuration: Configuration,
+  ownZone: AvailabilityZone,
+  now: Instant,
+): Result<JobRecord, InvalidInputError | RefusedError> {
+  const customer = configuration.customers.find(
+    (candidate) => candidate.id === submission.customerId,
+  );
+  if (customer === undefined) {
+    return Result.err(unknownField('customerId', submission.customerId));
+  }
+  const jobClass = findJobClass(configuration, submission);
+  if (jobClass === undefined) {
+    return Result.err(unknownField('workClassId', submission.workClassId));
+  }
+  const zones = configuration.site?.availabilityZones ?? [];
+  const zone = chooseZone(submission, customer, zones, ownZone);
+  if (!zones.includes(zone)) {
+    return Result.err(unknownField('availabilityZone', zone));
+  }
+  const refused = checkShape(jobClass, customer);
+  if (refused !== undefined) return Result.err(refused);
+  return Result.ok(newRecord(submission, jobClass, zone, now));
+}
+
+function newRecord(
+  submission: JobSubmission,
+  jobClass: JobClass,
+  zone: AvailabilityZone,
+  now: Instant,
+): JobRecord {
+  return {
+    jobId: jobIdFor(submission, zone),
+    customerId: submission.customerId,
+    workClassId: submission.workClassId,
+    ...(submission.key === undefined ? {} : {key: submission.key}),
+    availabilityZone: zone,
+    shape: jobClass.shape,
+    urgency: jobClass.urgency,
+    declaredRunTimeMs: jobClass.declaredRunTimeMs,
+    payload: submission.payload,
+    submittedAt: now,
+    state: 'queued',
+    reason: 'accepted',
+    sequence: 0,
+    attempts: 0,
+  };
+}
+
+/** A keyed job has the same id whichever daemon receives it. */
+function jobIdFor(submission: JobSubmission, zone: AvailabilityZone): JobId {
+  const {customerId, key} = submission;
+  if (key === undefined) {
+    return `${zone}${ZONE_SEPARATOR}${randomUUID()}` as JobId;
+  }
+  const digest = createHash('sha256')
+    .update(JSON.stringify([customerId, key]))
+    .digest('hex')
+    .slice(0, KEY_DIGEST_LENGTH);
+  return `${zone}${ZONE_SEPARATOR}${digest}` as JobId;
+}
+
+function findJobClass(
+  configuration: Configuration,
+  submission: JobSubmission,
+): JobClass | undefined {
+  const workClass = configuration.workClasses.find(
+    (candidate) =>
+      candidate.id === submission.workClassId &&
+      candidate.customerId === submission.customerId,
+  );
+  return workClass?.kind === 'job' ? workClass : undefined;
+}
+
+/**
+ * The zone asked for, else the receiving daemon's zone if the customer has a
+ * guarantee there, else the zone of the customer's largest guarantee. A keyed
+ * job never depends on the receiving daemon, so that its id does not either.
+ */
+function chooseZone(
+  submission: JobSubmission,
+  customer: Customer,
+  zones: readonly AvailabilityZone[],
+  ownZone: AvailabilityZone,
+): AvailabilityZone {
+  if (submission.availabilityZone !== undefined) {
+    return submission.availabilityZone;
+  }
+  const guaranteed = new Map<AvailabilityZone, number>();
+  for (const {availabilityZone, cellSize, cells} of customer.guarantees) {
+    const soFar = guaranteed.get(availabilityZone) ?? 0;
+    guaranteed.set(availabilityZone, soFar + cellSize * cells);
+  }
+  if (submission.key === undefined && guaranteed.has(ownZone)) return ownZone;
+  const [largest] = [...guaranteed].sort(
+    ([zoneA, a], [zoneB, b]) => b - a || (zoneA < zoneB ? -1 : 1),
+  );
+  if (largest !== undefined) return largest[0];
+  return submission.key === undefined ? ownZone : (zones[0] ?? ownZone);
+}
+
+function checkShape(
+  jobClass: JobClass,
+  customer: Customer,
+): RefusedError | undefined {
+  const {tasks, acceleratorsPerTask} = jobClass.shape;
+  const shape = `${tasks} tasks of ${acceleratorsPerTask} accelerators`;
+  if (cellSizeFor(jobClass.shape) === undefined) {
+    return new RefusedError(
+      `${shape} fit no rack`,
+      'use a work class with fewer tasks or accelerators',
+    );
+  }
+  if (tasks * acceleratorsPerTask > customer.acceleratorCeiling) {
+    return new RefusedError(
+      `${shape} exceed the ceiling of ${customer.acceleratorCeiling} ` +
+        `accelerators of customer ${customer.id}`,
+      'use a smaller work class or raise the ceiling in the questionnaire',
+    );
+  }
+  return undefined;
+}
+
+function unknownField(field: string, value: string): InvalidInputError {
+  return new InvalidInputError(
+    field,
+    `"${value}" is not in the configuration`,
+    'use a name that "bramleystep configuration show" lists',
+  );
+}
+
+function notFound(jobId: JobId): NotFoundError {
+  return new NotFoundError(
+    `there is no job ${jobId}`,
+    'use the id that the submission returned',
+  );
+}
+
+function noScheduler(zone: AvailabilityZone): UnavailableError {
+  return new UnavailableError(
+    `no daemon of zone ${zone} can be reached`,
+    'try again, or name another zone',
+  );
+}
--- /dev/null
+++ b/src/daemon/metrics.ts
@@ -0,0 +1,109 @@
+/**
+ * Metrics of one daemon in the Prometheus format. Label sets are bounded:
+ * outcomes, reasons and event kinds are closed lists, and no id is a label.
+ */
+
+import {
+  Counter,
+  Gauge,
+  Histogram,
+  Registry,
+  collectDefaultMetrics,
+} from 'prom-client';
+import type {Outcome} from '../model/requests.js';
+
+const NAME_PREFIX = 'bramleystep_';
+const MILLISECONDS_PER_SECOND = 1_000;
+/** From half of a fast check to the longest deadline of a request. */
+const REQUEST_BUCKETS_SECONDS = [
+  0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60,
+];
+
+/** Parties that a daemon exchanges control messages with. */
+export type ControlParty = 'store' | 'vmList' | 'worker' | 'peer';
+
+export class DaemonMetrics {
+  readonly registry = new Registry();
+  private readonly requests: Counter<'outcome' | 'reason'>;
+  private readonly requestSeconds: Histogram<'outcome'>;
+  private readonly zoneEvents: Counter<'event'>;
+  private readonly calls: Counter<'party' | 'result'>;
+  private readonly jobs: Counter<'durability'>;
+
+  constructor() {
+    collectDefaultMetrics({register: this.registry});
+    const registers = [this.registry];
+    this.requests = new Counter({
+      name: `${NAME_PREFIX}requests_total`,
+      help: 'Service requests by outcome and reason.',
+      labelNames: ['outcome', 'reason'],
+      registers,
+    });
+    this.requestSeconds = new Histogram({
+      name: `${NAME_PREFIX}request_duration_seconds`,
+      help: 'Time from the receipt of a service request to its outcome.',
+      labelNames: ['outcome'],
+      buckets: REQUEST_BUCKETS_SECONDS,
+      registers,
+    });
+    this.zoneEvents = new Counter({
+      name: `${NAME_PREFIX}zone_events_total`,
+      help: 'Decisions and observations of the zone scheduler.',
+      labelNames: ['event'],
+      registers,
+    });
+    this.calls = new Counter({
+      name: `${NAME_PREFIX}control_calls_total`,
+      help: 'Control calls to other processes by result.',
+      labelNames: ['party', 'result'],
+      registers,
+    });
+    this.jobs = new Counter({
+      name: `${NAME_PREFIX}jobs_accepted_total`,
+      help: 'Jobs accepted from callers by durability.',
+      labelNames: ['durability'],
+      registers,
+    });
+  }
+
+  countOutcome(outcome: Outcome, durationMs: number): void {
+    const reason = outcome.outcome === 'answered' ? '' : outcome.reason;
+    this.requests.inc({outcome: outcome.outcome, reason});
+    this.requestSeconds.observe(
+      {outcome: outcome.outcome},
+      durationMs / MILLISECONDS_PER_SECOND,
+    );
+  }
+
+  countZoneEvent(event: string): void {
+    this.zoneEvents.inc({event});
+  }
+
+  countCall(party: ControlParty, succeeded: boolean): void {
+    this.calls.inc({party, result: succeeded ? 'ok' : 'error'});
+  }
+
+  countJob(durability: 'store' | 'memory'): void {
+    this.jobs.inc({durability});
+  }
+
+  /** Adds a gauge whose value is read at each scrape. */
+  addGauge(name: string, help: string, read: () => number): void {
+    new Gauge({
+      name: `${NAME_PREFIX}${name}`,
+      help,
+      registers: [this.registry],
+      collect() {
+        this.set(read());
+      },
+    });
+  }
+
+  /** The text that a scrape returns. */
+  async render(): Promise<{contentType: string; text: string}> {
+    return {
+      contentType: this.registry.contentType,
+      text: await this.registry.metrics(),
+    };
+  }
+}
--- /dev/null
+++ b/src/harness/managed_process.ts
@@ -0,0 +1,128 @@
+/**
+ * One child process of a test or of the demonstration. Its first line of
+ * standard output is JSON with the addresses that it listens on; the lines
+ * after that are its run log.
+ */
+
+import {spawn} from 'node:child_process';
+import type {ChildProcess} from 'node:child_process';
+import {createInterface} from 'node:readline';
+
+const START_TIMEOUT_MS = 30_000;
+const STOP_TIMEOUT_MS = 40_000;
+const KEPT_ERROR_LINES = 50;
+
+/** How a process ended. */
+export interface ProcessExit {
+  readonly code: number | null;
+  readonly signal: NodeJS.Signals | null;
+}
+
+export class ManagedProcess {
+  /** Parsed run log, in order. */
+  readonly lines: unknown[] = [];
+  private readonly errorLines: string[] = [];
+  private readonly exited: Promise<ProcessExit>;
+  private exit: ProcessExit | undefined;
+
+  private constructor(
+    readonly name: string,
+    private readonly child: ChildProcess,
+  ) {
+    this.exited = new Promise((resolve) => {
+      child.once('exit', (code, signal) => {
+        this.exit = {code, signal};
+        resolve(this.exit);
+      });
+    });
+  }
+
+  /**
+   * Starts a program and returns it with its parsed first line. Throws with
+   * the end of its standard error if it ends before that.
+   */
+  static async start(
+    name: string,
+    script: string,
+    parameters: readonly string[],
+  ): Promise<{process: ManagedProcess; firstLine: unknown}> {
+    const child = spawn(process.execPath, [script, ...parameters], {
+      stdio: ['ignore', 'pipe', 'pipe'],
+    });
+    const managed = new ManagedProcess(name, child);
+    const firstLine = await managed.readFirstLine();
+    return {process: managed, firstLine};
+  }
+
+  get id(): number | undefined {
+    return this.child.pid;
+  }
+
+  get running(): boolean {
+    return this.exit === undefined;
+  }
+
+  /** The end of standard error, for failure messages. */
+  get errors(): string {
+    return this.errorLines.join('\n');
+  }
+
+  /** Sends a signal to this process only. */
+  signal(signal: NodeJS.Signals): void {
+    if (this.running) this.child.kill(signal);
+  }
+
+  /** Kills the process at once. */
+  async kill(): Promise<void> {
+    this.signal('SIGKILL');
+    await this.exited;
+  }
+
+  /** Asks the process to stop and waits; kills it if it does not. */
+  async stop(): Promise<ProcessExit> {
+    this.signal('SIGCONT');
+    this.signal('SIGTERM');
+    const timer = setTimeout(() => this.signal('SIGKILL'), STOP_TIMEOUT_MS);
+    const exit = await this.exited;
+    clearTimeout(timer);
+    return exit;
+  }
+
+  private async readFirstLine(): Promise<unknown> {
+    const {stdout, stderr} = this.child;
+    if (!stdout || !stderr) throw new Error(`${this.name} has no output`);
+    createInterface({input: stderr}).on('line', (line) => {
+      this.errorLines.push(line);
+      if (this.errorLines.length > KEPT_ERROR_LINES) this.errorLines.shift();
+    });
+    return new Promise((resolve, reject) => {
+      let first = true;
+      const timer = setTimeout(() => {
+        reject(new Error(`${this.name} did not start: ${this.errors}`));
+      }, START_TIMEOUT_MS);
+      createInterface({input: stdout}).on('line', (line) => {
+        const value = parseLine(line);
+        if (first) {
+          first = false;
+          clearTimeout(timer);
+          resolve(value);
+        } else {
+          this.lines.push(value);
+        }
+      });
+      void this.exited.then((exit) => {
+        clearTimeout(timer);
+        const code = exit.code ?? exit.signal;
+        reject(new Error(`${this.name} ended (${code}): ${this.errors}`));
+      });
+    });
+  }
+}
+
+function parseLine(line: string): unknown {
+  try {
+    return JSON.parse(line);
+  } catch {
+    return line;
+  }
+}
