--- /dev/null
+++ b/src/controllers/configuration_controller.ts
@@ -0,0 +1,313 @@
+/**
+ * The configuration in force in this daemon. It follows the head in the store
+ * by a watch and takes updates from peers, and it accepts only higher
+ * versions, so that a daemon that wakes with an old watch never goes back.
+ */
+
+import {Result} from 'true-myth';
+import {Backoff} from '../lifecycle/backoff.js';
+import type {CleanupScope} from '../lifecycle/cleanup_scope.js';
+import type {Clock} from '../lifecycle/clock.js';
+import type {RandomSource} from '../lifecycle/random.js';
+import type {
+  Configuration,
+  ConfigurationChange,
+  ConfigurationHead,
+} from '../model/configuration.js';
+import {EMPTY_CONFIGURATION, applyChange} from '../model/configuration.js';
+import {ProtocolError, UnavailableError} from '../model/errors.js';
+import type {ConfigurationUpdate} from '../platform/peer_client.js';
+import type {KeyValueStore, StoreEntry} from '../platform/key_value_store.js';
+import type {ConfigurationReadError} from './configuration_store.js';
+import {
+  ConfigurationStore,
+  HEAD_KEY,
+  decodeHead,
+} from './configuration_store.js';
+import {ConfigurationWriter} from './configuration_writer.js';
+import type {
+  ConfigurationProposal,
+  ConfigurationValidator,
+  ConfigurationWriteError,
+} from './configuration_writer.js';
+import {Listeners} from './listeners.js';
+import type {Listener, LogLine} from './listeners.js';
+
+const DEFAULT_WATCH_WAIT_MS = 30_000;
+/** Time after a watch's wait at which the call counts as silent. */
+const WATCH_MARGIN_MS = 5_000;
+/**
+ * Pause after a watch without a change. It spreads the watches of many
+ * daemons and bounds their rate if the store answers without waiting.
+ */
+const LONGEST_IDLE_PAUSE_MS = 100;
+/** Changes kept in memory for peers that lag. */
+const MAXIMUM_KEPT_CHANGES = 64;
+/** Reads of a head whose snapshot was replaced meanwhile. */
+const MAXIMUM_SNAPSHOT_READS = 3;
+/** Waits between writes: short, since a lost race is tried again at once. */
+const FIRST_WRITE_WAIT_MS = 20;
+const LONGEST_WRITE_WAIT_MS = 2_000;
+
+/** One or more versions took effect. */
+export interface ConfigurationApplied {
+  readonly configuration: Configuration;
+  /** The change that gave it; absent if a snapshot replaced everything. */
+  readonly change?: ConfigurationChange;
+}
+
+export interface ConfigurationControllerOptions {
+  readonly store: KeyValueStore;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly scope: CleanupScope;
+  readonly log: LogLine;
+  /** Checks the guarantees of a configuration before it is written. */
+  readonly validator?: ConfigurationValidator;
+  readonly watchWaitMs?: number;
+}
+
+export class ConfigurationController {
+  private configuration = EMPTY_CONFIGURATION;
+  /** Changes up to the version in force, without gaps. */
+  private keptChanges: ConfigurationChange[] = [];
+  private readonly applied = new Listeners<ConfigurationApplied>();
+  /** Events that wait until all listeners have seen the one before. */
+  private readonly pendingEvents: ConfigurationApplied[] = [];
+  private emitting = false;
+  private readonly store: ConfigurationStore;
+  private readonly writer: ConfigurationWriter;
+  private knowsConfiguration = false;
+  private readonly firstKnown = new Listeners<void>();
+
+  constructor(private readonly options: ConfigurationControllerOptions) {
+    this.store = new ConfigurationStore(options.store);
+    this.writer = new ConfigurationWriter({
+      store: this.store,
+      clock: options.clock,
+      scope: options.scope,
+      newBackoff: () =>
+        new Backoff(options.random, FIRST_WRITE_WAIT_MS, LONGEST_WRITE_WAIT_MS),
+      validator: options.validator,
+      known: () => this.configuration,
+      onHead: (head) => this.acceptWhatFits(head),
+    });
+  }
+
+  get current(): Configuration {
+    return this.configuration;
+  }
+
+  get version(): number {
+    return this.configuration.version;
+  }
+
+  /** Follows the store until the scope closes. */
+  start(): void {
+    void this.follow();
+  }
+
+  /** Adds a listener; it is called once per version or snapshot, in order. */
+  onApplied(listener: Listener<ConfigurationApplied>): () => void {
+    return this.applied.add(listener);
+  }
+
+  /**
+   * Resolves when the store's head was read or a peer sent a configuration.
+   * Until then the configuration is empty because nothing is known.
+   */
+  async whenKnown(): Promise<void> {
+    if (this.knowsConfiguration) return;
+    await new Promise<void>((resolve) => this.firstKnown.add(resolve));
+  }
+
+  /** Writes a change to the store and applies it. */
+  propose(
+    proposal: ConfigurationProposal,
+  ): Promise<Result<ConfigurationChange, ConfigurationWriteError>> {
+    return this.writer.propose(proposal);
+  }
+
+  /** Returns what a peer at `version` lacks. */
+  configurationSince(version: number): ConfigurationUpdate {
+    if (version >= this.version) return {kind: 'changes', changes: []};
+    const oldest = this.keptChanges[0]?.version;
+    if (oldest === undefined || oldest > version + 1) {
+      return {kind: 'snapshot', configuration: this.configuration};
+    }
+    const changes = this.keptChanges.filter((c) => c.version > version);
+    return {kind: 'changes', changes};
+  }
+
+  /**
+   * Takes an update from a peer. What is not newer is ignored; changes with a
+   * gap are refused as a whole. Returns the version in force.
+   */
+  receive(update: ConfigurationUpdate): Result<number, ProtocolError> {
+    if (update.kind === 'snapshot') {
+      this.replace(update.configuration);
+      return Result.ok(this.version);
+    }
+    const changes = update.changes.filter((c) => c.version > this.version);
+    const complete = changes.every(
+      (change, i) => change.version === this.version + 1 + i,
+    );
+    if (!complete) {
+      return Result.err(
+        new ProtocolError(
+          `a peer sent changes that do not continue version ${this.version}`,
+          'ask the peer for the changes after the version in force',
+        ),
+      );
+    }
+    this.apply(changes);
+    return Result.ok(this.version);
+  }
+
+  private async follow(): Promise<void> {
+    const {scope, random, log} = this.options;
+    const backoff = new Backoff(random);
+    let revision: number | undefined;
+    while (!scope.closed) {
+      const result: Result<number | undefined, ConfigurationReadError> =
+        revision === undefined
+          ? await this.readCurrent()
+          : await this.watchOnce(revision);
+      if (scope.closed) return;
+      if (result.isOk) {
+        revision = result.value;
+        backoff.reset();
+        continue;
+      }
+      log(`[configuration] cannot follow the store: ${result.error.message}`);
+      if (result.error.kind === 'protocol') revision = undefined;
+      await scope.sleep(backoff.nextWaitMs());
+    }
+  }
+
+  /** Reads the head and, where needed, the snapshot; returns the revision. */
+  private async readCurrent(): Promise<Result<number, ConfigurationReadError>> {
+    const listing = await this.options.store.list(HEAD_KEY);
+    if (listing.isErr) return Result.err(listing.error);
+    const entry = listing.value.entries.find(({key}) => key === HEAD_KEY);
+    if (entry) {
+      const accepted = await this.acceptEntry(entry);
+      if (accepted.isErr) return Result.err(accepted.error);
+    }
+    this.markKnown();
+    return Result.ok(listing.value.revision);
+  }
+
+  /** Returns the next revision, or undefined if the head has to be read. */
+  private async watchOnce(
+    revision: number,
+  ): Promise<Result<number | undefined, ConfigurationReadError>> {
+    const waitMs = this.options.watchWaitMs ?? DEFAULT_WATCH_WAIT_MS;
+    const batch = await this.options.store.watch(
+      HEAD_KEY,
+      revision,
+      waitMs,
+      AbortSignal.any([
+        this.options.scope.signal,
+        AbortSignal.timeout(waitMs + WATCH_MARGIN_MS),
+      ]),
+    );
+    if (batch.isErr) return Result.err(batch.error);
+    // A lower revision means that the store was restored: its old revisions
+    // no longer say anything about what was seen.
+    if (batch.value.compacted || batch.value.revision < revision) {
+      return Result.ok(undefined);
+    }
+    const entry = batch.value.changed.find(({key}) => key === HEAD_KEY);
+    if (!entry) {
+      await this.options.scope.sleep(
+        this.options.random.next() * LONGEST_IDLE_PAUSE_MS,
+      );
+      return Result.ok(batch.value.revision);
+    }
+    const accepted = await this.acceptEntry(entry);
+    return accepted.map(() => batch.value.revision);
+  }
+
+  private async acceptEntry(
+    entry: StoreEntry,
+  ): Promise<Result<void, ConfigurationReadError>> {
+    const stored = decodeHead(entry);
+    if (stored.isErr) return Result.err(stored.error);
+    return this.acceptHead(stored.value.head);
+  }
+
+  /** Applies a head; reads the snapshot if changes before it are missing. */
+  private async acceptHead(
+    firstHead: ConfigurationHead,
+  ): Promise<Result<void, ConfigurationReadError>> {
+    let head = firstHead;
+    for (let read = 0; read < MAXIMUM_SNAPSHOT_READS; read += 1) {
+      if (this.acceptWhatFits(head)) return Result.ok(undefined);
+      const snapshot = await this.store.readSnapshot(head.snapshotVersion);
+      if (snapshot.isErr) return Result.err(snapshot.error);
+      if (snapshot.value) {
+        this.replace(snapshot.value);
+        this.acceptWhatFits(head);
+        return Result.ok(undefined);
+      }
+      const stored = await this.store.readHead();
+      if (stored.isErr) return Result.err(stored.error);
+      head = stored.value.head;
+    }
+    return Result.err(
+      new UnavailableError(
+        `the snapshot of version ${head.snapshotVersion} is not in the store`,
+        'restore the snapshot if this does not end by itself',
+      ),
+    );
+  }
+
+  /** Returns false if changes before those of the head are missing. */
+  private acceptWhatFits(head: ConfigurationHead): boolean {
+    if (head.snapshotVersion > this.version) return false;
+    this.apply(head.recentChanges.filter((c) => c.version > this.version));
+    return true;
+  }
+
+  private apply(changes: readonly ConfigurationChange[]): void {
+    for (const change of changes) {
+      // A listener may have caused a newer version in the meantime.
+      if (change.version !== this.version + 1) continue;
+      this.configuration = applyChange(this.configuration, change);
+      this.keptChanges.push(change);
+      if (this.keptChanges.length > MAXIMUM_KEPT_CHANGES) {
+        this.keptChanges.shift();
+      }
+      this.announce({configuration: this.configuration, change});
+    }
+  }
+
+  private replace(configuration: Configuration): void {
+    if (configuration.version <= this.version) return;
+    this.configuration = configuration;
+    this.keptChanges = [];
+    this.announce({configuration});
+  }
+
+  private announce(event: ConfigurationApplied): void {
+    const {version} = event.configuration;
+    this.options.log(`[configuration] applied version ${version}`);
+    this.markKnown();
+    this.pendingEvents.push(event);
+    if (this.emitting) return;
+    this.emitting = true;
+    try {
+      let next: ConfigurationApplied | undefined;
+      while ((next = this.pendingEvents.shift())) this.applied.emit(next);
+    } finally {
+      this.emitting = false;
+    }
+  }
+
+  private markKnown(): void {
+    if (this.knowsConfiguration) return;
+    this.knowsConfiguration = true;
+    this.firstKnown.emit();
+  }
+}
