Add the audit trail of changes and scheduler decisions

Cause: every accepted change and every decision has to be traceable, and a loss during a store outage has to be stated. Ruled out: one key per decision (unbounded in the store), writing the slot before the claim (a crash in between would lose a batch without a trace). Conclusion: a ring of 64 batches per zone; entries over 1,000 waiting ones are counted and the count is written with the next batch.

--- /dev/null
+++ b/src/controllers/audit_trail.ts
@@ -0,0 +1,388 @@
+/**
+ * The audit trail. Accepted configuration changes are their own audit
+ * entries; they are read from the audit segments and the head. Decisions of
+ * the schedulers are written in batches to a ring of store keys per zone.
+ */
+
+import {Result} from 'true-myth';
+import {z} from 'zod';
+import {Backoff} from '../lifecycle/backoff.js';
+import type {CleanupScope} from '../lifecycle/cleanup_scope.js';
+import type {Clock} from '../lifecycle/clock.js';
+import type {RandomSource} from '../lifecycle/random.js';
+import type {ConfigurationChange} from '../model/configuration.js';
+import {ProtocolError} from '../model/errors.js';
+import {
+  availabilityZoneSchema,
+  daemonIdSchema,
+  instantSchema,
+  randomId,
+} from '../model/ids.js';
+import type {AvailabilityZone, DaemonId} from '../model/ids.js';
+import {validateJson} from '../model/validation.js';
+import type {
+  KeyValueStore,
+  StoreReadError,
+  StoreWriteError,
+} from '../platform/key_value_store.js';
+import {ABSENT_REVISION} from '../platform/key_value_store.js';
+import {
+  CHANGES_PER_SEGMENT,
+  ConfigurationStore,
+  segmentStart,
+} from './configuration_store.js';
+import type {LogLine} from './listeners.js';
+
+/** Batches per zone; the oldest is overwritten by the next one. */
+export const DECISION_SLOTS = 64;
+/** Entries per batch; with the longest texts a batch stays under 1 MB. */
+export const DECISIONS_PER_BATCH = 200;
+/** Entries that wait for the store; further ones are counted, not kept. */
+export const MAXIMUM_WAITING_DECISIONS = 1_000;
+const MAXIMUM_KIND_CHARACTERS = 64;
+const MAXIMUM_SUBJECT_CHARACTERS = 160;
+const MAXIMUM_DETAIL_CHARACTERS = 500;
+const DEFAULT_WRITE_INTERVAL_MS = 5_000;
+const LONGEST_RETRY_WAIT_MS = 30_000;
+/** Tries to claim the next batch number against other daemons. */
+const MAXIMUM_CLAIM_TRIES = 8;
+
+export const decisionSchema = z.object({
+  at: instantSchema,
+  /** For example `preempt`. */
+  kind: z.string().max(MAXIMUM_KIND_CHARACTERS),
+  /** What was decided on, for example a job id. */
+  subject: z.string().max(MAXIMUM_SUBJECT_CHARACTERS),
+  /** Reason in one sentence. */
+  detail: z.string().max(MAXIMUM_DETAIL_CHARACTERS),
+});
+/** One decision of a scheduler. */
+export type Decision = z.infer<typeof decisionSchema>;
+
+export const decisionBatchSchema = z.object({
+  /** Numbers the batches of a zone, from 1, without gaps. */
+  sequence: z.int().min(1),
+  batchId: z.string(),
+  daemonId: daemonIdSchema,
+  availabilityZone: availabilityZoneSchema,
+  /** Decisions of this daemon since its last batch that were not kept. */
+  notKept: z.int().min(0),
+  decisions: z.array(decisionSchema),
+});
+/** Value of the store key `audit/decisions/<zone>/<slot>`. */
+export type DecisionBatch = z.infer<typeof decisionBatchSchema>;
+
+const decisionHeadSchema = z.object({
+  /** Last batch number that a daemon has claimed. */
+  sequence: z.int().min(0),
+  /** The batch that claimed it. */
+  batchId: z.string(),
+});
+type DecisionHead = z.infer<typeof decisionHeadSchema>;
+
+export interface ConfigurationHistory {
+  /** In order of versions. */
+  readonly changes: readonly ConfigurationChange[];
+  /** Versions whose changes the store does not have. */
+  readonly missingVersions: readonly number[];
+}
+
+export interface DecisionHistory {
+  /** In order of batch numbers. */
+  readonly batches: readonly DecisionBatch[];
+  /** Batches that were claimed and not written, or overwritten meanwhile. */
+  readonly missingSequences: readonly number[];
+}
+
+export type AuditReadError = StoreReadError | ProtocolError;
+
+/** Reads both parts of the audit trail. */
+export class AuditReader {
+  private readonly configuration: ConfigurationStore;
+
+  constructor(private readonly store: KeyValueStore) {
+    this.configuration = new ConfigurationStore(store);
+  }
+
+  /** Returns at most `limit` changes after a version, each exactly once. */
+  async configurationChanges(
+    afterVersion = 0,
+    limit = Number.POSITIVE_INFINITY,
+  ): Promise<Result<ConfigurationHistory, AuditReadError>> {
+    // The head is read first: what is trimmed from it afterwards is still in
+    // the copy that was read.
+    const stored = await this.configuration.readHead();
+    if (stored.isErr) return Result.err(stored.error);
+    const {head} = stored.value;
+    const last = Math.min(head.version, afterVersion + limit);
+    const found = new Map<number, ConfigurationChange>();
+    let from = segmentStart(afterVersion + 1);
+    for (; from <= Math.min(last, head.snapshotVersion);) {
+      const segment = await this.configuration.readSegment(from);
+      if (segment.isErr) return Result.err(segment.error);
+      for (const change of segment.value) found.set(change.version, change);
+      from += CHANGES_PER_SEGMENT;
+    }
+    for (const change of head.recentChanges) found.set(change.version, change);
+    return Result.ok(collect(found, afterVersion + 1, last));
+  }
+
+  /** Returns the batches of a zone that are still in the store. */
+  async decisions(
+    zone: AvailabilityZone,
+  ): Promise<Result<DecisionHistory, AuditReadError>> {
+    const stored = await readDecisionHead(this.store, zone);
+    if (stored.isErr) return Result.err(stored.error);
+    const last = stored.value.head.sequence;
+    const batches: DecisionBatch[] = [];
+    const missingSequences: number[] = [];
+    const first = Math.max(1, last - DECISION_SLOTS + 1);
+    for (let sequence = first; sequence <= last; sequence += 1) {
+      const batch = await readBatch(this.store, zone, sequence);
+      if (batch.isErr) return Result.err(batch.error);
+      if (batch.value?.sequence === sequence) batches.push(batch.value);
+      else missingSequences.push(sequence);
+    }
+    return Result.ok({batches, missingSequences});
+  }
+}
+
+export interface DecisionLogOptions {
+  readonly store: KeyValueStore;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly scope: CleanupScope;
+  readonly log: LogLine;
+  readonly daemonId: DaemonId;
+  readonly availabilityZone: AvailabilityZone;
+  readonly writeIntervalMs?: number;
+}
+
+/**
+ * Writes the decisions of this daemon. A batch first claims the next number
+ * of the zone and is then written to the slot of that number, so that a batch
+ * that was claimed and never written shows as missing.
+ */
+export class DecisionLog {
+  private readonly waiting: Decision[] = [];
+  private notKept = 0;
+  private writing: Promise<void> | undefined;
+  /** The claimed batch that is not known to be in the store. */
+  private unwritten: DecisionBatch | undefined;
+
+  constructor(private readonly options: DecisionLogOptions) {}
+
+  /** Decisions that were not kept and that no batch has stated yet. */
+  get notKeptCount(): number {
+    return this.notKept;
+  }
+
+  /** Writes at an interval; a last time when the scope closes. */
+  start(): void {
+    const {scope, random} = this.options;
+    scope.add(() => this.flush());
+    void (async () => {
+      const interval =
+        this.options.writeIntervalMs ?? DEFAULT_WRITE_INTERVAL_MS;
+      const backoff = new Backoff(random, interval, LONGEST_RETRY_WAIT_MS);
+      while (!scope.closed) {
+        const before = this.waiting.length;
+        await this.flush();
+        const failed = before > 0 && this.waiting.length >= before;
+        if (!failed) backoff.reset();
+        await scope.sleep(failed ? backoff.nextWaitMs() : interval);
+      }
+    })();
+  }
+
+  /** Adds a decision; texts over their limits are cut. */
+  record(kind: string, subject: string, detail: string): void {
+    if (this.waiting.length >= MAXIMUM_WAITING_DECISIONS) {
+      this.notKept += 1;
+      return;
+    }
+    this.waiting.push({
+      at: this.options.clock.now(),
+      kind: kind.slice(0, MAXIMUM_KIND_CHARACTERS),
+      subject: subject.slice(0, MAXIMUM_SUBJECT_CHARACTERS),
+      detail: detail.slice(0, MAXIMUM_DETAIL_CHARACTERS),
+    });
+  }
+
+  /** Tries once to write what waits. */
+  async flush(): Promise<void> {
+    this.writing ??= this.writeWaiting().finally(() => {
+      this.writing = undefined;
+    });
+    await this.writing;
+  }
+
+  private async writeWaiting(): Promise<void> {
+    while (this.waiting.length > 0 || this.notKept > 0 || this.unwritten) {
+      const written = await this.writeBatch();
+      if (written.isOk) continue;
+      this.options.log(
+        `[audit] ${this.waiting.length} decisions wait for the store: ${written.error.message}`,
+      );
+      return;
+    }
+  }
+
+  private async writeBatch(): Promise<
+    Result<void, StoreWriteError | AuditReadError>
+  > {
+    if (!this.unwritten) {
+      const claimed = await this.claim();
+      if (claimed.isErr) return Result.err(claimed.error);
+      this.unwritten = claimed.value;
+    }
+    const batch = this.unwritten;
+    const put = await this.putBatch(batch);
+    if (put.isErr) return put;
+    this.unwritten = undefined;
+    this.waiting.splice(0, batch.decisions.length);
+    this.notKept -= batch.notKept;
+    return Result.ok(undefined);
+  }
+
+  private async claim(): Promise<
+    Result<DecisionBatch, StoreWriteError | AuditReadError>
+  > {
+    const {store, availabilityZone, daemonId} = this.options;
+    const batchId = randomId('batch') as string;
+    let lastError: StoreWriteError | undefined;
+    for (let attempt = 0; attempt < MAXIMUM_CLAIM_TRIES; attempt += 1) {
+      const stored = await readDecisionHead(store, availabilityZone);
+      if (stored.isErr) return Result.err(stored.error);
+      const {head, revision} = stored.value;
+      const claimedBefore = head.batchId === batchId;
+      const sequence = claimedBefore ? head.sequence : head.sequence + 1;
+      if (!claimedBefore) {
+        const claimed = await store.put(
+          headKey(availabilityZone),
+          JSON.stringify({sequence, batchId} satisfies DecisionHead),
+          revision,
+        );
+        if (claimed.isErr) {
+          lastError = claimed.error;
+          const {kind} = claimed.error;
+          if (kind === 'conflict' || kind === 'unknown-effect') continue;
+          return Result.err(claimed.error);
+        }
+      }
+      return Result.ok({
+        sequence,
+        batchId,
+        daemonId,
+        availabilityZone,
+        notKept: this.notKept,
+        decisions: this.waiting.slice(0, DECISIONS_PER_BATCH),
+      });
+    }
+    return Result.err(lastError ?? raceLost(availabilityZone));
+  }
+
+  /** Replaces the slot's older batch; a newer one is left as it is. */
+  private async putBatch(
+    batch: DecisionBatch,
+  ): Promise<Result<void, StoreWriteError | AuditReadError>> {
+    const {store, availabilityZone, log} = this.options;
+    const key = slotKey(availabilityZone, batch.sequence);
+    const entry = await store.get(key);
+    if (entry.isErr) return Result.err(entry.error);
+    if (entry.value) {
+      const other = decodeBatch(entry.value.key, entry.value.value);
+      if (other.isOk && other.value.batchId === batch.batchId) {
+        return Result.ok(undefined);
+      }
+      if (other.isOk && other.value.sequence > batch.sequence) {
+        log(
+          `[audit] batch ${batch.sequence} was overtaken and is written anew`,
+        );
+        this.unwritten = undefined;
+        return Result.err(raceLost(availabilityZone));
+      }
+    }
+    const put = await store.put(
+      key,
+      JSON.stringify(batch),
+      entry.value?.revision ?? ABSENT_REVISION,
+    );
+    return put.map(() => undefined);
+  }
+}
+
+async function readDecisionHead(
+  store: KeyValueStore,
+  zone: AvailabilityZone,
+): Promise<Result<{head: DecisionHead; revision: number}, AuditReadError>> {
+  const entry = await store.get(headKey(zone));
+  if (entry.isErr) return Result.err(entry.error);
+  if (!entry.value) {
+    return Result.ok({
+      head: {sequence: 0, batchId: ''},
+      revision: ABSENT_REVISION,
+    });
+  }
+  const {key, value, revision} = entry.value;
+  return validateJson(decisionHeadSchema, value, key)
+    .map((head) => ({head, revision}))
+    .mapErr((error) => malformed(error.problem));
+}
+
+async function readBatch(
+  store: KeyValueStore,
+  zone: AvailabilityZone,
+  sequence: number,
+): Promise<Result<DecisionBatch | undefined, AuditReadError>> {
+  const entry = await store.get(slotKey(zone, sequence));
+  if (entry.isErr) return Result.err(entry.error);
+  if (!entry.value) return Result.ok(undefined);
+  return decodeBatch(entry.value.key, entry.value.value);
+}
+
+function decodeBatch(
+  key: string,
+  value: string,
+): Result<DecisionBatch, ProtocolError> {
+  return validateJson(decisionBatchSchema, value, key).mapErr((error) =>
+    malformed(error.problem),
+  );
+}
+
+function collect(
+  found: ReadonlyMap<number, ConfigurationChange>,
+  first: number,
+  last: number,
+): ConfigurationHistory {
+  const changes: ConfigurationChange[] = [];
+  const missingVersions: number[] = [];
+  for (let version = first; version <= last; version += 1) {
+    const change = found.get(version);
+    if (change) changes.push(change);
+    else missingVersions.push(version);
+  }
+  return {changes, missingVersions};
+}
+
+function headKey(zone: AvailabilityZone): string {
+  return `audit/decisions/${zone}/head`;
+}
+
+function slotKey(zone: AvailabilityZone, sequence: number): string {
+  return `audit/decisions/${zone}/${sequence % DECISION_SLOTS}`;
+}
+
+function malformed(problem: string): ProtocolError {
+  return new ProtocolError(
+    `the audit trail holds a malformed value: ${problem}`,
+    'restore the key from a backup of the store',
+  );
+}
+
+function raceLost(zone: AvailabilityZone): ProtocolError {
+  return new ProtocolError(
+    `other daemons wrote the decisions of ${zone} first`,
+    'the batch is tried again at the next interval',
+  );
+}
