Add membership by heartbeats and rendezvous ownership

Cause: zones and minions need one owner that every daemon computes alike. Ruled out: hashing daemon ids (a restarted daemon would get other minions, and the ids of other zones are not known from the VM list); VM ids are hashed. Conclusion: a paused daemon owns nothing until its peers are heard again. The heartbeat gains the optional field peerAddresses, by which a daemon that starts while the VM list cannot be reached finds its peers.

--- /dev/null
+++ b/src/controllers/membership_controller.ts
@@ -0,0 +1,436 @@
+/**
+ * Membership: which daemons are live, and which of them owns a zone or a
+ * minion's queue. Each daemon decides for itself from heartbeats, the VM list
+ * and the seeds of its settings; see `docs/design.md`, section 3.9.
+ */
+
+import type {CleanupScope} from '../lifecycle/cleanup_scope.js';
+import type {Clock} from '../lifecycle/clock.js';
+import type {AvailabilityZone, DaemonId, Instant, VmId} from '../model/ids.js';
+import type {
+  Heartbeat,
+  PeerClient,
+  QueueLength,
+} from '../platform/peer_client.js';
+import {rendezvousOwner} from '../scheduling/rendezvous.js';
+import type {ConfigurationController} from './configuration_controller.js';
+import {HeartbeatSender} from './heartbeat_sender.js';
+import {Listeners} from './listeners.js';
+import type {Listener, LogLine} from './listeners.js';
+import {PeerTable} from './peer_table.js';
+import type {KnownPeer} from './peer_table.js';
+import type {VmController} from './vm_controller.js';
+
+const DEFAULT_HEARTBEAT_INTERVAL_MS = 500;
+const DEFAULT_REMOTE_HEARTBEAT_INTERVAL_MS = 5_000;
+const DEFAULT_PEER_TIMEOUT_MS = 2_000;
+/** Checks for silent peers per peer timeout: detection is late by 1/20. */
+const CHECKS_PER_TIMEOUT = 20;
+/** A peer that was first heard this recently is told of other daemons. */
+const INTRODUCE_WITHIN_MS = 10_000;
+const MAXIMUM_INTRODUCED_PEERS = 64;
+
+/** A daemon that counts as live. */
+export interface Member {
+  readonly vmId: VmId;
+  /** Absent if only the VM list names the daemon. */
+  readonly daemonId?: DaemonId;
+  readonly availabilityZone: AvailabilityZone;
+  /** Peer address. */
+  readonly address: string;
+  readonly leaving: boolean;
+  /** True for this daemon. */
+  readonly self: boolean;
+}
+
+/** The owners of a zone changed, or this daemon's view settled. */
+export interface MembershipChanged {
+  readonly availabilityZone: AvailabilityZone;
+  /** Live daemons that are not leaving. */
+  readonly owners: readonly Member[];
+}
+
+/** A queue length that a peer reported. */
+export interface ReportedQueueLength {
+  readonly queued: number;
+  /** Time since the peer last confirmed it, in milliseconds. */
+  readonly ageMs: number;
+}
+
+export interface MembershipControllerOptions {
+  readonly daemonId: DaemonId;
+  readonly vmId: VmId;
+  readonly availabilityZone: AvailabilityZone;
+  /** Peer address of this daemon. */
+  readonly address: string;
+  /** Peer addresses from the settings. */
+  readonly seeds: readonly string[];
+  readonly heartbeatIntervalMs?: number;
+  readonly remoteHeartbeatIntervalMs?: number;
+  readonly peerTimeoutMs?: number;
+  readonly peers: Pick<PeerClient, 'heartbeat' | 'configurationSince'>;
+  readonly vms: Pick<VmController, 'entryVms' | 'vm' | 'loaded' | 'onChange'>;
+  readonly configuration: Pick<
+    ConfigurationController,
+    'version' | 'receive' | 'onApplied'
+  >;
+  /** Queue lengths of the minions that this daemon owns. */
+  readonly queueLengths: () => readonly QueueLength[];
+  readonly clock: Clock;
+  readonly scope: CleanupScope;
+  readonly log: LogLine;
+}
+
+/** The owners of a zone as of the last check. */
+interface ZoneView {
+  /** Changes with the owners. */
+  readonly signature: string;
+  readonly owners: readonly Member[];
+  /** Kept because each request asks for the owner of a minion. */
+  readonly bySubject: Map<string, Member>;
+}
+
+export class MembershipController {
+  private readonly table = new PeerTable();
+  private readonly sender: HeartbeatSender;
+  private readonly changes = new Listeners<MembershipChanged>();
+  /** Owners as they were last announced. */
+  private readonly views = new Map<AvailabilityZone, ZoneView>();
+  private readonly pulls = new Set<string>();
+  private readonly peerTimeoutMs: number;
+  private readonly remoteTimeoutMs: number;
+  private readonly heartbeatIntervalMs: number;
+  private isLeaving = false;
+  private lastNow: Instant;
+  /** The view counts as stale from here until all known peers are heard. */
+  private unsettledSince: Instant | undefined;
+
+  constructor(private readonly options: MembershipControllerOptions) {
+    this.peerTimeoutMs = options.peerTimeoutMs ?? DEFAULT_PEER_TIMEOUT_MS;
+    this.heartbeatIntervalMs =
+      options.heartbeatIntervalMs ?? DEFAULT_HEARTBEAT_INTERVAL_MS;
+    const remoteHeartbeatIntervalMs =
+      options.remoteHeartbeatIntervalMs ?? DEFAULT_REMOTE_HEARTBEAT_INTERVAL_MS;
+    this.remoteTimeoutMs = 2 * remoteHeartbeatIntervalMs + this.peerTimeoutMs;
+    this.lastNow = options.clock.now();
+    this.unsettledSince = this.lastNow;
+    this.sender = new HeartbeatSender({
+      ...options,
+      heartbeatIntervalMs: this.heartbeatIntervalMs,
+      remoteHeartbeatIntervalMs,
+      now: () => this.now(),
+      createHeartbeat: (queueLengths) => this.createHeartbeat(queueLengths),
+      send: (address, heartbeat) => options.peers.heartbeat(address, heartbeat),
+      onAnswer: (answer, address) => this.hear(answer, address),
+    });
+  }
+
+  /** Sends heartbeats until the scope closes. */
+  start(): void {
+    const {scope, vms, configuration} = this.options;
+    scope.add(configuration.onApplied(() => this.announceConfiguration()));
+    scope.add(vms.onChange(() => this.beat()));
+    scope.every(this.heartbeatIntervalMs, () => this.beat());
+    scope.every(this.peerTimeoutMs / CHECKS_PER_TIMEOUT, () => this.check());
+    this.beat();
+  }
+
+  /** True once this daemon leaves and owns nothing any more. */
+  get leaving(): boolean {
+    return this.isLeaving;
+  }
+
+  /**
+   * False after the start and after a pause of the process, until all known
+   * daemons of the zone were heard or the peer timeout has passed.
+   */
+  get settled(): boolean {
+    this.now();
+    return this.unsettledSince === undefined;
+  }
+
+  /** Sets the leaving flag and tells all peers at once. */
+  leave(): void {
+    if (this.isLeaving) return;
+    this.isLeaving = true;
+    this.options.log('[membership] this daemon is leaving');
+    this.sender.sendNow(() => true);
+    this.check();
+  }
+
+  /** Adds a listener; it is called once per change of a zone's owners. */
+  onChange(listener: Listener<MembershipChanged>): () => void {
+    return this.changes.add(listener);
+  }
+
+  /** Takes a peer's heartbeat and returns the answer to it. */
+  receiveHeartbeat(heartbeat: Heartbeat): Heartbeat {
+    this.hear(heartbeat, heartbeat.address);
+    // A peer that gets heartbeats of this daemon has the queue lengths from
+    // them; any other peer gets all of them with each answer.
+    const sends = this.sender.targetAddresses().includes(heartbeat.address);
+    const answer = this.createHeartbeat(
+      sends ? [] : [...this.options.queueLengths()],
+    );
+    const peer = this.table.get(heartbeat.daemonId);
+    if (!peer || this.now() - peer.firstHeardAt > INTRODUCE_WITHIN_MS) {
+      return answer;
+    }
+    return {...answer, peerAddresses: this.peersToIntroduce(heartbeat)};
+  }
+
+  /** Live daemons of a zone, leaving ones included. */
+  liveDaemons(zone: AvailabilityZone): Member[] {
+    const now = this.now();
+    const heard = this.table
+      .all()
+      .filter((peer) => peer.availabilityZone === zone)
+      .filter((peer) => this.isLive(peer, now))
+      .map((peer) => this.toMember(peer));
+    if (zone === this.options.availabilityZone) return [this.self(), ...heard];
+    const known = new Set(heard.map(({vmId}) => vmId));
+    return [...heard, ...this.listedOnly(zone, known)];
+  }
+
+  /** Daemons that may own the zone or its minions. */
+  owners(zone: AvailabilityZone): Member[] {
+    return this.liveDaemons(zone).filter(({leaving}) => !leaving);
+  }
+
+  /** The daemon that decides for the workers of the zone. */
+  schedulerOf(zone: AvailabilityZone): Member | undefined {
+    return this.ownerOf(`scheduler/${zone}`, zone);
+  }
+
+  /** The daemon that keeps the queue of a minion of the zone. */
+  homeDaemonOf(zone: AvailabilityZone, minionId: VmId): Member | undefined {
+    return this.ownerOf(`minion/${minionId}`, zone);
+  }
+
+  /** True if this daemon is the scheduler of its zone. */
+  isScheduler(): boolean {
+    if (!this.settled) return false;
+    return this.schedulerOf(this.options.availabilityZone)?.self ?? false;
+  }
+
+  /** True if this daemon keeps the queue of the minion of its zone. */
+  isHomeOf(minionId: VmId): boolean {
+    if (!this.settled) return false;
+    const zone = this.options.availabilityZone;
+    return this.homeDaemonOf(zone, minionId)?.self ?? false;
+  }
+
+  /** What the home daemon of the minion reported, if it did. */
+  queueLength(
+    zone: AvailabilityZone,
+    minionId: VmId,
+  ): ReportedQueueLength | undefined {
+    const home = this.homeDaemonOf(zone, minionId);
+    if (home?.self) {
+      const own = this.options
+        .queueLengths()
+        .find((length) => length.minionId === minionId);
+      return own && {queued: own.queued, ageMs: 0};
+    }
+    const peer = home?.daemonId && this.table.get(home.daemonId);
+    const queued = peer ? peer.queueLengths.get(minionId) : undefined;
+    if (!peer || queued === undefined) return undefined;
+    return {queued, ageMs: this.now() - peer.heardAt};
+  }
+
+  /** Configuration versions of the live peers, for `status`. */
+  livePeers(): KnownPeer[] {
+    const now = this.now();
+    return this.table.all().filter((peer) => this.isLive(peer, now));
+  }
+
+  private beat(): void {
+    this.nameContacts();
+    this.sender.sendDue();
+    this.table.forgetOld(this.now());
+    this.check();
+  }
+
+  private nameContacts(): void {
+    const {seeds, vms} = this.options;
+    for (const seed of seeds) this.sender.name(seed, undefined);
+    for (const vm of vms.entryVms()) {
+      if (vm.vmId !== this.options.vmId) {
+        this.sender.name(vm.address, vm.availabilityZone);
+      }
+    }
+  }
+
+  /** Ends the settling time and tells listeners what changed. */
+  private check(): void {
+    const now = this.now();
+    const {vms, vmId, availabilityZone} = this.options;
+    if (vms.vm(vmId)?.state === 'leaving') this.leave();
+    this.settle(now);
+    const zones = new Set<AvailabilityZone>([
+      availabilityZone,
+      ...this.table.all().map((peer) => peer.availabilityZone),
+      ...vms.entryVms().map((vm) => vm.availabilityZone),
+      ...this.views.keys(),
+    ]);
+    for (const zone of zones) this.announceIfChanged(zone);
+  }
+
+  private settle(now: Instant): void {
+    const since = this.unsettledSince;
+    if (since === undefined) return;
+    const heardAll =
+      this.options.vms.loaded && this.sender.heardAllSince(since);
+    if (!heardAll && now - since < this.peerTimeoutMs) return;
+    this.unsettledSince = undefined;
+    this.announceIfChanged(this.options.availabilityZone);
+  }
+
+  private announceIfChanged(zone: AvailabilityZone): void {
+    const owners = this.owners(zone);
+    const own = zone === this.options.availabilityZone;
+    const signature = [
+      own ? String(this.unsettledSince === undefined) : '',
+      ...owners.map((o) => `${o.vmId} ${o.daemonId} ${o.address}`).sort(),
+    ].join('\n');
+    if (this.views.get(zone)?.signature === signature) return;
+    this.views.set(zone, {signature, owners, bySubject: new Map()});
+    this.options.log(`[membership] ${zone} has ${owners.length} daemons`);
+    this.changes.emit({availabilityZone: zone, owners});
+  }
+
+  /** Reads the clock and notices pauses of the process. */
+  private now(): Instant {
+    const now = this.options.clock.now();
+    const elapsed = now - this.lastNow;
+    this.lastNow = now;
+    const jumped = Math.abs(elapsed) > this.peerTimeoutMs;
+    if (jumped || elapsed < 0) this.table.shift(elapsed);
+    if (jumped) {
+      this.options.log(
+        `[membership] the clock jumped by ${elapsed} ms; the view is stale until peers are heard`,
+      );
+      this.unsettledSince = now;
+    }
+    return now;
+  }
+
+  private hear(heartbeat: Heartbeat, address: string): void {
+    if (heartbeat.daemonId === this.options.daemonId) return;
+    const now = this.now();
+    if (!this.table.record(heartbeat, now)) return;
+    this.sender.name(heartbeat.address, heartbeat.availabilityZone);
+    for (const peer of heartbeat.peerAddresses ?? []) {
+      this.sender.name(peer, undefined);
+    }
+    if (heartbeat.configurationVersion > this.options.configuration.version) {
+      void this.pullConfiguration(address);
+    }
+    this.nameContacts();
+    this.settle(now);
+    this.announceIfChanged(heartbeat.availabilityZone);
+  }
+
+  private async pullConfiguration(address: string): Promise<void> {
+    if (this.pulls.has(address)) return;
+    this.pulls.add(address);
+    const {peers, configuration, log} = this.options;
+    const update = await peers.configurationSince(
+      address,
+      configuration.version,
+    );
+    this.pulls.delete(address);
+    const received = update.andThen((value) => configuration.receive(value));
+    if (received.isErr) {
+      log(
+        `[membership] no configuration from ${address}: ${received.error.message}`,
+      );
+    }
+  }
+
+  /** Tells the peers that do not have this version yet. */
+  private announceConfiguration(): void {
+    const {version} = this.options.configuration;
+    this.sender.sendNow((address) => {
+      const peer = this.table.at(address);
+      return (peer?.configurationVersion ?? 0) < version;
+    });
+  }
+
+  private createHeartbeat(queueLengths: QueueLength[]): Heartbeat {
+    const {daemonId, vmId, availabilityZone, address} = this.options;
+    return {
+      daemonId,
+      vmId,
+      availabilityZone,
+      address,
+      leaving: this.isLeaving,
+      configurationVersion: this.options.configuration.version,
+      queueLengths,
+    };
+  }
+
+  private peersToIntroduce(to: Heartbeat): string[] {
+    return this.livePeers()
+      .filter((peer) => peer.daemonId !== to.daemonId)
+      .map(({address}) => address)
+      .slice(0, MAXIMUM_INTRODUCED_PEERS);
+  }
+
+  private ownerOf(subject: string, zone: AvailabilityZone): Member | undefined {
+    const idOf = ({vmId}: Member) => vmId;
+    const view = this.views.get(zone);
+    if (!view) return rendezvousOwner(subject, this.owners(zone), idOf);
+    let owner = view.bySubject.get(subject);
+    if (!owner) {
+      owner = rendezvousOwner(subject, view.owners, idOf);
+      if (owner) view.bySubject.set(subject, owner);
+    }
+    return owner;
+  }
+
+  private isLive(peer: KnownPeer, now: Instant): boolean {
+    const remote = peer.availabilityZone !== this.options.availabilityZone;
+    const limitMs = remote ? this.remoteTimeoutMs : this.peerTimeoutMs;
+    return now - peer.heardAt <= limitMs;
+  }
+
+  private toMember(peer: KnownPeer): Member {
+    return {
+      vmId: peer.vmId,
+      daemonId: peer.daemonId,
+      availabilityZone: peer.availabilityZone,
+      address: peer.address,
+      leaving: peer.leaving || this.isListedLeaving(peer.vmId),
+      self: false,
+    };
+  }
+
+  private self(): Member {
+    const {vmId, daemonId, availabilityZone, address} = this.options;
+    const leaving = this.isLeaving;
+    return {vmId, daemonId, availabilityZone, address, leaving, self: true};
+  }
+
+  private isListedLeaving(vmId: VmId): boolean {
+    return this.options.vms.vm(vmId)?.state === 'leaving';
+  }
+
+  /** Daemons of another zone to which this daemon keeps no link. */
+  private listedOnly(
+    zone: AvailabilityZone,
+    known: ReadonlySet<VmId>,
+  ): Member[] {
+    return this.options.vms
+      .entryVms()
+      .filter((vm) => vm.availabilityZone === zone && !known.has(vm.vmId))
+      .filter((vm) => !this.sender.isFailing(vm.address))
+      .map((vm) => ({
+        vmId: vm.vmId,
+        availabilityZone: zone,
+        address: vm.address,
+        leaving: vm.state === 'leaving',
+        self: false,
+      }));
+  }
+}
--- a/src/platform/peer_client.ts
+++ b/src/platform/peer_client.ts
@@ -39,6 +39,11 @@
   configurationVersion: z.int().min(0),
   /** Queue lengths that changed since the last heartbeat to this peer. */
   queueLengths: z.array(queueLengthSchema).max(1_000),
+  /**
+   * Daemons that the sender knows. Sent to a daemon that has just started, so
+   * that it finds its peers while the VM list cannot be reached.
+   */
+  peerAddresses: z.array(addressSchema).max(64).optional(),
 });
 /** Sent to each peer at an interval; the answer is the peer's own. */
 export type Heartbeat = z.infer<typeof heartbeatSchema>;
