Add the links between daemons over trpc and one WebSocket per peer

Cause: daemons exchange heartbeats, configuration, requests and jobs, and connections can go silent for good. Ruled out: the client of trpc itself (it queues calls over reconnects and does not tell whether a failed call was sent, so errors could not be mapped exactly); server pings (a heartbeat call already shows that a link works).

--- /dev/null
+++ b/src/transport/peer_protocol.ts
@@ -0,0 +1,179 @@
+/**
+ * The protocol between daemons: one `trpc` router over WebSockets, its size
+ * limits, and the form in which errors travel.
+ */
+
+import {TRPCError, initTRPC} from '@trpc/server';
+import type {Result} from 'true-myth';
+import {ZodError, z} from 'zod';
+import {
+  ConflictError,
+  InvalidInputError,
+  NotFoundError,
+  ProtocolError,
+  RefusedError,
+  SystemError,
+  TimeoutError,
+  UnavailableError,
+  UnknownEffectError,
+} from '../model/errors.js';
+import type {CallError, ErrorReport} from '../model/errors.js';
+import {jobIdSchema} from '../model/ids.js';
+import {jobRecordSchema} from '../model/jobs.js';
+import {outcomeSchema} from '../model/requests.js';
+import type {PeerHandler} from '../platform/peer_client.js';
+import {
+  claimQuerySchema,
+  configurationUpdateSchema,
+  dispatchSchema,
+  heartbeatSchema,
+  jobReportSchema,
+} from '../platform/peer_client.js';
+
+/** URL path of the peer WebSocket. */
+export const PEER_PATH = '/peer';
+
+/**
+ * Largest message in bytes. A payload of 1 Mi characters takes at most 6 MiB
+ * as JSON text, since an escaped character takes 6 bytes.
+ */
+export const MAXIMUM_MESSAGE_BYTES = 8 * 1_048_576;
+
+export const versionQuerySchema = z.object({version: z.int().min(0)});
+export const jobQuerySchema = z.object({jobId: jobIdSchema});
+export const jobReportsSchema = z.array(jobReportSchema);
+
+const errorReportSchema = z.object({
+  kind: z.enum([
+    'invalid-input',
+    'not-found',
+    'conflict',
+    'refused',
+    'unavailable',
+    'timeout',
+    'unknown-effect',
+    'protocol',
+  ]),
+  message: z.string(),
+  remedy: z.string(),
+});
+
+const trpc = initTRPC.create({
+  isDev: false,
+  errorFormatter: ({shape, error, path}) => {
+    const report = reportOf(error, path ?? 'the call');
+    return {code: shape.code, message: report.message, data: {report}};
+  },
+});
+
+/** Creates the router that serves the calls of peers. */
+export function createPeerRouter(handler: PeerHandler) {
+  const call = trpc.procedure;
+  return trpc.router({
+    heartbeat: call
+      .input(heartbeatSchema)
+      .output(heartbeatSchema)
+      .mutation(({input}) => handler.heartbeat(input)),
+    configurationSince: call
+      .input(versionQuerySchema)
+      .output(configurationUpdateSchema)
+      .query(({input}) => handler.configurationSince(input.version)),
+    dispatch: call
+      .input(dispatchSchema)
+      .output(outcomeSchema)
+      .mutation(({input}) => handler.dispatch(input)),
+    submitJob: call
+      .input(jobRecordSchema)
+      .mutation(async ({input}) => valueOf(await handler.submitJob(input))),
+    cancelJob: call
+      .input(jobQuerySchema)
+      .output(jobReportSchema)
+      .mutation(async ({input}) =>
+        valueOf(await handler.cancelJob(input.jobId)),
+      ),
+    job: call
+      .input(jobQuerySchema)
+      .output(jobReportSchema)
+      .query(async ({input}) => valueOf(await handler.job(input.jobId))),
+    jobs: call.output(jobReportsSchema).query(() => [...handler.jobs()]),
+    claimOutcome: call
+      .input(claimQuerySchema)
+      .output(outcomeSchema)
+      .query(({input}) => handler.claimOutcome(input.requestId)),
+  });
+}
+export type PeerRouter = ReturnType<typeof createPeerRouter>;
+
+function valueOf<T>(result: Result<T, CallError>): T {
+  if (result.isOk) return result.value;
+  throw new TRPCError({
+    code: 'UNPROCESSABLE_CONTENT',
+    message: result.error.problem,
+    cause: result.error,
+  });
+}
+
+/**
+ * Says what became of a failed call. Only a rejected input and an unknown
+ * procedure are certain to have had no effect; the procedure ran otherwise.
+ */
+export function reportOf(error: TRPCError, path: string): ErrorReport {
+  if (error.cause instanceof SystemError) return error.cause.report();
+  if (error.code === 'BAD_REQUEST' && error.cause instanceof ZodError) {
+    const issue = error.cause.issues[0];
+    const field = [path, ...(issue?.path ?? [])].join('.');
+    return {
+      kind: 'invalid-input',
+      message: `${field}: ${issue?.message ?? 'does not match the schema'}`,
+      remedy: 'run the same version on all daemons',
+    };
+  }
+  if (error.code === 'NOT_FOUND' || error.code === 'METHOD_NOT_SUPPORTED') {
+    return {
+      kind: 'refused',
+      message: `the peer does not know ${path}`,
+      remedy: 'run the same version on all daemons',
+    };
+  }
+  return {
+    kind: 'unknown-effect',
+    message: `${path} failed in the peer: ${error.message}`,
+    remedy: 'see the log of the peer',
+  };
+}
+
+/** Returns the error that a peer reported in `data` of its error answer. */
+export function errorOfReport(data: unknown): CallError {
+  const parsed = z.object({report: errorReportSchema}).safeParse(data);
+  if (!parsed.success) {
+    return new ProtocolError(
+      'the peer answered with a malformed error',
+      'run the same version on all daemons',
+    );
+  }
+  const {kind, message, remedy} = parsed.data.report;
+  switch (kind) {
+    case 'invalid-input':
+      return invalidInput(message, remedy);
+    case 'not-found':
+      return new NotFoundError(message, remedy);
+    case 'conflict':
+      return new ConflictError(message, remedy);
+    case 'refused':
+      return new RefusedError(message, remedy);
+    case 'unavailable':
+      return new UnavailableError(message, remedy);
+    case 'timeout':
+      return new TimeoutError(message, remedy);
+    case 'unknown-effect':
+      return new UnknownEffectError(message, remedy);
+    case 'protocol':
+      return new ProtocolError(message, remedy);
+  }
+}
+
+/** The message of an `InvalidInputError` begins with its field. */
+function invalidInput(message: string, remedy: string): InvalidInputError {
+  const [field = 'message', ...rest] = message.split(': ');
+  return new InvalidInputError(field, rest.join(': '), remedy);
+}
--- /dev/null
+++ b/src/transport/trpc_peer_server.ts
@@ -0,0 +1,189 @@
+/**
+ * The receiving side of the links between daemons: serves a `PeerHandler` to
+ * peers by `trpc` over WebSockets.
+ */
+
+import type {IncomingMessage} from 'node:http';
+import type {AddressInfo, Socket} from 'node:net';
+import {TRPCError} from '@trpc/server';
+import {getWSConnectionHandler} from '@trpc/server/adapters/ws';
+import {Result} from 'true-myth';
+import {WebSocketServer} from 'ws';
+import type {WebSocket} from 'ws';
+import type {CleanupScope} from '../lifecycle/cleanup_scope.js';
+import {UnavailableError} from '../model/errors.js';
+import type {PeerHandler} from '../platform/peer_client.js';
+import {
+  MAXIMUM_MESSAGE_BYTES,
+  PEER_PATH,
+  createPeerRouter,
+  reportOf,
+} from './peer_protocol.js';
+
+const MAXIMUM_CONNECTIONS = 1_024;
+/** Status "try again later" of RFC 6455. */
+const CLOSE_TRY_AGAIN_LATER = 1013;
+/**
+ * Time without a message after which a connection is closed. Peers send a
+ * heartbeat every 5 s at most and close links that they no longer use.
+ */
+const IDLE_TIMEOUT_MS = 60_000;
+const IDLE_CHECK_MS = 10_000;
+
+/** Bytes of one open connection, WebSocket framing included. */
+export interface ServedLink {
+  /** Address and port from which the peer connected. */
+  readonly remoteAddress: string;
+  readonly sentBytes: number;
+  readonly receivedBytes: number;
+}
+
+export interface TrpcPeerServerOptions {
+  readonly handler: PeerHandler;
+  readonly host: string;
+  /** 0 lets the system choose a port. */
+  readonly port: number;
+  readonly scope: CleanupScope;
+  readonly log: (sentence: string) => void;
+}
+
+interface OpenConnection {
+  readonly socket: Socket;
+  readonly remoteAddress: string;
+  lastMessageAt: number;
+}
+
+export class TrpcPeerServer {
+  private readonly connections = new Map<WebSocket, OpenConnection>();
+  private closedSentBytes = 0;
+  private closedReceivedBytes = 0;
+
+  private constructor(
+    private readonly options: TrpcPeerServerOptions,
+    private readonly server: WebSocketServer,
+  ) {
+    const serve = getWSConnectionHandler({
+      wss: server,
+      router: createPeerRouter(options.handler),
+      maxBatchSize: 1,
+      experimental_encoder: {encode, decode},
+      onError: ({error, path}) => this.logError(error, path),
+    });
+    server.on('connection', (socket, request) => {
+      if (this.accept(socket, request)) serve(socket, request);
+    });
+    options.scope.every(IDLE_CHECK_MS, () => this.closeIdle());
+    options.scope.add(() => this.close());
+  }
+
+  /** Starts to listen; fails if the address is in use or not of this VM. */
+  static async listen(
+    options: TrpcPeerServerOptions,
+  ): Promise<Result<TrpcPeerServer, UnavailableError>> {
+    const server = new WebSocketServer({
+      host: options.host,
+      port: options.port,
+      path: PEER_PATH,
+      maxPayload: MAXIMUM_MESSAGE_BYTES,
+      perMessageDeflate: false,
+    });
+    const failure = await new Promise<Error | undefined>((resolve) => {
+      server.once('listening', () => resolve(undefined));
+      server.once('error', resolve);
+    });
+    if (failure) {
+      return Result.err(
+        new UnavailableError(
+          `cannot listen for peers on ${options.host}:${options.port}: ${failure.message}`,
+          'free the port or set another peer address',
+        ),
+      );
+    }
+    server.on('error', (error) => {
+      options.log(`[peers] the server failed: ${error.message}`);
+    });
+    return Result.ok(new TrpcPeerServer(options, server));
+  }
+
+  get port(): number {
+    return (this.server.address() as AddressInfo).port;
+  }
+
+  /** Open connections of peers. */
+  links(): ServedLink[] {
+    return [...this.connections.values()].map((connection) => ({
+      remoteAddress: connection.remoteAddress,
+      sentBytes: connection.socket.bytesWritten,
+      receivedBytes: connection.socket.bytesRead,
+    }));
+  }
+
+  /** Bytes of all connections since the start. */
+  totals(): {readonly sentBytes: number; readonly receivedBytes: number} {
+    let sentBytes = this.closedSentBytes;
+    let receivedBytes = this.closedReceivedBytes;
+    for (const {socket} of this.connections.values()) {
+      sentBytes += socket.bytesWritten;
+      receivedBytes += socket.bytesRead;
+    }
+    return {sentBytes, receivedBytes};
+  }
+
+  private accept(socket: WebSocket, request: IncomingMessage): boolean {
+    if (this.connections.size >= MAXIMUM_CONNECTIONS) {
+      socket.close(CLOSE_TRY_AGAIN_LATER);
+      return false;
+    }
+    const {remoteAddress, remotePort} = request.socket;
+    const connection: OpenConnection = {
+      socket: request.socket,
+      remoteAddress: `${remoteAddress}:${remotePort}`,
+      lastMessageAt: performance.now(),
+    };
+    this.connections.set(socket, connection);
+    socket.on('message', () => {
+      connection.lastMessageAt = performance.now();
+    });
+    socket.on('close', () => {
+      this.connections.delete(socket);
+      this.closedSentBytes += connection.socket.bytesWritten;
+      this.closedReceivedBytes += connection.socket.bytesRead;
+    });
+    return true;
+  }
+
+  private closeIdle(): void {
+    const oldest = performance.now() - IDLE_TIMEOUT_MS;
+    for (const [socket, connection] of this.connections) {
+      if (connection.lastMessageAt < oldest) socket.terminate();
+    }
+  }
+
+  private logError(error: TRPCError, path: string | undefined): void {
+    // The caller logs errors that the handler returned on purpose.
+    if (error.code === 'UNPROCESSABLE_CONTENT') return;
+    const {message} = reportOf(error, path ?? 'a message');
+    this.options.log(`[peers] ${message}`);
+  }
+
+  private async close(): Promise<void> {
+    for (const socket of this.connections.keys()) socket.terminate();
+    await new Promise<void>((resolve) => this.server.close(() => resolve()));
+  }
+}
+
+/** A message over the limit becomes an error answer, not a lost link. */
+function encode(message: unknown): string {
+  const text = JSON.stringify(message);
+  const bytes = Buffer.byteLength(text);
+  if (bytes <= MAXIMUM_MESSAGE_BYTES) return text;
+  throw new TRPCError({
+    code: 'PAYLOAD_TOO_LARGE',
+    message: `the answer of ${bytes} bytes is over the limit of ${MAXIMUM_MESSAGE_BYTES}`,
+  });
+}
+
+function decode(message: unknown): unknown {
+  if (typeof message === 'string') return JSON.parse(message);
+  throw new Error('a binary message is not part of the peer protocol');
+}
