Add a first CellZonePlanner

Cause: the zone controller is written against ZonePlanner and needs an implementation to wire.

It places guaranteed jobs in late-bound cells and preempts the cheapest borrowers, lends free capacity by weighted fair share with ageing, keeps a cell for the oldest starved large gang, quarantines workers and explains waiting jobs.

A gang takes its cell only up to its last task; the rest of the cell stays free for other jobs, because rounding up would otherwise leave up to half of a cell idle.

--- /dev/null
+++ b/src/scheduling/cell_zone_planner.ts
@@ -0,0 +1,269 @@
+/**
+ * The planner that allocates aligned cells with late binding of guarantees.
+ * It keeps the state; `PlanningPass` decides and `explanation.ts` explains.
+ */
+
+import {Result} from 'true-myth';
+import type {Configuration} from '../model/configuration.js';
+import {InvalidInputError, RefusedError} from '../model/errors.js';
+import type {AvailabilityZone, Instant, JobId, VmId} from '../model/ids.js';
+import {after} from '../model/ids.js';
+import type {JobRecord} from '../model/jobs.js';
+import type {CellSize} from '../model/shapes.js';
+import {ACCELERATORS_PER_RACK, cellSizeFor} from '../model/shapes.js';
+import type {JobExplanation} from '../platform/peer_client.js';
+import {explainJob} from './explanation.js';
+import {PlannedJob} from './planned_job.js';
+import {PlanningPass, canBeReserved} from './planning_pass.js';
+import type {
+  AdoptedGang,
+  GangEnd,
+  PlanAction,
+  PlannedWorker,
+} from './zone_planner.js';
+import {ZonePlanner} from './zone_planner.js';
+import {ZoneState} from './zone_state.js';
+
+/** A task that fails sooner after its start counts as failed at once. */
+const FAILED_AT_ONCE_MS = 60_000;
+/** Workers on which a job has to fail to be blamed itself. */
+const WORKERS_TO_BLAME_JOB = 3;
+/** Pause of a preempted borrower; doubled with each preemption. */
+const FIRST_PREEMPTION_PAUSE_MS = 30_000;
+const LONGEST_PREEMPTION_PAUSE_MS = 3_600_000;
+
+export interface CellZonePlannerOptions {
+  readonly availabilityZone: AvailabilityZone;
+  /** Wait after which the oldest large gang gets a reservation. */
+  readonly starvationBoundMs: number;
+}
+
+export class CellZonePlanner extends ZonePlanner {
+  private readonly state: ZoneState;
+
+  constructor(private readonly options: CellZonePlannerOptions) {
+    super();
+    this.state = new ZoneState(options.availabilityZone);
+  }
+
+  /** Cells that all decisions so far have looked at. */
+  get visitedCells(): number {
+    return this.state.visits.visited;
+  }
+
+  /** True if the unbound guaranteed cells pack into the free cells. */
+  guaranteesPack(): boolean {
+    return this.state.guarantees.invariantHolds();
+  }
+
+  /** Expected run time of the job in milliseconds, from earlier ones. */
+  estimatedRunTimeMs(record: JobRecord): number {
+    return this.state.runTimes.estimate(record);
+  }
+
+  override configure(configuration: Configuration): void {
+    this.state.configure(configuration);
+  }
+
+  override setWorker(worker: PlannedWorker, now: Instant): void {
+    this.state.setWorker(worker);
+    this.updateHealth(now);
+  }
+
+  override removeWorker(workerId: VmId, now: Instant): readonly JobId[] {
+    const jobIds = this.state.removeWorker(workerId);
+    this.updateHealth(now);
+    return jobIds;
+  }
+
+  override check(
+    record: JobRecord,
+  ): Result<void, InvalidInputError | RefusedError> {
+    const customer = this.state.customers.get(record.customerId);
+    if (customer === undefined) {
+      return Result.err(
+        new InvalidInputError(
+          'job.customerId',
+          `no customer ${record.customerId} is configured`,
+          'apply a questionnaire for the customer first',
+        ),
+      );
+    }
+    const {tasks, acceleratorsPerTask} = record.shape;
+    const largest = this.state.largestCell();
+    const cellSize = cellSizeFor(record.shape);
+    if (cellSize === undefined || cellSize > largest) {
+      return Result.err(
+        new RefusedError(
+          `${tasks} tasks of ${acceleratorsPerTask} accelerators do not fit ` +
+            `into the largest cell of ${largest} accelerators`,
+          'submit a smaller gang',
+        ),
+      );
+    }
+    const ceiling = customer.acceleratorCeiling;
+    if (tasks * acceleratorsPerTask > ceiling) {
+      return Result.err(
+        new RefusedError(
+          `the gang needs ${tasks * acceleratorsPerTask} accelerators and ` +
+            `the ceiling of customer ${customer.id} is ${ceiling}`,
+          'submit a smaller gang or raise the ceiling',
+        ),
+      );
+    }
+    return Result.ok(undefined);
+  }
+
+  override enqueue(record: JobRecord, now: Instant): void {
+    if (this.state.jobs.has(record.jobId)) return;
+    const history = this.state.historyOf(record.jobId);
+    const waitingSince = history.waitingSince ?? now;
+    history.waitingSince = undefined;
+    this.state.addToQueue(
+      new PlannedJob(record, cellSizeOf(record), waitingSince, history),
+    );
+  }
+
+  override adopt(record: JobRecord, gang: AdoptedGang, now: Instant): void {
+    const known = this.state.jobs.get(record.jobId);
+    if (known?.placed === true) return;
+    if (known !== undefined) this.state.withdraw(known);
+    const history = this.state.historyOf(record.jobId);
+    const job = new PlannedJob(record, cellSizeOf(record), now, history);
+    this.state.adopt(job, gang);
+  }
+
+  override dequeue(jobId: JobId): void {
+    const job = this.state.jobs.get(jobId);
+    if (job === undefined || job.placed) return;
+    this.state.withdraw(job);
+    this.state.forgetHistory(jobId);
+  }
+
+  override gangStarted(jobId: JobId, now: Instant): void {
+    const job = this.state.jobs.get(jobId);
+    if (job === undefined || !job.placed) return;
+    if (job.stage === 'starting') job.stage = 'running';
+    job.startedAt ??= now;
+  }
+
+  override checkpointed(jobId: JobId, now: Instant): void {
+    const job = this.state.jobs.get(jobId);
+    if (job?.placed === true) job.checkpointedAt = now;
+  }
+
+  override gangEnded(jobId: JobId, end: GangEnd, now: Instant): boolean {
+    const job = this.state.jobs.get(jobId);
+    if (job === undefined || !job.placed) return false;
+    this.state.end(job);
+    const isToBlame = this.learnFrom(job, end, now);
+    this.updateHealth(now);
+    return isToBlame;
+  }
+
+  override plan(now: Instant): readonly PlanAction[] {
+    this.updateHealth(now);
+    const {starvationBoundMs} = this.options;
+    return new PlanningPass(this.state, starvationBoundMs, now).run();
+  }
+
+  override nextDecisionAt(now: Instant): Instant | undefined {
+    const times: Instant[] = [];
+    const nextHealth = this.state.health.nextChangeAt();
+    if (nextHealth !== undefined) times.push(nextHealth);
+    for (const job of this.state.jobs.values()) {
+      if (job.stage !== 'queued') continue;
+      if (job.history.notBefore !== undefined) {
+        times.push(job.history.notBefore);
+      }
+      if (canBeReserved(job)) {
+        times.push(after(job.waitingSince, this.options.starvationBoundMs));
+      }
+    }
+    const later = times.filter((time) => time > now);
+    return later.length > 0 ? (Math.min(...later) as Instant) : undefined;
+  }
+
+  override explain(jobId: JobId, now: Instant): JobExplanation | undefined {
+    const job = this.state.jobs.get(jobId);
+    return job === undefined ? undefined : explainJob(this.state, job, now);
+  }
+
+  override quarantined(now: Instant): readonly VmId[] {
+    this.updateHealth(now);
+    return this.state.health.quarantined();
+  }
+
+  /** Returns whether the job itself is to blame. */
+  private learnFrom(job: PlannedJob, end: GangEnd, now: Instant): boolean {
+    const {health, runTimes} = this.state;
+    const {history, jobId} = job;
+    const ranMs = job.startedAt === undefined ? 0 : now - job.startedAt;
+    history.ranMs += ranMs;
+    switch (end.kind) {
+      case 'finished':
+        runTimes.observe(job.record, history.ranMs);
+        for (const task of job.placement?.tasks ?? []) {
+          health.worked(task.workerId);
+        }
+        this.state.forgetHistory(jobId);
+        return false;
+      case 'withdrawn':
+        history.waitingSince = job.waitingSince;
+        for (const workerId of end.blamedWorkers) {
+          health.failedAtOnce(workerId, jobId);
+          history.avoid.add(workerId);
+        }
+        return false;
+      case 'setAside':
+        this.pause(job, now);
+        return false;
+      case 'failed':
+        return this.learnFromFailure(job, end.workerId, ranMs);
+      case 'lost':
+        return false;
+      case 'cancelled':
+        this.state.forgetHistory(jobId);
+        return false;
+    }
+  }
+
+  private learnFromFailure(
+    job: PlannedJob,
+    workerId: VmId,
+    ranMs: number,
+  ): boolean {
+    const {health} = this.state;
+    const {failedOn, avoid} = job.history;
+    if (ranMs < FAILED_AT_ONCE_MS) health.failedAtOnce(workerId, job.jobId);
+    else health.worked(workerId);
+    failedOn.add(workerId);
+    avoid.add(workerId);
+    if (failedOn.size < WORKERS_TO_BLAME_JOB) return false;
+    health.retract(job.jobId);
+    this.state.forgetHistory(job.jobId);
+    return true;
+  }
+
+  /** Keeps a preempted borrower from being lent capacity again at once. */
+  private pause(job: PlannedJob, now: Instant): void {
+    if (job.stage !== 'leaving') return;
+    const {history} = job;
+    const doubled = FIRST_PREEMPTION_PAUSE_MS * 2 ** history.preemptions;
+    const pauseMs = Math.min(doubled, LONGEST_PREEMPTION_PAUSE_MS);
+    history.preemptions += 1;
+    history.notBefore = after(now, pauseMs);
+  }
+
+  private updateHealth(now: Instant): void {
+    const workerIds = new Set(this.state.workers.keys());
+    for (const workerId of this.state.health.update(workerIds, now)) {
+      this.state.applyWorker(workerId);
+    }
+  }
+}
+
+/** A shape that fits no rack is never started; see `ZoneState.mayStart`. */
+function cellSizeOf(record: JobRecord): CellSize {
+  return cellSizeFor(record.shape) ?? ACCELERATORS_PER_RACK;
+}
--- /dev/null
+++ b/src/scheduling/planning_pass.ts
@@ -0,0 +1,250 @@
+/**
+ * One run of the planner's decisions. Guaranteed work goes first and may
+ * preempt borrowers; lent capacity follows by fair share; a starved large gang
+ * gets a cell that nothing else touches.
+ */
+
+import type {CustomerId, Instant} from '../model/ids.js';
+import {after} from '../model/ids.js';
+import {CELL_LEVELS, levelOf, sizeOfLevel} from './cells.js';
+import {lendingOrder} from './customer_use.js';
+import type {Candidate} from './placement.js';
+import type {PlannedJob} from './planned_job.js';
+import type {PlanAction} from './zone_planner.js';
+import type {ZoneState} from './zone_state.js';
+
+/** Smaller gangs find a place by themselves and get no reservation. */
+const SMALLEST_RESERVED_LEVEL = levelOf(8);
+
+/** An estimate that a gang has outlived grows by this share of its age. */
+const OVERDUE_SHARE = 0.1;
+
+export class PlanningPass {
+  private readonly actions: PlanAction[] = [];
+
+  constructor(
+    private readonly state: ZoneState,
+    private readonly starvationBoundMs: number,
+    private readonly now: Instant,
+  ) {}
+
+  run(): readonly PlanAction[] {
+    this.promoteBorrowers();
+    this.startKept();
+    for (const customerId of this.state.queue.customers()) {
+      this.startGuaranteed(customerId);
+    }
+    this.lend();
+    this.reserve();
+    return this.actions;
+  }
+
+  /** Counts running borrowers as guaranteed where a guarantee has room. */
+  private promoteBorrowers(): void {
+    const {changedShares, jobs} = this.state;
+    if (changedShares.size === 0) return;
+    for (const job of jobs.values()) {
+      if (!job.placed || job.guaranteed) continue;
+      if (changedShares.has(job.record.customerId)) this.state.promote(job);
+    }
+    changedShares.clear();
+  }
+
+  /** Starts the jobs whose kept cell is free by now. */
+  private startKept(): void {
+    for (const job of [...this.state.keepers]) {
+      if (job.stage === 'reclaiming') this.startReclaimed(job);
+      else if (job.stage === 'reserving') this.startReserved(job);
+    }
+  }
+
+  private startReclaimed(job: PlannedJob): void {
+    const {cell} = job;
+    if (cell === undefined) return;
+    const gangs = this.state.full.gangsInTheWay(job, cell);
+    if (gangs.size === 0) {
+      this.start(job, cell);
+    } else if ([...gangs].some((gang) => gang.guaranteed)) {
+      // A gang that was adopted here has the older right.
+      this.state.putBack(job);
+    } else {
+      this.preempt(gangs, job);
+    }
+  }
+
+  private startReserved(job: PlannedJob): void {
+    const {full, guarantees} = this.state;
+    const {cell} = job;
+    if (cell === undefined) return;
+    const isFree = full.gangsInTheWay(job, cell).size === 0;
+    const {customerId} = job.record;
+    if (!this.state.mayStart(job)) {
+      this.state.putBack(job);
+    } else if (guarantees.fits(customerId, job.cellSize).length > 0) {
+      // It starts as guaranteed work in this run.
+      this.state.putBack(job);
+    } else if (isFree) {
+      this.start(job, cell);
+    } else if (full.free.bestFit(job.cellSize) !== undefined) {
+      this.state.putBack(job);
+      this.startBorrower(job);
+    }
+  }
+
+  private startGuaranteed(customerId: CustomerId): void {
+    const {queue} = this.state;
+    let end = CELL_LEVELS;
+    while (end > 0) {
+      const job = queue.first(
+        customerId,
+        (each) => this.state.mayStart(each),
+        end,
+      );
+      if (job === undefined) return;
+      if (!this.placeGuaranteed(job)) end = levelOf(job.cellSize);
+    }
+  }
+
+  private placeGuaranteed(job: PlannedJob): boolean {
+    const {guarantees, placer} = this.state;
+    const {customerId} = job.record;
+    for (const fit of guarantees.fits(customerId, job.cellSize)) {
+      const candidate = placer.forGuaranteed(job, fit, this.now);
+      if (candidate === undefined) continue;
+      this.takeGuaranteed(job, candidate);
+      return true;
+    }
+    return false;
+  }
+
+  private takeGuaranteed(job: PlannedJob, candidate: Candidate): void {
+    const {full, guarantees} = this.state;
+    const {cell, bindCell, evicted} = candidate;
+    for (const keeper of full.keepersInTheWay(job, cell)) {
+      this.state.putBack(keeper);
+    }
+    const bound =
+      bindCell === undefined
+        ? guarantees.boundCellAt(cell.position)
+        : guarantees.bind(job.record.customerId, bindCell);
+    if (bound === undefined) throw new Error('guaranteed cell is not bound');
+    guarantees.assign(job, bound, cell);
+    if (evicted.size === 0) {
+      this.start(job, cell);
+      return;
+    }
+    this.state.keepCell(job, cell, 'reclaiming');
+    this.preempt(evicted, job);
+  }
+
+  /** Gives free capacity to the customers that borrow least. */
+  private lend(): void {
+    let end = CELL_LEVELS;
+    while (end > 0) {
+      const job = this.nextBorrower(end);
+      if (job === undefined) return;
+      if (!this.startBorrower(job)) end = levelOf(job.cellSize);
+    }
+  }
+
+  private nextBorrower(end: number): PlannedJob | undefined {
+    const {accelerators, customers, queue, use} = this.state;
+    let next: PlannedJob | undefined;
+    let lowest = Infinity;
+    for (const customerId of queue.customers()) {
+      const job = queue.first(customerId, (each) => this.mayBorrow(each), end);
+      if (job === undefined) continue;
+      const order = lendingOrder(
+        use.borrowed(customerId),
+        accelerators,
+        customers.get(customerId)?.weight ?? 1,
+        job.waitingSince,
+        this.now,
+      );
+      if (order < lowest) {
+        lowest = order;
+        next = job;
+      }
+    }
+    return next;
+  }
+
+  private mayBorrow(job: PlannedJob): boolean {
+    const {notBefore} = job.history;
+    if (notBefore !== undefined && notBefore > this.now) return false;
+    return this.state.mayStart(job);
+  }
+
+  private startBorrower(job: PlannedJob): boolean {
+    const candidate = this.state.placer.forBorrower(job);
+    if (candidate === undefined) return false;
+    this.start(job, candidate.cell);
+    return true;
+  }
+
+  /** Keeps a cell for the large gang that has waited longest. */
+  private reserve(): void {
+    const {keepers, placer} = this.state;
+    if ([...keepers].some((job) => job.stage === 'reserving')) return;
+    const job = this.oldestStarved();
+    if (job === undefined) return;
+    const cell = placer.forReservation(job, (gang) => this.endOf(gang));
+    if (cell !== undefined) this.state.keepCell(job, cell, 'reserving');
+  }
+
+  private oldestStarved(): PlannedJob | undefined {
+    const {queue} = this.state;
+    let oldest: PlannedJob | undefined;
+    for (const customerId of queue.customers()) {
+      for (let at = SMALLEST_RESERVED_LEVEL; at < CELL_LEVELS; at += 1) {
+        const job = queue.first(
+          customerId,
+          (each) => this.isStarved(each) && this.mayBorrow(each),
+          at + 1,
+          at,
+        );
+        if (job === undefined) continue;
+        if (oldest === undefined || job.waitingSince < oldest.waitingSince) {
+          oldest = job;
+        }
+      }
+    }
+    return oldest;
+  }
+
+  private isStarved(job: PlannedJob): boolean {
+    return after(job.waitingSince, this.starvationBoundMs) <= this.now;
+  }
+
+  private endOf(gang: PlannedJob): number {
+    const startedAt = gang.startedAt ?? this.now;
+    const left = this.state.runTimes.estimate(gang.record);
+    const overdue = this.now + OVERDUE_SHARE * (this.now - startedAt);
+    return Math.max(startedAt + left - gang.history.ranMs, overdue);
+  }
+
+  private start(job: PlannedJob, cell: NonNullable<PlannedJob['cell']>): void {
+    const placement = this.state.start(job, cell);
+    this.actions.push({kind: 'start', placement});
+  }
+
+  private preempt(gangs: Iterable<PlannedJob>, forJob: PlannedJob): void {
+    const {customerId} = forJob.record;
+    for (const gang of gangs) {
+      if (gang.stage === 'leaving') continue;
+      gang.stage = 'leaving';
+      this.actions.push({
+        kind: 'preempt',
+        jobId: gang.jobId,
+        reason:
+          `customer ${customerId} reclaims its guaranteed cell of ` +
+          `${forJob.cellSize} accelerators for job ${forJob.jobId}`,
+      });
+    }
+  }
+}
+
+/** True if a gang of this cell size can get a reservation. */
+export function canBeReserved(job: PlannedJob): boolean {
+  return job.cellSize >= sizeOfLevel(SMALLEST_RESERVED_LEVEL);
+}
--- /dev/null
+++ b/src/scheduling/zone_state.ts
@@ -0,0 +1,313 @@
+/**
+ * The state of one zone's planning: workers, both views of the cells, the
+ * queue and the placed jobs, with the transitions between a job's stages.
+ */
+
+import type {Configuration, Customer} from '../model/configuration.js';
+import type {AvailabilityZone, CustomerId, JobId, VmId} from '../model/ids.js';
+import type {CellSize} from '../model/shapes.js';
+import {
+  ACCELERATORS_PER_RACK,
+  CELL_SIZES,
+  cellSizeFor,
+} from '../model/shapes.js';
+import type {Cell} from './cells.js';
+import {cellAround, cellEnd, cellsOverlap, partsWhere} from './cells.js';
+import {CustomerUse, ceilingAllows} from './customer_use.js';
+import {FreeCells, VisitCounter} from './free_cells.js';
+import {FullView} from './full_view.js';
+import {Guarantees} from './guarantees.js';
+import {JobQueue} from './job_queue.js';
+import type {PlacementWeights} from './placement.js';
+import {Placer} from './placement.js';
+import type {JobHistory, PlannedJob} from './planned_job.js';
+import {emptyHistory, partsTaken, placementAt} from './planned_job.js';
+import {Racks} from './racks.js';
+import {RunTimes} from './run_times.js';
+import {WorkerHealth} from './worker_health.js';
+import type {
+  AdoptedGang,
+  GangPlacement,
+  PlannedWorker,
+} from './zone_planner.js';
+
+/** Histories kept of jobs that are between two attempts. */
+const MAXIMUM_HISTORIES = 10_000;
+
+export class ZoneState {
+  readonly visits = new VisitCounter();
+  readonly racks = new Racks();
+  readonly full = new FullView(this.racks, this.visits);
+  readonly guarantees = new Guarantees(this.racks, this.visits);
+  readonly queue = new JobQueue();
+  readonly use = new CustomerUse();
+  readonly health = new WorkerHealth();
+  readonly runTimes = new RunTimes();
+  readonly jobs = new Map<JobId, PlannedJob>();
+  /** Jobs in the stages `reclaiming` and `reserving`. */
+  readonly keepers = new Set<PlannedJob>();
+  /** Customers whose borrowers may have become guaranteed. */
+  readonly changedShares = new Set<CustomerId>();
+  readonly customers = new Map<CustomerId, Customer>();
+  weights: PlacementWeights = {
+    completionTimeWeight: 1,
+    fragmentationWeight: 1,
+  };
+
+  /** Cells that would be free if all workers were idle and accepted tasks. */
+  private readonly complete = new FreeCells(new VisitCounter());
+  private readonly histories = new Map<JobId, JobHistory>();
+  /** Workers as they were reported, whether quarantined or not. */
+  private readonly reported = new Map<VmId, PlannedWorker>();
+  /** Gangs with tasks on workers that are not known yet, by worker. */
+  private readonly unlocated = new Map<VmId, Set<PlannedJob>>();
+
+  constructor(readonly availabilityZone: AvailabilityZone) {}
+
+  get placer(): Placer {
+    return new Placer(this.racks, this.full, this.guarantees, this.weights);
+  }
+
+  /** Accelerators of all workers, in use or not. */
+  get accelerators(): number {
+    let sum = 0;
+    for (const worker of this.reported.values()) sum += worker.accelerators;
+    return sum;
+  }
+
+  get workers(): ReadonlyMap<VmId, PlannedWorker> {
+    return this.reported;
+  }
+
+  configure(configuration: Configuration): void {
+    const {site} = configuration;
+    if (site !== undefined) this.weights = site;
+    this.customers.clear();
+    for (const customer of configuration.customers) {
+      this.customers.set(customer.id, customer);
+      this.changedShares.add(customer.id);
+    }
+    const demoted = this.guarantees.configure(
+      configuration.customers,
+      this.availabilityZone,
+    );
+    for (const job of demoted) {
+      if (job.stage === 'reclaiming') this.putBack(job);
+      else this.use.update(job);
+    }
+  }
+
+  setWorker(worker: PlannedWorker): void {
+    const known = this.reported.get(worker.workerId);
+    if (
+      known !== undefined &&
+      (known.rackId !== worker.rackId ||
+        known.rackPosition !== worker.rackPosition)
+    ) {
+      this.removeWorker(worker.workerId);
+    }
+    this.reported.set(worker.workerId, worker);
+    this.applyWorker(worker.workerId);
+    const unlocated = this.unlocated.get(worker.workerId) ?? [];
+    this.unlocated.delete(worker.workerId);
+    for (const job of unlocated) this.locate(job);
+  }
+
+  /** Puts the worker's reported state, or its quarantine, into effect. */
+  applyWorker(workerId: VmId): void {
+    const worker = this.reported.get(workerId);
+    if (worker === undefined) return;
+    const acceptsTasks =
+      worker.acceptsTasks && !this.health.isQuarantined(workerId);
+    const place = this.racks.set({...worker, acceptsTasks});
+    if (!acceptsTasks) this.putBackKeepersOn(place);
+    this.refresh(place);
+  }
+
+  /** Returns the jobs whose gangs had a task on the worker. */
+  removeWorker(workerId: VmId): readonly JobId[] {
+    this.reported.delete(workerId);
+    const place = this.racks.placeOf(workerId);
+    this.racks.remove(workerId);
+    if (place !== undefined) {
+      this.putBackKeepersOn(place);
+      this.refresh(place);
+    }
+    return [...this.jobs.values()]
+      .filter((job) => job.placement !== undefined)
+      .filter((job) =>
+        job.placement?.tasks.some((task) => task.workerId === workerId),
+      )
+      .map((job) => job.jobId);
+  }
+
+  /**
+   * The largest cell of any rack when all its workers accept tasks; a whole
+   * rack while no worker is known.
+   */
+  largestCell(): CellSize {
+    return this.complete.largest() ?? ACCELERATORS_PER_RACK;
+  }
+
+  historyOf(jobId: JobId): JobHistory {
+    const known = this.histories.get(jobId);
+    if (known !== undefined) return known;
+    const history = emptyHistory();
+    this.histories.set(jobId, history);
+    if (this.histories.size > MAXIMUM_HISTORIES) this.dropOldestHistory();
+    return history;
+  }
+
+  forgetHistory(jobId: JobId): void {
+    this.histories.delete(jobId);
+  }
+
+  addToQueue(job: PlannedJob): void {
+    this.jobs.set(job.jobId, job);
+    this.queue.add(job);
+  }
+
+  /** Takes a job that is not placed out of the planner. */
+  withdraw(job: PlannedJob): void {
+    this.putBack(job);
+    this.queue.remove(job);
+    this.jobs.delete(job.jobId);
+  }
+
+  /** Gives up the cell of a job that is not placed yet. */
+  putBack(job: PlannedJob): void {
+    if (job.stage !== 'reclaiming' && job.stage !== 'reserving') return;
+    const {cell} = job;
+    job.stage = 'queued';
+    job.cell = undefined;
+    this.keepers.delete(job);
+    this.guarantees.unassign(job);
+    if (cell !== undefined) this.full.unkeep(job, cell);
+    this.use.update(job);
+    this.queue.add(job);
+  }
+
+  /** Keeps a cell for the job until all gangs have left it. */
+  keepCell(
+    job: PlannedJob,
+    cell: Cell,
+    stage: 'reclaiming' | 'reserving',
+  ): void {
+    job.stage = stage;
+    job.cell = cell;
+    this.queue.remove(job);
+    this.keepers.add(job);
+    this.full.keep(job, cell);
+    this.use.update(job);
+  }
+
+  /** Starts the job at a cell that no other gang uses. */
+  start(job: PlannedJob, cell: Cell): GangPlacement {
+    if (this.keepers.delete(job)) this.full.unkeep(job, cell);
+    this.queue.remove(job);
+    job.stage = 'starting';
+    job.cell = cell;
+    job.parts = partsTaken(job, cell);
+    job.placement = placementAt(job, cell, this.racks);
+    this.full.occupy(job, job.parts);
+    this.use.update(job);
+    return job.placement;
+  }
+
+  /** Takes the job's gang off its accelerators and forgets the job. */
+  end(job: PlannedJob): void {
+    if (job.guaranteed) this.changedShares.add(job.record.customerId);
+    this.jobs.delete(job.jobId);
+    this.use.forget(job);
+    this.guarantees.unassign(job);
+    this.full.vacate(job, job.parts);
+    for (const jobs of this.unlocated.values()) jobs.delete(job);
+  }
+
+  /** Counts a gang that runs already. */
+  adopt(job: PlannedJob, gang: AdoptedGang): void {
+    this.jobs.set(job.jobId, job);
+    job.stage = 'running';
+    job.startedAt = gang.startedAt;
+    job.placement = gang;
+    this.locate(job);
+    if (gang.guaranteed) this.promote(job);
+    this.use.update(job);
+  }
+
+  /**
+   * Counts a borrower as guaranteed where it runs, if its customer's
+   * guarantee has room. Returns whether it is guaranteed now.
+   */
+  promote(job: PlannedJob): boolean {
+    if (job.guaranteed) return true;
+    if (job.cell === undefined || job.stage === 'leaving') return false;
+    const promoted = this.guarantees.assignInPlace(job, job.cell);
+    this.use.update(job);
+    return promoted;
+  }
+
+  /** False if the job's gang fits no rack or exceeds the ceiling now. */
+  mayStart(job: PlannedJob): boolean {
+    if (cellSizeFor(job.record.shape) === undefined) return false;
+    const {customerId} = job.record;
+    const customer = this.customers.get(customerId);
+    return ceilingAllows(customer, this.use.total(customerId), job);
+  }
+
+  /** Finds the parts of an adopted gang among the known workers. */
+  private locate(job: PlannedJob): void {
+    const parts: Cell[] = [];
+    for (const {workerId, accelerators} of job.placement?.tasks ?? []) {
+      const place = this.racks.placeOf(workerId);
+      if (place === undefined) {
+        const waiting = this.unlocated.get(workerId) ?? new Set();
+        this.unlocated.set(workerId, waiting.add(job));
+        continue;
+      }
+      const part = cellOver(accelerators.map((at) => place.position + at));
+      if (part !== undefined) parts.push(part);
+    }
+    job.parts = parts;
+    const ends = parts.flatMap((part) => [part.position, cellEnd(part) - 1]);
+    const cell = ends.length > 0 ? cellOver(ends) : undefined;
+    const isSmall = cell !== undefined && cell.size < job.cellSize;
+    job.cell = isSmall ? cellAround(cell.position, job.cellSize) : cell;
+    this.full.occupy(job, parts);
+    this.changedShares.add(job.record.customerId);
+  }
+
+  private refresh(place: Cell): void {
+    this.full.refresh(place);
+    this.guarantees.refresh(place);
+    this.complete.takeFreeParts(place);
+    for (const part of partsWhere(place, (at) => this.racks.exists(at))) {
+      this.complete.release(part);
+    }
+  }
+
+  private putBackKeepersOn(place: Cell): void {
+    for (const job of [...this.keepers]) {
+      if (job.cell !== undefined && cellsOverlap(job.cell, place)) {
+        this.putBack(job);
+      }
+    }
+  }
+
+  private dropOldestHistory(): void {
+    for (const jobId of this.histories.keys()) {
+      if (this.jobs.has(jobId)) continue;
+      this.histories.delete(jobId);
+      return;
+    }
+  }
+}
+
+/** The smallest cell over positions, unless they span racks. */
+function cellOver(positions: readonly number[]): Cell | undefined {
+  const first = Math.min(...positions);
+  const last = Math.max(...positions);
+  return CELL_SIZES.map((size) => cellAround(first, size)).find(
+    (cell) => cellEnd(cell) > last,
+  );
+}
