Add the gang protocol and adoption as pure functions

Cause: starting, stopping and taking over gangs needs one place that decides, without input or output, so that all interleavings can be explored. Ruled out: treating a list without the task as proof that a lost hold had no effect (the hold may arrive later); the task is removed instead, after which the worker refuses the id. Conclusion: a member is verified only by a list that shows it held with nothing else on its accelerators; late and doubled events change nothing.

--- /dev/null
+++ b/src/scheduling/gang_protocol.ts
@@ -0,0 +1,441 @@
+/**
+ * Starting and stopping one gang: hold, read back, release; checkpoint,
+ * remove. A pure state machine: events go in, actions come out, and whoever
+ * carries the actions out reports back what became of them. See
+ * `docs/design.md`, section 3.2.
+ *
+ * Safety rests on one rule. A member is verified by a list of its worker that
+ * shows it held with nothing else on its accelerators. Whoever holds later
+ * sees the member in the list, and if the member has been removed since, its
+ * release finds nothing. The rule holds for late and doubled lists too.
+ */
+
+import type {Instant, TaskId, VmId} from '../model/ids.js';
+import {after} from '../model/ids.js';
+import type {GangMember, TaskStatus} from '../model/jobs.js';
+import type {FoundGang} from './gang_adoption.js';
+import {verify} from './gang_adoption.js';
+import type {
+  GangEvent,
+  GangMemberState,
+  GangState,
+  GangStep,
+  MemberPhase,
+} from './gang_state.js';
+import {allIn, hasLeft, withMember, withPhase} from './gang_state.js';
+import type {GangEnd} from './zone_planner.js';
+
+/**
+ * Reads of one worker's list before a start is given up. More reads help only
+ * when another scheduler withdraws at the same moment.
+ */
+const MAXIMUM_LIST_READS = 4;
+
+/** Starts a new gang: holds every member. */
+export function startGang(
+  members: readonly GangMember[],
+  now: Instant,
+  maximumReads = MAXIMUM_LIST_READS,
+): GangStep {
+  return {
+    gang: {
+      phase: 'starting',
+      maximumReads,
+      reads: [],
+      members: members.map((member) => ({
+        taskId: member.taskId,
+        workerId: member.workerId,
+        phase: 'holding',
+        since: now,
+      })),
+    },
+    actions: members.map(({taskId}) => ({kind: 'hold', taskId})),
+  };
+}
+
+/** Continues a gang that was found on the workers; not for `wait`. */
+export function adoptGang(found: FoundGang, now: Instant): GangStep {
+  const gang: GangState = {
+    phase: 'releasing',
+    maximumReads: MAXIMUM_LIST_READS,
+    reads: [],
+    members: found.members.map((member) => ({
+      taskId: member.taskId,
+      workerId: member.workerId,
+      phase: adoptedPhase(member.sighting),
+      since: now,
+    })),
+  };
+  const members = gang.members.filter((member) => member.phase === 'verified');
+  switch (found.decision) {
+    case 'running':
+    case 'finished':
+    case 'finishRelease':
+      return settle(releaseMembers(gang, members, now), now);
+    default:
+      return settle(removeAll(gang, endOfFound(found), now), now);
+  }
+}
+
+function adoptedPhase(sighting: FoundGang['members'][0]['sighting']) {
+  switch (sighting) {
+    case 'held':
+      return 'verified';
+    case 'absent':
+    case 'unread':
+      // A hold that is still on its way would put the task on the worker.
+      return 'maybeHeld';
+    default:
+      return sighting;
+  }
+}
+
+function endOfFound(found: FoundGang): GangEnd {
+  const failed = found.members.find((member) => member.sighting === 'failed');
+  if (failed !== undefined) return {kind: 'failed', workerId: failed.workerId};
+  if (found.decision === 'undo') return {kind: 'withdrawn', blamedWorkers: []};
+  return {kind: 'lost'};
+}
+
+/** Applies one event. Events that come late or twice change nothing. */
+export function stepGang(
+  gang: GangState,
+  event: GangEvent,
+  now: Instant,
+): GangStep {
+  if (gang.phase === 'ended') return {gang, actions: []};
+  return settle(applyEvent(gang, event, now), now);
+}
+
+function applyEvent(gang: GangState, event: GangEvent, now: Instant): GangStep {
+  switch (event.kind) {
+    case 'listRead':
+      return applyList(gang, event, now);
+    case 'listFailed':
+      return readAgain(gang, event.workerId, [event.workerId], now);
+    case 'stopAsked':
+      return applyStop(gang, event, now);
+    case 'checkpointDue':
+      return applyCheckpointDue(gang, now);
+    default:
+      return applyMemberEvent(gang, event, now);
+  }
+}
+
+type MemberEvent = Extract<GangEvent, {readonly taskId: TaskId}>;
+
+function applyMemberEvent(
+  gang: GangState,
+  event: MemberEvent,
+  now: Instant,
+): GangStep {
+  const member = gang.members.find(({taskId}) => taskId === event.taskId);
+  if (member === undefined) return {gang, actions: []};
+  const to = (phase: MemberPhase) => withPhase(gang, member, phase, now);
+  switch (event.kind) {
+    case 'holdAcknowledged':
+    case 'holdUnclear':
+      if (member.phase !== 'holding') break;
+      return readIfAnswered(
+        to(event.kind === 'holdUnclear' ? 'maybeHeld' : 'held'),
+        member.workerId,
+      );
+    case 'holdFailed':
+      if (member.phase !== 'holding') break;
+      return removeAll(to('off'), withdrawn([member.workerId]), now);
+    case 'released':
+      if (member.phase !== 'releasing') break;
+      return {gang: to('running'), actions: []};
+    case 'releaseNotFound':
+      if (member.phase !== 'releasing') break;
+      return removeAll(gang, {kind: 'lost'}, now);
+    case 'releaseUnclear':
+      if (member.phase !== 'releasing') break;
+      return retry(gang, 'release', member);
+    case 'removed':
+      if (member.phase !== 'removing') break;
+      return {gang: to('off'), actions: []};
+    case 'removeUnclear':
+      if (member.phase !== 'removing') break;
+      return retry(gang, 'remove', member);
+    case 'memberLost':
+      if (hasLeft(member)) break;
+      return removeAll(to('off'), lossOf(gang), now);
+    case 'checkpointed':
+      return withCheckpoint(gang, member, event.checkpoint);
+    case 'checkpointFailed':
+      return withCheckpoint(gang, member, null);
+  }
+  return {gang, actions: []};
+}
+
+function retry(
+  gang: GangState,
+  kind: 'release' | 'remove',
+  {taskId}: GangMemberState,
+): GangStep {
+  return {gang, actions: [{kind, taskId, retry: true}]};
+}
+
+/** A gang that lost a member before its first release has not run. */
+function lossOf(gang: GangState): GangEnd {
+  return gang.phase === 'starting' ? withdrawn([]) : {kind: 'lost'};
+}
+
+function withdrawn(blamedWorkers: readonly VmId[]): GangEnd {
+  return {kind: 'withdrawn', blamedWorkers};
+}
+
+function withCheckpoint(
+  gang: GangState,
+  member: GangMemberState,
+  checkpoint: string | null,
+): GangStep {
+  if (gang.phase !== 'checkpointing' || member.checkpoint !== undefined) {
+    return {gang, actions: []};
+  }
+  return {gang: withMember(gang, {...member, checkpoint}), actions: []};
+}
+
+/** Reads the worker's list once all holds on it have been answered. */
+function readIfAnswered(gang: GangState, workerId: VmId): GangStep {
+  const waits = gang.members.some(
+    (member) => member.workerId === workerId && member.phase === 'holding',
+  );
+  if (waits || gang.phase !== 'starting') return {gang, actions: []};
+  return {gang, actions: [{kind: 'list', workerId, retry: false}]};
+}
+
+function readAgain(
+  gang: GangState,
+  workerId: VmId,
+  blamedWorkers: readonly VmId[],
+  now: Instant,
+): GangStep {
+  const waits = gang.members.some(
+    (member) =>
+      member.workerId === workerId &&
+      (member.phase === 'held' || member.phase === 'maybeHeld'),
+  );
+  if (gang.phase !== 'starting' || !waits) return {gang, actions: []};
+  const read = gang.reads.find((entry) => entry.workerId === workerId);
+  const count = (read?.count ?? 0) + 1;
+  if (count >= gang.maximumReads) {
+    return removeAll(gang, withdrawn(blamedWorkers), now);
+  }
+  const others = gang.reads.filter((entry) => entry !== read);
+  return {
+    gang: {...gang, reads: [...others, {workerId, count}]},
+    actions: [{kind: 'list', workerId, retry: true}],
+  };
+}
+
+type ListEvent = Extract<GangEvent, {readonly kind: 'listRead'}>;
+
+function applyList(gang: GangState, event: ListEvent, now: Instant): GangStep {
+  const current = withEndedTasks(gang, event, now);
+  const missing = current.members.find(
+    (member) => isWatched(member, event) && provesAbsence(member, event),
+  );
+  if (missing !== undefined) {
+    return removeAll(current, absenceOf(current, missing), now);
+  }
+  return applyVerification(current, event, now);
+}
+
+/** Takes over what the list says of members that run or have ended. */
+function withEndedTasks(
+  gang: GangState,
+  event: ListEvent,
+  now: Instant,
+): GangState {
+  let current = gang;
+  for (const member of gang.members) {
+    const state = statusIn(event, member)?.state;
+    if (!isWatched(member, event) || state === undefined) continue;
+    if (state === 'held' || state === member.phase) continue;
+    current = withPhase(current, member, state, now);
+  }
+  return current;
+}
+
+function applyVerification(
+  gang: GangState,
+  event: ListEvent,
+  now: Instant,
+): GangStep {
+  let current = gang;
+  let again = false;
+  for (const member of gang.members) {
+    if (!isWatched(member, event) || !awaitsList(member)) continue;
+    const verification = verify(event.tasks, member.taskId);
+    if (verification === 'loses') return removeAll(gang, withdrawn([]), now);
+    if (verification === 'wins') again = true;
+    if (verification === 'fits') {
+      current = withPhase(current, member, 'verified', now);
+    }
+  }
+  if (!again || !event.answersRead) return {gang: current, actions: []};
+  return readAgain(current, event.workerId, [], now);
+}
+
+function awaitsList(member: GangMemberState): boolean {
+  return ['holding', 'maybeHeld', 'held'].includes(member.phase);
+}
+
+/** True if the list can tell something new about the member. */
+function isWatched(member: GangMemberState, event: ListEvent): boolean {
+  return (
+    member.workerId === event.workerId &&
+    !hasLeft(member) &&
+    member.phase !== 'removing'
+  );
+}
+
+function statusIn(
+  event: ListEvent,
+  member: GangMemberState,
+): TaskStatus | undefined {
+  return event.tasks.find(({taskId}) => taskId === member.taskId);
+}
+
+function provesAbsence(member: GangMemberState, event: ListEvent): boolean {
+  if (statusIn(event, member) !== undefined) return false;
+  return member.phase !== 'holding' && event.requestedAt >= member.since;
+}
+
+function absenceOf(gang: GangState, member: GangMemberState): GangEnd {
+  if (gang.phase !== 'starting') return {kind: 'lost'};
+  return withdrawn(member.phase === 'maybeHeld' ? [member.workerId] : []);
+}
+
+type StopEvent = Extract<GangEvent, {readonly kind: 'stopAsked'}>;
+
+function applyStop(gang: GangState, event: StopEvent, now: Instant): GangStep {
+  if (event.end === 'cancelled') {
+    const step = removeAll(gang, {kind: 'cancelled'}, now);
+    return {...step, gang: {...step.gang, end: {kind: 'cancelled'}}};
+  }
+  if (gang.phase === 'removing') return {gang, actions: []};
+  if (gang.phase === 'starting') return removeAll(gang, withdrawn([]), now);
+  if (gang.phase === 'releasing') return removeAll(gang, {kind: 'lost'}, now);
+  if (gang.phase !== 'running') return {gang, actions: []};
+  const until = after(now, event.checkpointMs);
+  return {
+    gang: {
+      ...gang,
+      phase: 'checkpointing',
+      end: {kind: 'setAside'},
+      checkpointUntil: until,
+    },
+    actions: gang.members
+      .filter((member) => member.phase === 'running')
+      .map(({taskId}) => ({kind: 'checkpoint', taskId, until})),
+  };
+}
+
+function applyCheckpointDue(gang: GangState, now: Instant): GangStep {
+  if (gang.phase !== 'checkpointing') return {gang, actions: []};
+  if (now < (gang.checkpointUntil ?? now)) return {gang, actions: []};
+  return removeAll(gang, {kind: 'setAside'}, now);
+}
+
+function releaseMembers(
+  gang: GangState,
+  members: readonly GangMemberState[],
+  now: Instant,
+): GangStep {
+  let current: GangState = {...gang, phase: 'releasing'};
+  for (const member of members) {
+    current = withPhase(current, member, 'releasing', now);
+  }
+  return {
+    gang: current,
+    actions: members.map(({taskId}) => ({
+      kind: 'release',
+      taskId,
+      retry: false,
+    })),
+  };
+}
+
+/** Removes every member that is, or could get, on its worker. */
+function removeAll(gang: GangState, end: GangEnd, now: Instant): GangStep {
+  if (gang.phase === 'removing') return {gang, actions: []};
+  const members = gang.members.filter((member) => !hasLeft(member));
+  let current: GangState = {...gang, phase: 'removing', end};
+  for (const member of members) {
+    current = withPhase(current, member, 'removing', now);
+  }
+  return {
+    gang: current,
+    actions: members.map(({taskId}) => ({
+      kind: 'remove',
+      taskId,
+      retry: false,
+    })),
+  };
+}
+
+/** Takes the transitions that follow from the members' phases. */
+function settle(step: GangStep, now: Instant): GangStep {
+  const {gang} = step;
+  const next = transition(gang, now);
+  if (next === undefined) return step;
+  return settle(
+    {gang: next.gang, actions: [...step.actions, ...next.actions]},
+    now,
+  );
+}
+
+function transition(gang: GangState, now: Instant): GangStep | undefined {
+  const failed = gang.members.find((member) => member.phase === 'failed');
+  if (failed && gang.phase !== 'removing' && gang.phase !== 'ended') {
+    return removeAll(gang, {kind: 'failed', workerId: failed.workerId}, now);
+  }
+  switch (gang.phase) {
+    case 'starting':
+      if (!allIn(gang, ['verified', 'running', 'finished'])) return undefined;
+      return releaseMembers(
+        gang,
+        gang.members.filter((member) => member.phase === 'verified'),
+        now,
+      );
+    case 'releasing':
+      if (!allIn(gang, ['running', 'finished'])) return undefined;
+      return {gang: {...gang, phase: 'running'}, actions: [{kind: 'started'}]};
+    case 'running':
+      if (!allIn(gang, ['finished'])) return undefined;
+      return ended(gang, {kind: 'finished'});
+    case 'checkpointing':
+      return afterCheckpoints(gang, now);
+    case 'removing':
+      if (!gang.members.every(hasLeft)) return undefined;
+      return ended(gang, gang.end ?? {kind: 'lost'});
+    case 'ended':
+      return undefined;
+  }
+}
+
+function ended(gang: GangState, end: GangEnd): GangStep {
+  return {
+    gang: {...gang, phase: 'ended', end},
+    actions: [{kind: 'ended', end}],
+  };
+}
+
+function afterCheckpoints(gang: GangState, now: Instant): GangStep | undefined {
+  if (allIn(gang, ['finished'])) return ended(gang, {kind: 'finished'});
+  const open = gang.members.some(
+    (member) => member.phase === 'running' && member.checkpoint === undefined,
+  );
+  if (open) return undefined;
+  const step = removeAll(gang, {kind: 'setAside'}, now);
+  const checkpoints = gang.members.flatMap((member) => member.checkpoint ?? []);
+  // A checkpoint of a part of the gang cannot be resumed from.
+  if (checkpoints.length < gang.members.length) return step;
+  return {
+    gang: step.gang,
+    actions: [{kind: 'checkpointed', checkpoints}, ...step.actions],
+  };
+}
