Add the zone controller

Cause: the daemon needs to adopt, place, watch and record the gangs of a zone while it is the zone's scheduler. Ruled out: keeping the state of a term across stop and start (it is stale by then; each term has its own planner and reads workers and store again); removing ended tasks before the record is stored (a takeover during an outage would run the job again). Conclusion: usable for wiring; the writer of records outlives the term.

--- /dev/null
+++ b/src/controllers/gang_runner.ts
@@ -0,0 +1,268 @@
+/**
+ * Carries out the gang protocol for one gang: performs its actions as calls
+ * to workers and feeds the results back as events.
+ */
+
+import type PQueue from 'p-queue';
+import type {Result} from 'true-myth';
+import {Backoff} from '../lifecycle/backoff.js';
+import type {CleanupScope} from '../lifecycle/cleanup_scope.js';
+import type {Clock} from '../lifecycle/clock.js';
+import type {RandomSource} from '../lifecycle/random.js';
+import {hadNoEffect} from '../model/errors.js';
+import type {CallError} from '../model/errors.js';
+import type {GangId, Instant, TaskId, VmId} from '../model/ids.js';
+import type {TaskList, TaskSpecification} from '../model/jobs.js';
+import type {WorkerVm} from '../platform/vm_list.js';
+import type {WorkerClient} from '../platform/worker_client.js';
+import type {FoundGang} from '../scheduling/gang_adoption.js';
+import {adoptGang, startGang, stepGang} from '../scheduling/gang_protocol.js';
+import type {
+  GangAction,
+  GangEvent,
+  GangPhase,
+  GangState,
+  GangStep,
+} from '../scheduling/gang_state.js';
+import type {GangEnd} from '../scheduling/zone_planner.js';
+import type {ZoneControllerOptions} from './zone_options.js';
+
+/** Calls that free capacity or finish a start go before new holds. */
+const CALL_PRIORITY = {hold: 0, list: 1, checkpoint: 2, release: 3, remove: 3};
+
+export interface GangRunnerListener {
+  /** All members were released. */
+  started(): void;
+  /** All members have a checkpoint, in the order of the members. */
+  checkpointed(checkpoints: readonly string[]): void;
+  /** No member is held or runs. */
+  ended(end: GangEnd): void;
+}
+
+export interface GangRunnerParts {
+  readonly client: WorkerClient;
+  readonly queue: PQueue;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly options: ZoneControllerOptions;
+  /** Returns undefined for a worker that is lost. */
+  readonly worker: (workerId: VmId) => WorkerVm | undefined;
+  readonly scope: CleanupScope;
+}
+
+function holdEvent(result: Result<void, CallError>) {
+  if (result.isOk) return 'holdAcknowledged';
+  return hadNoEffect(result.error) ? 'holdFailed' : 'holdUnclear';
+}
+
+export class GangRunner {
+  private gang: GangState;
+  private readonly backoffs = new Map<TaskId | VmId, Backoff>();
+
+  constructor(
+    readonly gangId: GangId,
+    /** Only needed to start; an adopted gang is not held again. */
+    private readonly tasks: readonly TaskSpecification[],
+    private readonly parts: GangRunnerParts,
+    private readonly listener: GangRunnerListener,
+  ) {
+    const members = tasks[0]?.members ?? [];
+    this.gang = {
+      phase: 'starting',
+      maximumReads: 0,
+      reads: [],
+      members: members.map(({taskId, workerId}) => ({
+        taskId,
+        workerId,
+        phase: 'off',
+        since: parts.clock.now(),
+      })),
+    };
+  }
+
+  get phase(): GangPhase {
+    return this.gang.phase;
+  }
+
+  get workerIds(): readonly VmId[] {
+    return this.gang.members.map((member) => member.workerId);
+  }
+
+  start(): void {
+    const members = this.tasks[0]?.members ?? [];
+    this.take(startGang(members, this.parts.clock.now()));
+  }
+
+  adopt(found: FoundGang): void {
+    this.take(adoptGang(found, this.parts.clock.now()));
+  }
+
+  /** Takes a list that a watch returned. */
+  listSeen(list: TaskList, requestedAt: Instant): void {
+    const {workerId, tasks} = list;
+    this.apply({
+      kind: 'listRead',
+      workerId,
+      tasks,
+      requestedAt,
+      answersRead: false,
+    });
+  }
+
+  workerLost(workerId: VmId): void {
+    for (const member of this.gang.members) {
+      if (member.workerId !== workerId) continue;
+      this.apply({kind: 'memberLost', taskId: member.taskId});
+    }
+  }
+
+  stop(end: 'setAside' | 'cancelled', checkpointMs: number): void {
+    this.apply({kind: 'stopAsked', end, checkpointMs});
+    const until = this.gang.checkpointUntil;
+    if (this.gang.phase !== 'checkpointing' || until === undefined) return;
+    void this.waitForCheckpoints(until);
+  }
+
+  private async waitForCheckpoints(until: Instant): Promise<void> {
+    // A timer may fire a little before its time by this clock.
+    while (!this.parts.scope.closed && this.parts.clock.now() < until) {
+      await this.parts.scope.sleep(until - this.parts.clock.now());
+    }
+    this.apply({kind: 'checkpointDue'});
+  }
+
+  private apply(event: GangEvent): void {
+    if (this.parts.scope.closed) return;
+    this.take(stepGang(this.gang, event, this.parts.clock.now()));
+  }
+
+  private take(step: GangStep): void {
+    this.gang = step.gang;
+    for (const action of step.actions) this.carryOut(action);
+  }
+
+  private carryOut(action: GangAction): void {
+    switch (action.kind) {
+      case 'started':
+        this.listener.started();
+        break;
+      case 'checkpointed':
+        this.listener.checkpointed(action.checkpoints);
+        break;
+      case 'ended':
+        this.listener.ended(action.end);
+        break;
+      default:
+        void this.call(action);
+    }
+  }
+
+  private async call(
+    action: Extract<GangAction, {taskId: TaskId} | {workerId: VmId}>,
+  ): Promise<void> {
+    if ('retry' in action && action.retry) {
+      const key = 'taskId' in action ? action.taskId : action.workerId;
+      await this.parts.scope.sleep(this.backoff(key).nextWaitMs());
+    }
+    if (this.parts.scope.closed) return;
+    const priority = CALL_PRIORITY[action.kind];
+    await this.parts.queue.add(async () => await this.callNow(action), {
+      priority,
+    });
+  }
+
+  private backoff(key: TaskId | VmId): Backoff {
+    const {firstRetryMs, longestRetryMs} = this.parts.options;
+    const backoff =
+      this.backoffs.get(key) ??
+      new Backoff(this.parts.random, firstRetryMs, longestRetryMs);
+    this.backoffs.set(key, backoff);
+    return backoff;
+  }
+
+  /** A call that waited in the queue is not made once the term is over. */
+  private async callNow(
+    action: Extract<GangAction, {taskId: TaskId} | {workerId: VmId}>,
+  ): Promise<void> {
+    if (this.parts.scope.closed) return;
+    const workerId =
+      action.kind === 'list' ? action.workerId : this.workerOf(action.taskId);
+    const worker =
+      workerId === undefined ? undefined : this.parts.worker(workerId);
+    if (worker === undefined) {
+      if (workerId !== undefined) this.workerLost(workerId);
+      return;
+    }
+    switch (action.kind) {
+      case 'hold':
+        return await this.hold(worker, action.taskId);
+      case 'list':
+        return await this.list(worker);
+      case 'release':
+        return await this.release(worker, action.taskId);
+      case 'remove':
+        return await this.remove(worker, action.taskId);
+      case 'checkpoint':
+        return await this.checkpoint(worker, action.taskId, action.until);
+    }
+  }
+
+  private workerOf(taskId: TaskId): VmId | undefined {
+    return this.gang.members.find((member) => member.taskId === taskId)
+      ?.workerId;
+  }
+
+  private async hold(worker: WorkerVm, taskId: TaskId): Promise<void> {
+    const task = this.tasks.find((candidate) => candidate.taskId === taskId);
+    // A gang that was withdrawn while the call waited is not held any more.
+    if (task === undefined || this.gang.phase !== 'starting') return;
+    const result = await this.parts.client.hold(worker, task);
+    this.apply({kind: holdEvent(result), taskId});
+  }
+
+  private async list(worker: WorkerVm): Promise<void> {
+    const requestedAt = this.parts.clock.now();
+    const result = await this.parts.client.listTasks(worker);
+    const workerId = worker.vmId;
+    if (result.isErr || result.value.workerId !== workerId) {
+      this.apply({kind: 'listFailed', workerId});
+      return;
+    }
+    this.apply({
+      kind: 'listRead',
+      workerId,
+      requestedAt,
+      tasks: result.value.tasks,
+      answersRead: true,
+    });
+  }
+
+  private async release(worker: WorkerVm, taskId: TaskId): Promise<void> {
+    // A gang that is being stopped is not released any more.
+    if (this.gang.phase !== 'releasing') return;
+    const result = await this.parts.client.release(worker, taskId);
+    if (result.isErr) this.apply({kind: 'releaseUnclear', taskId});
+    else if (result.value) this.apply({kind: 'released', taskId});
+    else this.apply({kind: 'releaseNotFound', taskId});
+  }
+
+  private async remove(worker: WorkerVm, taskId: TaskId): Promise<void> {
+    const result = await this.parts.client.remove(worker, taskId);
+    this.apply({kind: result.isOk ? 'removed' : 'removeUnclear', taskId});
+  }
+
+  private async checkpoint(
+    worker: WorkerVm,
+    taskId: TaskId,
+    until: Instant,
+  ): Promise<void> {
+    const timeoutMs = Math.max(1, until - this.parts.clock.now());
+    const result = await this.parts.client.checkpoint(
+      worker,
+      taskId,
+      timeoutMs,
+    );
+    if (result.isErr) this.apply({kind: 'checkpointFailed', taskId});
+    else this.apply({kind: 'checkpointed', taskId, checkpoint: result.value});
+  }
+}
--- /dev/null
+++ b/src/controllers/job_store.ts
@@ -0,0 +1,298 @@
+/**
+ * The store's records of one zone's jobs. Records that have not been written
+ * wait in memory, only the latest of each job, and are written one at a time
+ * by compare-and-swap. The writer outlives a term as scheduler, so that the
+ * end of a job is written also if the daemon lost the zone in the meantime.
+ */
+
+import type {Result} from 'true-myth';
+import {Backoff} from '../lifecycle/backoff.js';
+import type {CleanupScope} from '../lifecycle/cleanup_scope.js';
+import type {RandomSource} from '../lifecycle/random.js';
+import type {AvailabilityZone, JobId} from '../model/ids.js';
+import type {JobRecord} from '../model/jobs.js';
+import {hasEnded, jobRecordSchema} from '../model/jobs.js';
+import {validateJson} from '../model/validation.js';
+import type {
+  KeyValueStore,
+  StoreEntry,
+  StoreReadError,
+} from '../platform/key_value_store.js';
+import {ABSENT_REVISION} from '../platform/key_value_store.js';
+import type {ZoneControllerOptions} from './zone_options.js';
+
+/** What became of the latest record of a job. */
+export type WriteResult = 'stored' | 'memory' | 'overruled';
+
+export interface JobStoreListener {
+  /** Another scheduler's record goes before the one that was to be written. */
+  overruled(stored: JobRecord): void;
+  /** The latest record of the job is in the store. */
+  stored(jobId: JobId): void;
+  storeAvailable(available: boolean, unwritten: number): void;
+}
+
+interface KnownEntry {
+  readonly revision: number;
+  readonly sequence: number;
+}
+
+/** Returns the key of a job's record. */
+export function jobKey(zone: AvailabilityZone, jobId: JobId): string {
+  return `${jobPrefix(zone)}${jobId}`;
+}
+
+export function jobPrefix(zone: AvailabilityZone): string {
+  return `jobs/${zone}/`;
+}
+
+/** True if the state was seen on workers, and not only decided. */
+function isObserved(record: JobRecord): boolean {
+  return record.state === 'running' || hasEnded(record.state);
+}
+
+/**
+ * Decides between the record in the store and one that is to be written, both
+ * of the same job. Returns the record to write, or undefined if the stored one
+ * stays. What was seen on workers goes before what was only decided, and an
+ * end goes before everything. What the caller submitted is taken from the
+ * store, since a record that was rebuilt from task lists lacks parts of it.
+ */
+export function mergeRecords(
+  stored: JobRecord,
+  own: JobRecord,
+): JobRecord | undefined {
+  if (hasEnded(stored.state)) return undefined;
+  const newer = own.sequence > stored.sequence;
+  if (!newer && !isObserved(own)) return undefined;
+  return {
+    ...own,
+    ...(stored.key === undefined ? {} : {key: stored.key}),
+    urgency: stored.urgency,
+    declaredRunTimeMs: stored.declaredRunTimeMs,
+    payload: stored.payload,
+    submittedAt: stored.submittedAt,
+    attempts: Math.max(stored.attempts, own.attempts),
+    sequence: Math.max(own.sequence, stored.sequence + 1),
+  };
+}
+
+export class JobStore {
+  private readonly known = new Map<JobId, KnownEntry>();
+  private readonly unwritten = new Map<JobId, JobRecord>();
+  private readonly waiting = new Map<JobId, Set<(r: WriteResult) => void>>();
+  private readonly backoff: Backoff;
+  private listener: JobStoreListener | undefined;
+  private writing = false;
+  private available = true;
+
+  constructor(
+    private readonly zone: AvailabilityZone,
+    private readonly store: KeyValueStore,
+    private readonly random: RandomSource,
+    private readonly scope: CleanupScope,
+    private readonly options: ZoneControllerOptions,
+  ) {
+    this.backoff = new Backoff(
+      random,
+      options.firstRetryMs,
+      options.longestRetryMs,
+    );
+  }
+
+  /** Sets who is told about the store; one listener at a time. */
+  listen(listener: JobStoreListener | undefined): void {
+    this.listener = listener;
+  }
+
+  /** Number of records that are only in memory. */
+  get unwrittenCount(): number {
+    return this.unwritten.size;
+  }
+
+  /** True if the latest record of the job is in the store. */
+  isStored(jobId: JobId): boolean {
+    return this.known.has(jobId) && !this.unwritten.has(jobId);
+  }
+
+  /** Reads all records of the zone with the store's revision. */
+  async readAll(): Promise<
+    Result<{revision: number; records: readonly JobRecord[]}, StoreReadError>
+  > {
+    const result = await this.store.list(jobPrefix(this.zone));
+    return result.map(({revision, entries}) => ({
+      revision,
+      records: entries.flatMap((entry) => this.takeEntry(entry) ?? []),
+    }));
+  }
+
+  /** Takes an entry that was read; undefined if it is not a job record. */
+  takeEntry(entry: StoreEntry): JobRecord | undefined {
+    const parsed = validateJson(jobRecordSchema, entry.value, entry.key);
+    if (parsed.isErr) return undefined;
+    const record = parsed.value;
+    const known = this.known.get(record.jobId);
+    if (known === undefined || known.revision <= entry.revision) {
+      this.known.set(record.jobId, {
+        revision: entry.revision,
+        sequence: record.sequence,
+      });
+    }
+    return record;
+  }
+
+  /**
+   * Writes the record as soon as possible, in place of an older one. Returns
+   * it with a sequence above that of every record known of the job.
+   */
+  put(record: JobRecord): JobRecord {
+    const {jobId} = record;
+    const last = Math.max(
+      this.known.get(jobId)?.sequence ?? -1,
+      this.unwritten.get(jobId)?.sequence ?? -1,
+    );
+    const next = {...record, sequence: Math.max(record.sequence, last + 1)};
+    this.unwritten.set(jobId, next);
+    if (!this.writing) void this.writeAll();
+    return next;
+  }
+
+  /** Waits at most `waitMs` until the job's record was written. */
+  async settled(jobId: JobId, waitMs: number): Promise<WriteResult> {
+    if (!this.unwritten.has(jobId)) return 'stored';
+    if (!this.available) return 'memory';
+    return await new Promise<WriteResult>((resolve) => {
+      const waiters = this.waiting.get(jobId) ?? new Set();
+      this.waiting.set(jobId, waiters);
+      const finish = (result: WriteResult) => {
+        clearTimeout(timer);
+        waiters.delete(finish);
+        resolve(result);
+      };
+      const timer = setTimeout(() => finish('memory'), waitMs);
+      waiters.add(finish);
+    });
+  }
+
+  /**
+   * Drops what the next scheduler decides or sees anew. Ends, checkpoints and
+   * jobs that the store has never held are kept.
+   */
+  dropDecisions(): void {
+    for (const record of [...this.unwritten.values()]) {
+      const kept = hasEnded(record.state) || record.state === 'setAside';
+      if (kept || !this.known.has(record.jobId)) continue;
+      this.finish(record.jobId, 'overruled');
+    }
+  }
+
+  /** Forgets a job that nobody asks for any more. */
+  forget(jobId: JobId): void {
+    if (!this.unwritten.has(jobId)) this.known.delete(jobId);
+  }
+
+  private async writeAll(): Promise<void> {
+    this.writing = true;
+    while (!this.scope.closed) {
+      const record = this.unwritten.values().next().value;
+      if (record === undefined) break;
+      const answered = await this.write(record);
+      if (!answered) this.moveToEnd(record.jobId);
+      await this.pause(answered);
+    }
+    this.writing = false;
+  }
+
+  /** Lets other records pass one that cannot be written. */
+  private moveToEnd(jobId: JobId): void {
+    const record = this.unwritten.get(jobId);
+    if (record === undefined) return;
+    this.unwritten.delete(jobId);
+    this.unwritten.set(jobId, record);
+  }
+
+  /** Spaces writes out while the store is away and until all are written. */
+  private async pause(answered: boolean): Promise<void> {
+    if (!answered) {
+      this.setAvailable(false);
+      await this.scope.sleep(this.backoff.nextWaitMs());
+      return;
+    }
+    this.backoff.reset();
+    if (this.unwritten.size === 0) this.setAvailable(true);
+    if (this.available) return;
+    const gap = 2 * this.random.next() * this.options.recoveryGapMs;
+    await this.scope.sleep(gap);
+  }
+
+  private setAvailable(available: boolean): void {
+    if (this.available === available) return;
+    this.available = available;
+    if (!available) this.releaseWaiters();
+    this.listener?.storeAvailable(available, this.unwritten.size);
+  }
+
+  private releaseWaiters(): void {
+    for (const waiters of this.waiting.values()) {
+      for (const finish of [...waiters]) finish('memory');
+    }
+    this.waiting.clear();
+  }
+
+  /** Returns false if the write has to be tried again later. */
+  private async write(record: JobRecord): Promise<boolean> {
+    const {jobId} = record;
+    const expected = this.known.get(jobId)?.revision ?? ABSENT_REVISION;
+    const key = jobKey(this.zone, jobId);
+    const value = JSON.stringify(record);
+    const result = await this.store.put(key, value, expected);
+    if (result.isOk) {
+      this.written(record, result.value);
+      return true;
+    }
+    const {kind} = result.error;
+    if (kind !== 'conflict' && kind !== 'unknown-effect') return false;
+    const read = await this.store.get(key);
+    if (read.isErr) return false;
+    const entry = read.value;
+    if (entry?.value === value) {
+      this.written(record, entry.revision);
+      return true;
+    }
+    if (kind === 'unknown-effect' && entry?.revision === expected) return false;
+    if (entry !== undefined) return this.resolveConflict(entry);
+    this.known.delete(jobId);
+    return kind === 'conflict';
+  }
+
+  private written(record: JobRecord, revision: number): void {
+    const {jobId, sequence} = record;
+    this.known.set(jobId, {revision, sequence});
+    if (this.unwritten.get(jobId) !== record) return;
+    this.finish(jobId, 'stored');
+    this.listener?.stored(jobId);
+  }
+
+  private finish(jobId: JobId, result: WriteResult): void {
+    this.unwritten.delete(jobId);
+    const waiters = this.waiting.get(jobId);
+    this.waiting.delete(jobId);
+    for (const finish of [...(waiters ?? [])]) finish(result);
+  }
+
+  /** Another writer was first; false if its value cannot be read. */
+  private resolveConflict(entry: StoreEntry): boolean {
+    const stored = this.takeEntry(entry);
+    if (stored === undefined) return false;
+    const own = this.unwritten.get(stored.jobId);
+    if (own === undefined) return true;
+    const merged = mergeRecords(stored, own);
+    if (merged !== undefined) {
+      this.unwritten.set(stored.jobId, merged);
+      return true;
+    }
+    this.finish(stored.jobId, 'overruled');
+    this.listener?.overruled(stored);
+    return true;
+  }
+}
--- /dev/null
+++ b/src/controllers/job_table.ts
@@ -0,0 +1,160 @@
+/**
+ * The jobs of a zone during one term as scheduler: their records, and whether
+ * each is queued at the planner, has a gang, or waits.
+ */
+
+import {Backoff} from '../lifecycle/backoff.js';
+import type {CleanupScope} from '../lifecycle/cleanup_scope.js';
+import type {Clock} from '../lifecycle/clock.js';
+import type {RandomSource} from '../lifecycle/random.js';
+import {after} from '../model/ids.js';
+import type {Instant, JobId} from '../model/ids.js';
+import type {JobRecord} from '../model/jobs.js';
+import {hasEnded} from '../model/jobs.js';
+import type {JobReport} from '../platform/peer_client.js';
+import type {ZonePlanner} from '../scheduling/zone_planner.js';
+import type {GangRunner} from './gang_runner.js';
+import type {JobStore} from './job_store.js';
+import type {ZoneControllerOptions, ZoneListener} from './zone_options.js';
+
+export interface JobEntry {
+  record: JobRecord;
+  /** The record was rebuilt from tasks, since the store was out of reach. */
+  provisional: boolean;
+  /** Starts, watches or stops the job's gang. */
+  runner: GangRunner | undefined;
+  /** The planner counts the job's gang. */
+  planned: boolean;
+  /** The planner has the job in its queue. */
+  queued: boolean;
+  cancelAsked: boolean;
+  /** Why the gang is being stopped. */
+  stopReason: string | undefined;
+  /** The job is not queued before this time. */
+  notBefore: Instant | undefined;
+  readonly backoff: Backoff;
+}
+
+export interface JobTableParts {
+  readonly planner: ZonePlanner;
+  readonly jobStore: JobStore;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly listener: ZoneListener;
+  readonly options: ZoneControllerOptions;
+  readonly scope: CleanupScope;
+}
+
+export class JobTable {
+  private readonly entries = new Map<JobId, JobEntry>();
+
+  /** Jobs that the store says have ended, and that have no entry. */
+  private readonly ended = new Set<JobId>();
+
+  constructor(private readonly parts: JobTableParts) {}
+
+  noteEnded(jobId: JobId): void {
+    this.ended.add(jobId);
+  }
+
+  hasEnded(jobId: JobId): boolean {
+    const entry = this.entries.get(jobId);
+    if (entry === undefined) return this.ended.has(jobId);
+    return hasEnded(entry.record.state);
+  }
+
+  get(jobId: JobId): JobEntry | undefined {
+    return this.entries.get(jobId);
+  }
+
+  all(): readonly JobEntry[] {
+    return [...this.entries.values()];
+  }
+
+  add(record: JobRecord, provisional = false): JobEntry {
+    const {random, options} = this.parts;
+    const entry: JobEntry = {
+      record,
+      provisional,
+      runner: undefined,
+      planned: false,
+      queued: false,
+      cancelAsked: false,
+      stopReason: undefined,
+      notBefore: undefined,
+      backoff: new Backoff(
+        random,
+        options.firstRetryMs,
+        options.longestRetryMs,
+      ),
+    };
+    this.entries.set(record.jobId, entry);
+    return entry;
+  }
+
+  report(entry: JobEntry): JobReport {
+    const {jobId} = entry.record;
+    const now = this.parts.clock.now();
+    const explanation = this.parts.planner.explain(jobId, now);
+    return {
+      record: entry.record,
+      inStore: this.parts.jobStore.isStored(jobId),
+      ...(explanation === undefined ? {} : {explanation}),
+    };
+  }
+
+  /** Changes the record and writes it to the store. */
+  change(entry: JobEntry, change: Partial<JobRecord>): void {
+    entry.record = this.parts.jobStore.put({
+      ...entry.record,
+      ...change,
+      sequence: entry.record.sequence + 1,
+    });
+    const {jobId, state, reason} = entry.record;
+    if (change.state === undefined) return;
+    this.parts.listener.zoneEvent({kind: 'jobChanged', jobId, state, reason});
+  }
+
+  /** Writes a job that was handed over while the store was away. */
+  async writeIfMissing(entry: JobEntry): Promise<void> {
+    const {scope, options, jobStore} = this.parts;
+    await scope.sleep(options.recordCheckMs);
+    if (scope.closed || jobStore.isStored(entry.record.jobId)) return;
+    entry.record = jobStore.put(entry.record);
+  }
+
+  /** Puts the job into the planner's queue. */
+  enqueue(entry: JobEntry): void {
+    const now = this.parts.clock.now();
+    const {state} = entry.record;
+    if (state === 'starting' || state === 'running') {
+      const reason = 'its gang was not found on any worker';
+      this.change(entry, {state: 'queued', reason});
+    }
+    entry.queued = true;
+    this.parts.planner.enqueue(entry.record, now);
+  }
+
+  leaveQueue(entry: JobEntry): void {
+    if (entry.queued) this.parts.planner.dequeue(entry.record.jobId);
+    entry.queued = false;
+  }
+
+  /** Keeps the job out of the queue for a time. */
+  delay(entry: JobEntry, milliseconds: number): void {
+    entry.notBefore = after(this.parts.clock.now(), milliseconds);
+  }
+
+  /** Drops ended jobs that nobody is expected to ask for any more. */
+  forgetEnded(now: Instant): void {
+    const {endedJobMemoryMs} = this.parts.options;
+    for (const {record, runner} of this.all()) {
+      if (!hasEnded(record.state) || runner !== undefined) continue;
+      const due = after(record.endedAt ?? now, endedJobMemoryMs);
+      if (now < due || !this.parts.jobStore.isStored(record.jobId)) continue;
+      this.entries.delete(record.jobId);
+      this.ended.add(record.jobId);
+      this.parts.jobStore.forget(record.jobId);
+    }
+  }
+}
--- /dev/null
+++ b/src/controllers/worker_table.ts
@@ -0,0 +1,239 @@
+/**
+ * The workers of a zone during one term as scheduler: their VMs, their latest
+ * task lists, and what the planner is told about them.
+ */
+
+import type PQueue from 'p-queue';
+import type {CleanupScope} from '../lifecycle/cleanup_scope.js';
+import type {Clock} from '../lifecycle/clock.js';
+import type {RandomSource} from '../lifecycle/random.js';
+import type {GangId, Instant, VmId} from '../model/ids.js';
+import type {TaskList, TaskStatus} from '../model/jobs.js';
+import type {WorkerVm} from '../platform/vm_list.js';
+import type {WorkerClient} from '../platform/worker_client.js';
+import {occupies} from '../scheduling/gang_adoption.js';
+import type {PlannedWorker, ZonePlanner} from '../scheduling/zone_planner.js';
+import {WorkerWatcher} from './worker_watcher.js';
+import type {ZoneControllerOptions, ZoneListener} from './zone_options.js';
+
+interface WorkerEntry {
+  vm: WorkerVm;
+  readonly watcher: WorkerWatcher;
+  readonly scope: CleanupScope;
+  state: 'unread' | 'read' | 'lost';
+  list: TaskList | undefined;
+  /** What the planner was told last. */
+  planned: PlannedWorker | undefined;
+  leavingSince: Instant | undefined;
+}
+
+export interface WorkerTableParts {
+  readonly client: WorkerClient;
+  readonly queue: PQueue;
+  readonly planner: ZonePlanner;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly options: ZoneControllerOptions;
+  readonly listener: ZoneListener;
+  readonly scope: CleanupScope;
+}
+
+export interface WorkerTableListener {
+  listSeen(list: TaskList, requestedAt: Instant): void;
+  workerLost(workerId: VmId): void;
+  /** True if the gang is started, watched or stopped by this scheduler. */
+  isManaged(gangId: GangId): boolean;
+}
+
+export class WorkerTable {
+  private readonly workers = new Map<VmId, WorkerEntry>();
+  private known = false;
+
+  constructor(
+    private readonly parts: WorkerTableParts,
+    private readonly listener: WorkerTableListener,
+  ) {}
+
+  /** Takes the zone's complete list of workers. */
+  setVms(vms: readonly WorkerVm[]): void {
+    this.known = true;
+    const present = new Map(vms.map((vm) => [vm.vmId, vm]));
+    for (const workerId of [...this.workers.keys()]) {
+      const vm = present.get(workerId);
+      if (vm === undefined || vm.state === 'gone') this.removeVm(workerId);
+    }
+    for (const vm of vms) {
+      if (vm.state !== 'gone') this.setVm(vm);
+    }
+  }
+
+  /** True if no worker is left to read. */
+  get allRead(): boolean {
+    return this.known && this.unreadCount === 0;
+  }
+
+  /** True once the list of VMs is known. */
+  get vmsKnown(): boolean {
+    return this.known;
+  }
+
+  get unreadCount(): number {
+    return this.countIn('unread');
+  }
+
+  get readCount(): number {
+    return this.countIn('read');
+  }
+
+  isUnread(workerId: VmId): boolean {
+    return this.workers.get(workerId)?.state === 'unread';
+  }
+
+  /** Returns undefined for a worker that is lost or unknown. */
+  vm(workerId: VmId): WorkerVm | undefined {
+    const entry = this.workers.get(workerId);
+    return entry?.state === 'lost' ? undefined : entry?.vm;
+  }
+
+  lists(): readonly TaskList[] {
+    return [...this.workers.values()].flatMap((entry) => entry.list ?? []);
+  }
+
+  /** Drops tasks from the lists that were removed since they were read. */
+  dropTasks(dropped: (task: TaskStatus) => boolean): void {
+    for (const entry of this.workers.values()) {
+      if (entry.list === undefined || !entry.list.tasks.some(dropped)) continue;
+      const tasks = entry.list.tasks.filter((task) => !dropped(task));
+      entry.list = {...entry.list, tasks};
+    }
+  }
+
+  /** Workers that are leaving, with the time since when that is known. */
+  leaving(): ReadonlyArray<{workerId: VmId; since: Instant}> {
+    return [...this.workers.values()].flatMap((entry) =>
+      entry.leavingSince === undefined
+        ? []
+        : [{workerId: entry.vm.vmId, since: entry.leavingSince}],
+    );
+  }
+
+  /** Tells the planner what changed. */
+  updatePlanner(now: Instant): void {
+    for (const entry of this.workers.values()) {
+      if (entry.state !== 'read') continue;
+      const planned = this.plannedWorker(entry);
+      if (isSame(planned, entry.planned)) continue;
+      entry.planned = planned;
+      this.parts.planner.setWorker(planned, now);
+    }
+  }
+
+  private countIn(state: WorkerEntry['state']): number {
+    return [...this.workers.values()].filter((entry) => entry.state === state)
+      .length;
+  }
+
+  private setVm(vm: WorkerVm): void {
+    const known = this.workers.get(vm.vmId);
+    const entry = known ?? this.addVm(vm);
+    entry.vm = vm;
+    entry.watcher.update(vm);
+    this.noteLeaving(entry, vm.state === 'leaving');
+  }
+
+  private addVm(vm: WorkerVm): WorkerEntry {
+    const {client, clock, random, options, queue} = this.parts;
+    const scope = this.parts.scope.child();
+    const watcher = new WorkerWatcher(
+      vm,
+      {
+        client,
+        clock,
+        random,
+        options,
+        listener: {
+          listSeen: (id, list, at) => this.listSeen(id, list, at),
+          silent: (id) => this.lose(id, 'silent'),
+        },
+        bounded: async (call) => await queue.add(call),
+      },
+      scope,
+    );
+    const entry: WorkerEntry = {
+      vm,
+      watcher,
+      scope,
+      state: 'unread',
+      list: undefined,
+      planned: undefined,
+      leavingSince: undefined,
+    };
+    this.workers.set(vm.vmId, entry);
+    void watcher.run();
+    return entry;
+  }
+
+  private removeVm(workerId: VmId): void {
+    const entry = this.workers.get(workerId);
+    if (entry === undefined) return;
+    void entry.scope.close();
+    this.lose(workerId, 'gone');
+    this.workers.delete(workerId);
+  }
+
+  private lose(workerId: VmId, cause: 'gone' | 'silent'): void {
+    const entry = this.workers.get(workerId);
+    if (entry === undefined || entry.state === 'lost') return;
+    entry.state = 'lost';
+    entry.list = undefined;
+    entry.planned = undefined;
+    this.parts.planner.removeWorker(workerId, this.parts.clock.now());
+    this.parts.listener.zoneEvent({kind: 'workerLost', workerId, cause});
+    this.listener.workerLost(workerId);
+  }
+
+  private listSeen(workerId: VmId, list: TaskList, requestedAt: Instant): void {
+    const entry = this.workers.get(workerId);
+    if (entry === undefined) return;
+    if (entry.state === 'lost') {
+      this.parts.listener.zoneEvent({kind: 'workerReturned', workerId});
+    }
+    entry.state = 'read';
+    entry.list = list;
+    this.noteLeaving(entry, list.leaving);
+    this.listener.listSeen(list, requestedAt);
+  }
+
+  private noteLeaving(entry: WorkerEntry, leaving: boolean): void {
+    if (leaving) entry.leavingSince ??= this.parts.clock.now();
+  }
+
+  /**
+   * A worker with a task that this scheduler does not manage takes no task
+   * until that task is adopted or removed.
+   */
+  private plannedWorker(entry: WorkerEntry): PlannedWorker {
+    const {vmId, rackId, rackPosition, accelerators} = entry.vm;
+    const tasks = entry.list?.tasks ?? [];
+    const hasForeignTask = tasks.some(
+      (task) => occupies(task) && !this.listener.isManaged(task.gangId),
+    );
+    return {
+      workerId: vmId,
+      rackId,
+      rackPosition,
+      accelerators,
+      acceptsTasks: entry.leavingSince === undefined && !hasForeignTask,
+    };
+  }
+}
+
+function isSame(first: PlannedWorker, second?: PlannedWorker): boolean {
+  return (
+    second !== undefined &&
+    first.rackId === second.rackId &&
+    first.rackPosition === second.rackPosition &&
+    first.accelerators === second.accelerators &&
+    first.acceptsTasks === second.acceptsTasks
+  );
+}
--- /dev/null
+++ b/src/controllers/zone_session.ts
@@ -0,0 +1,352 @@
+/**
+ * One term as scheduler of a zone: adopts what runs, queues the rest, and
+ * carries out what the planner decides. Closing the scope ends the term at
+ * once; running tasks are left alone.
+ */
+
+import PQueue from 'p-queue';
+import {Result} from 'true-myth';
+import type {CleanupScope} from '../lifecycle/cleanup_scope.js';
+import type {Clock} from '../lifecycle/clock.js';
+import type {RandomSource} from '../lifecycle/random.js';
+import type {Configuration} from '../model/configuration.js';
+import {NotFoundError} from '../model/errors.js';
+import type {CallError} from '../model/errors.js';
+import type {AvailabilityZone, Instant, JobId, VmId} from '../model/ids.js';
+import type {JobRecord, TaskList} from '../model/jobs.js';
+import {hasEnded} from '../model/jobs.js';
+import type {KeyValueStore} from '../platform/key_value_store.js';
+import type {JobReport} from '../platform/peer_client.js';
+import type {WorkerVm} from '../platform/vm_list.js';
+import type {WorkerClient} from '../platform/worker_client.js';
+import type {PlanAction, ZonePlanner} from '../scheduling/zone_planner.js';
+import {GangTable} from './gang_table.js';
+import {mergeRecords} from './job_store.js';
+import type {JobStore} from './job_store.js';
+import {JobTable} from './job_table.js';
+import type {JobEntry} from './job_table.js';
+import {RecordWatcher} from './record_watcher.js';
+import {WorkerTable} from './worker_table.js';
+import type {ZoneControllerOptions, ZoneListener} from './zone_options.js';
+
+/** Longest time that a Node.js timer takes. */
+const LONGEST_TIMER_MS = 2 ** 31 - 1;
+
+/** Interval at which ended jobs and gangs are forgotten. */
+const FORGET_INTERVAL_MS = 60_000;
+
+export interface ZoneSessionParts {
+  readonly zone: AvailabilityZone;
+  readonly planner: ZonePlanner;
+  readonly workers: WorkerClient;
+  readonly store: KeyValueStore;
+  readonly jobStore: JobStore;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly listener: ZoneListener;
+  readonly options: ZoneControllerOptions;
+  readonly scope: CleanupScope;
+}
+
+export class ZoneSession {
+  private quarantined: ReadonlySet<VmId> = new Set();
+  private readonly jobs: JobTable;
+  private readonly table: WorkerTable;
+  private readonly gangs: GangTable;
+  private readonly records: RecordWatcher;
+  private phase: 'adopting' | 'placing' | 'draining' = 'adopting';
+  private adoptionDue = false;
+  private roundAsked = false;
+  private wakeTimer: NodeJS.Timeout | undefined;
+  private wakeTime = Infinity;
+
+  constructor(private readonly parts: ZoneSessionParts) {
+    const {options, scope} = parts;
+    const queue = new PQueue({concurrency: options.workerCallConcurrency});
+    this.jobs = new JobTable(parts);
+    this.table = new WorkerTable(
+      {...parts, client: parts.workers, queue},
+      {
+        listSeen: (list, requestedAt) => this.listSeen(list, requestedAt),
+        workerLost: (workerId) => this.workerLost(workerId),
+        isManaged: (gangId) => this.gangs.isManaged(gangId),
+      },
+    );
+    this.gangs = new GangTable({...parts, queue}, this.jobs, this.table, {
+      askRound: () => this.askRound(),
+      wakeAt: (time) => this.wakeAt(time),
+    });
+    this.records = new RecordWatcher(parts, {
+      recordSeen: (record) => this.recordSeen(record),
+      tried: () => this.checkAdoption(),
+    });
+    scope.add(() => queue.clear());
+    scope.add(() => clearTimeout(this.wakeTimer));
+    scope.add(() => parts.jobStore.listen(undefined));
+  }
+
+  /** Starts the term. */
+  start(): void {
+    this.parts.jobStore.listen({
+      overruled: (stored) => this.overruled(stored),
+      stored: () => this.askRound(),
+      storeAvailable: (available, unwritten) =>
+        this.parts.listener.zoneEvent({kind: 'store', available, unwritten}),
+    });
+    this.parts.scope.every(FORGET_INTERVAL_MS, () => this.forget());
+    void this.records.run();
+  }
+
+  configure(configuration: Configuration): void {
+    this.parts.planner.configure(configuration);
+    this.askRound();
+  }
+
+  /** Takes the complete list of the zone's workers. */
+  setWorkers(vms: readonly WorkerVm[]): void {
+    const first = !this.table.vmsKnown;
+    this.table.setVms(vms);
+    if (first) void this.boundAdoption();
+    this.checkAdoption();
+    this.askRound();
+  }
+
+  /**
+   * Takes over an accepted job. A known job is left as it is, unless the
+   * planner refuses it while it is still queued; it then fails.
+   */
+  submitJob(record: JobRecord): Result<void, CallError> {
+    const known = this.jobs.get(record.jobId);
+    if (known !== undefined && !known.queued) return Result.ok(undefined);
+    const check = this.parts.planner.check(record);
+    if (check.isOk && known === undefined) {
+      void this.jobs.writeIfMissing(this.jobs.add(record));
+      this.askRound();
+    }
+    if (check.isErr && known !== undefined) {
+      this.endQueued(known, 'failed', check.error.message);
+    }
+    return check;
+  }
+
+  /** Asks for the end of a job; its gang is stopped without a checkpoint. */
+  cancelJob(jobId: JobId): Result<JobReport, CallError> {
+    const entry = this.jobs.get(jobId);
+    if (entry === undefined) return this.job(jobId);
+    if (!hasEnded(entry.record.state)) {
+      entry.cancelAsked = true;
+      entry.stopReason = 'cancelled by the caller';
+      if (entry.runner === undefined) {
+        this.endQueued(entry, 'cancelled', entry.stopReason);
+      } else {
+        entry.runner.stop('cancelled', 0);
+      }
+      this.askRound();
+    }
+    return this.job(jobId);
+  }
+
+  private endQueued(
+    entry: JobEntry,
+    state: 'cancelled' | 'failed',
+    reason: string,
+  ): void {
+    this.jobs.leaveQueue(entry);
+    const endedAt = this.parts.clock.now();
+    this.jobs.change(entry, {state, reason, endedAt});
+  }
+
+  job(jobId: JobId): Result<JobReport, CallError> {
+    const entry = this.jobs.get(jobId);
+    if (entry !== undefined) return Result.ok(this.jobs.report(entry));
+    return Result.err(
+      new NotFoundError(
+        `job ${jobId} is not known to the scheduler of zone ${this.parts.zone}`,
+        'check the id and the zone, and ask again if the store was away',
+      ),
+    );
+  }
+
+  listJobs(): readonly JobReport[] {
+    return this.jobs.all().map((entry) => this.jobs.report(entry));
+  }
+
+  /**
+   * Stops placing, and waits until no gang is between two states and all
+   * records are written, or until the signal is aborted.
+   */
+  async drain(signal: AbortSignal): Promise<void> {
+    this.phase = 'draining';
+    const pollMs = this.parts.options.firstRetryMs;
+    while (!signal.aborted && !this.parts.scope.closed) {
+      const {steady} = this.gangs;
+      if (steady && this.parts.jobStore.unwrittenCount === 0) return;
+      await this.parts.scope.sleep(pollMs);
+    }
+  }
+
+  // Records of the store.
+
+  private recordSeen(stored: JobRecord): void {
+    const entry = this.jobs.get(stored.jobId);
+    if (entry === undefined) {
+      if (hasEnded(stored.state)) this.jobs.noteEnded(stored.jobId);
+      else this.jobs.add(stored);
+      this.askRound();
+      return;
+    }
+    if (entry.provisional) {
+      entry.provisional = false;
+      entry.record = mergeRecords(stored, entry.record) ?? entry.record;
+    }
+    if (hasEnded(entry.record.state)) return;
+    const newer = stored.sequence > entry.record.sequence;
+    const isOthers = newer && entry.runner === undefined;
+    if (hasEnded(stored.state) || isOthers) this.overruled(stored);
+  }
+
+  /** Another scheduler of the zone has written the job's record. */
+  private overruled(stored: JobRecord): void {
+    const entry = this.jobs.get(stored.jobId);
+    if (entry === undefined) return;
+    this.jobs.leaveQueue(entry);
+    entry.record = stored;
+    // Its gang may be on its way to the workers.
+    if (stored.state === 'starting' || stored.state === 'running') {
+      this.jobs.delay(entry, this.parts.options.gangSkewBoundMs);
+    }
+    const ended = hasEnded(stored.state);
+    if (ended || entry.runner?.phase === 'starting') {
+      entry.runner?.stop('cancelled', 0);
+    }
+    this.askRound();
+  }
+
+  // Adoption.
+
+  private async boundAdoption(): Promise<void> {
+    await this.parts.scope.sleep(this.parts.options.adoptionBoundMs);
+    this.adoptionDue = true;
+    this.checkAdoption();
+  }
+
+  private checkAdoption(): void {
+    if (this.phase !== 'adopting' || this.parts.scope.closed) return;
+    const complete = this.table.allRead && this.records.hasTried;
+    if (!complete && !this.adoptionDue) return;
+    this.phase = 'placing';
+    this.parts.listener.zoneEvent({
+      kind: 'placing',
+      workersRead: this.table.readCount,
+      workersUnread: this.table.unreadCount,
+    });
+    this.table.updatePlanner(this.parts.clock.now());
+    this.gangs.considerFound(true);
+    this.askRound();
+  }
+
+  // Workers.
+
+  private listSeen(list: TaskList, requestedAt: Instant): void {
+    this.gangs.listSeen(list, requestedAt);
+    this.checkAdoption();
+    this.askRound();
+  }
+
+  private workerLost(workerId: VmId): void {
+    this.gangs.workerLost(workerId);
+    this.checkAdoption();
+    this.askRound();
+  }
+
+  // Rounds.
+
+  /** Asks for one round of decisions after all events at hand. */
+  private askRound(): void {
+    if (this.roundAsked || this.parts.scope.closed) return;
+    this.roundAsked = true;
+    setImmediate(() => {
+      this.roundAsked = false;
+      if (!this.parts.scope.closed && this.phase !== 'adopting') this.round();
+    });
+  }
+
+  private round(): void {
+    const now = this.parts.clock.now();
+    // The planner has to know a worker before a gang on it is adopted.
+    this.table.updatePlanner(now);
+    this.gangs.considerFound(false);
+    this.gangs.removeEndedTasks();
+    this.gangs.leaveWorkers(now);
+    this.table.updatePlanner(now);
+    if (this.phase !== 'placing') return;
+    for (const entry of this.jobs.all()) this.considerJob(entry, now);
+    for (const action of this.parts.planner.plan(now)) this.carryOut(action);
+    this.reportQuarantine(now);
+    const next = this.parts.planner.nextDecisionAt(now);
+    if (next !== undefined) this.wakeAt(next);
+  }
+
+  /** Queues a job that has no gang, once that is certain. */
+  private considerJob(entry: JobEntry, now: Instant): void {
+    const {record} = entry;
+    if (entry.queued || entry.runner !== undefined) return;
+    if (hasEnded(record.state)) return;
+    if (this.gangs.hasStray(record.jobId)) return;
+    if (entry.provisional && !this.records.hasRead) return;
+    const mayRun = record.state === 'starting' || record.state === 'running';
+    if (mayRun && !this.table.allRead) return;
+    if (entry.notBefore !== undefined && now < entry.notBefore) {
+      this.wakeAt(entry.notBefore);
+      return;
+    }
+    this.jobs.enqueue(entry);
+  }
+
+  private carryOut(action: PlanAction): void {
+    if (action.kind === 'start') {
+      this.gangs.start(action.placement);
+      return;
+    }
+    const {jobId, reason} = action;
+    const entry = this.jobs.get(jobId);
+    if (entry?.runner === undefined) return;
+    entry.stopReason = reason;
+    this.parts.listener.zoneEvent({kind: 'preempted', jobId, reason});
+    entry.runner.stop('setAside', this.parts.options.reclaimBoundMs);
+  }
+
+  private reportQuarantine(now: Instant): void {
+    const before = this.quarantined;
+    this.quarantined = new Set(this.parts.planner.quarantined(now));
+    const {listener} = this.parts;
+    for (const workerId of this.quarantined) {
+      if (before.has(workerId)) continue;
+      listener.zoneEvent({kind: 'quarantined', workerId});
+    }
+    for (const workerId of before) {
+      if (this.quarantined.has(workerId)) continue;
+      listener.zoneEvent({kind: 'quarantineEnded', workerId});
+    }
+  }
+
+  private wakeAt(time: Instant): void {
+    if (time >= this.wakeTime || this.parts.scope.closed) return;
+    clearTimeout(this.wakeTimer);
+    this.wakeTime = time;
+    const waitMs = Math.max(1, time - this.parts.clock.now());
+    this.wakeTimer = setTimeout(
+      () => {
+        this.wakeTime = Infinity;
+        this.askRound();
+      },
+      Math.min(waitMs, LONGEST_TIMER_MS),
+    );
+  }
+
+  private forget(): void {
+    const now = this.parts.clock.now();
+    this.jobs.forgetEnded(now);
+    this.gangs.forgetEnded(now);
+  }
+}
