--- a/src/model/requests.ts
+++ b/src/model/requests.ts
@@ -49,6 +49,10 @@
   'minion-refused',
   'minion-unreachable',
   'store-unavailable',
+  /** The store's bucket for this key holds as many claims as it may. */
+  'claims-full',
+  /** The key was used before for a request with other content. */
+  'key-reused',
   'shutting-down',
   'cancelled',
 ]);
@@ -61,6 +65,8 @@
   'peer-lost',
   'duplicate',
   'in-progress',
+  /** A fault in the daemon while it had the request. */
+  'internal-error',
 ]);
 export type UnknownReason = z.infer<typeof unknownReasonSchema>;
 
--- a/src/platform/peer_client.ts
+++ b/src/platform/peer_client.ts
@@ -56,6 +56,15 @@
 export const dispatchSchema = z.object({
   minionId: vmIdSchema,
   request: serviceRequestSchema,
+  /** The run of the daemon that is meant; another run refuses. */
+  homeDaemonId: daemonIdSchema.optional(),
+  /** Counts the dispatches of one request from 1; 1 if not given. */
+  attempt: z.int().min(1).max(100).optional(),
+  /**
+   * Time left when the message was sent, so that a difference between the
+   * clocks of two daemons does not shorten or extend the deadline.
+   */
+  remainingMs: z.number().min(0).optional(),
 });
 /** Hands a request to the home daemon of a minion. */
 export type Dispatch = z.infer<typeof dispatchSchema>;
