--- /dev/null
+++ b/src/requests/attempt_register.ts
@@ -0,0 +1,136 @@
+/**
+ * What a home daemon remembers of the dispatches that it received, so that a
+ * late or doubled message never hands a request over a second time.
+ */
+
+import {after} from '../model/ids.js';
+import type {Instant, RequestId} from '../model/ids.js';
+import type {Outcome, ServiceRequest} from '../model/requests.js';
+import {notRun, unknown} from './exchange.js';
+
+/**
+ * How far the clocks of two daemons may differ. A dispatch that arrives later
+ * than this after its deadline is a late message.
+ */
+export const CLOCK_DIFFERENCE_MS = 500;
+
+/**
+ * Attempts stay known for this time after their deadline, so that a second
+ * copy gets the answer of the first and never a different one.
+ */
+const RETENTION_AFTER_DEADLINE_MS = 60_000;
+
+/** Bounds the memory of the register; about 200 bytes each. */
+const MAXIMUM_ATTEMPTS = 100_000;
+
+interface KnownAttempt {
+  readonly attempt: number;
+  readonly forgetAt: Instant;
+  outcome: Promise<Outcome>;
+  settledNotRun: boolean;
+}
+
+export class AttemptRegister {
+  private readonly attempts = new Map<RequestId, KnownAttempt>();
+  /** New non-idempotent requests are refused until then. */
+  private refusingUntil: Instant | undefined;
+
+  constructor(private readonly maximumAttempts = MAXIMUM_ATTEMPTS) {}
+
+  get size(): number {
+    return this.attempts.size;
+  }
+
+  /**
+   * Calls `run` unless the attempt, a later one, or an attempt of a
+   * non-idempotent request that may have run is known.
+   */
+  once(
+    request: ServiceRequest,
+    attempt: number,
+    now: Instant,
+    run: () => Promise<Outcome>,
+  ): Promise<Outcome> {
+    const known = this.attempts.get(request.requestId);
+    if (known?.attempt === attempt) return known.outcome;
+    if (known && !mayRunAgain(request, known, attempt)) {
+      return Promise.resolve(alreadySeen(request.requestId));
+    }
+    if (!known && this.isFull(now)) {
+      if (request.repeatable) return run();
+      return Promise.resolve(this.refuse(request));
+    }
+    return this.record(request, attempt, now, run);
+  }
+
+  forget(now: Instant): void {
+    for (const [requestId, known] of this.attempts) {
+      if (now >= known.forgetAt) this.attempts.delete(requestId);
+    }
+  }
+
+  private async record(
+    request: ServiceRequest,
+    attempt: number,
+    now: Instant,
+    run: () => Promise<Outcome>,
+  ): Promise<Outcome> {
+    const lastUse = Math.max(now, request.deadline) as Instant;
+    const known: KnownAttempt = {
+      attempt,
+      forgetAt: after(
+        lastUse,
+        CLOCK_DIFFERENCE_MS + RETENTION_AFTER_DEADLINE_MS,
+      ),
+      outcome: Promise.resolve(alreadySeen(request.requestId)),
+      settledNotRun: false,
+    };
+    this.attempts.set(request.requestId, known);
+    known.outcome = run();
+    const outcome = await known.outcome;
+    known.settledNotRun = outcome.outcome === 'notRun';
+    // An answer can be large, and its copy is hardly ever asked for.
+    if (outcome.outcome === 'answered') {
+      known.outcome = Promise.resolve(alreadySeen(request.requestId));
+    }
+    return outcome;
+  }
+
+  private isFull(now: Instant): boolean {
+    if (this.refusingUntil !== undefined && now < this.refusingUntil) {
+      return true;
+    }
+    return this.attempts.size >= this.maximumAttempts;
+  }
+
+  /**
+   * A refused request is not recorded, so a second copy of its message has to
+   * be refused as well: nothing new is taken until the copy would be late.
+   */
+  private refuse(request: ServiceRequest): Outcome {
+    const lateAt = request.deadline + CLOCK_DIFFERENCE_MS;
+    this.refusingUntil = Math.max(this.refusingUntil ?? 0, lateAt) as Instant;
+    return notRun(
+      request.requestId,
+      'overloaded',
+      'the daemon keeps track of as many requests as it may',
+    );
+  }
+}
+
+function mayRunAgain(
+  request: ServiceRequest,
+  known: KnownAttempt,
+  attempt: number,
+): boolean {
+  if (attempt < known.attempt) return false;
+  return request.repeatable || known.settledNotRun;
+}
+
+function alreadySeen(requestId: RequestId): Outcome {
+  return unknown(
+    requestId,
+    'duplicate',
+    'this dispatch was received before and may have been handed over',
+  );
+}
