Add claims with group commit and the table of keyed outcomes

Cause: two requests with one key must run at most once on whatever daemons they arrive. Ruled out: a claim in two steps (twice the writes); deleting an uncertain claim only if it is seen (the lost write may take effect later). Conclusion: one write in flight per bucket, lost answers read back by request id, releases always written, claims of requests that did not run taken over on the word of the claiming daemon.

--- /dev/null
+++ b/src/requests/claim_bucket.ts
@@ -0,0 +1,302 @@
+/**
+ * One bucket of claims in the store. All changes that wait for the bucket are
+ * written together with one compare-and-swap, and at most one write is in
+ * flight, so that the write rate does not grow with the request rate.
+ */
+
+import {Result} from 'true-myth';
+import {z} from 'zod';
+import type {Clock} from '../lifecycle/clock.js';
+import {
+  callerKeySchema,
+  customerIdSchema,
+  daemonIdSchema,
+  instantSchema,
+  requestIdSchema,
+} from '../model/ids.js';
+import type {Instant, RequestId} from '../model/ids.js';
+import {validateJson} from '../model/validation.js';
+import {
+  ABSENT_REVISION,
+  MAXIMUM_VALUE_BYTES,
+} from '../platform/key_value_store.js';
+import type {KeyValueStore} from '../platform/key_value_store.js';
+
+/** Leaves room below the store's limit for the value's own brackets. */
+export const MAXIMUM_BUCKET_BYTES = MAXIMUM_VALUE_BYTES - 65_536;
+
+/** Bounds what one write carries and what waits in memory. */
+const MAXIMUM_WAITING_CHANGES = 2_000;
+
+/** Tries of one write when other daemons write the same bucket. */
+const MAXIMUM_WRITE_TRIES = 12;
+
+const DIGEST_LENGTH = 22;
+
+/** A tuple, because the value is written again with every claim. */
+const claimTupleSchema = z.tuple([
+  customerIdSchema,
+  callerKeySchema,
+  requestIdSchema,
+  daemonIdSchema,
+  z.string().length(DIGEST_LENGTH),
+  instantSchema,
+]);
+const bucketSchema = z.object({claims: z.array(claimTupleSchema)});
+type ClaimTuple = z.infer<typeof claimTupleSchema>;
+
+/** The record that a keyed, non-idempotent request was taken. */
+export interface Claim {
+  readonly customerId: ClaimTuple[0];
+  readonly key: ClaimTuple[1];
+  readonly requestId: ClaimTuple[2];
+  /** The daemon that took the request. */
+  readonly daemonId: ClaimTuple[3];
+  /** First 22 characters of the base64url digest of the content. */
+  readonly contentDigest: string;
+  readonly expiresAt: Instant;
+}
+
+export type ClaimChange =
+  | {
+      readonly kind: 'claim';
+      readonly claim: Claim;
+      /** Request known not to have run, whose claim is taken over. */
+      readonly replaces?: RequestId | undefined;
+    }
+  /** Removes the claim if it still names this request. */
+  | {readonly kind: 'release'; readonly claim: Claim};
+
+export type ClaimResult =
+  /** The change is in the store. */
+  | {readonly kind: 'done'}
+  | {readonly kind: 'taken'; readonly by: Claim}
+  | {readonly kind: 'full'; readonly retryAfterMs: number}
+  | {
+      readonly kind: 'unavailable';
+      readonly message: string;
+      /** True if the change may be or may yet get into the store. */
+      readonly uncertain: boolean;
+    };
+
+interface WaitingChange {
+  readonly change: ClaimChange;
+  readonly settle: (result: ClaimResult) => void;
+}
+
+interface BucketState {
+  readonly revision: number;
+  readonly claims: ReadonlyMap<string, Claim>;
+}
+
+interface Applied {
+  readonly claims: ReadonlyMap<string, Claim>;
+  readonly results: readonly ClaimResult[];
+  readonly value: string;
+  readonly changed: boolean;
+}
+
+export class ClaimBucket {
+  private waiting: WaitingChange[] = [];
+  private writing = false;
+  /** As last written or read by this daemon. */
+  private cached: BucketState | undefined;
+
+  constructor(
+    private readonly storeKey: string,
+    private readonly store: KeyValueStore,
+    private readonly clock: Clock,
+  ) {}
+
+  submit(change: ClaimChange): Promise<ClaimResult> {
+    if (this.waiting.length >= MAXIMUM_WAITING_CHANGES) {
+      return Promise.resolve(
+        unavailable('too many claims wait for the store', false),
+      );
+    }
+    return new Promise((settle) => {
+      this.waiting.push({change, settle});
+      if (!this.writing) void this.writeAll();
+    });
+  }
+
+  private async writeAll(): Promise<void> {
+    this.writing = true;
+    while (this.waiting.length > 0) {
+      const batch = this.waiting;
+      this.waiting = [];
+      const results = await this.write(batch.map((entry) => entry.change));
+      batch.forEach((entry, index) => {
+        entry.settle(results[index] ?? unavailable('no result', true));
+      });
+    }
+    this.writing = false;
+  }
+
+  /** Returns one result for each change. */
+  private async write(
+    changes: readonly ClaimChange[],
+  ): Promise<readonly ClaimResult[]> {
+    let uncertain = false;
+    const failAll = (message: string) =>
+      changes.map(() => unavailable(message, uncertain));
+    for (let tries = 0; tries < MAXIMUM_WRITE_TRIES; tries += 1) {
+      const fromCache = this.cached !== undefined;
+      const state = this.cached ?? (await this.read());
+      if (typeof state === 'string') return failAll(state);
+      const applied = applyChanges(state, changes, this.clock.now());
+      if (fromCache && applied.results.some((r) => r.kind === 'taken')) {
+        // The claim may have been released since.
+        this.cached = undefined;
+        continue;
+      }
+      if (!applied.changed) return applied.results;
+      const written = await this.store.put(
+        this.storeKey,
+        applied.value,
+        state.revision,
+      );
+      if (written.isOk) {
+        this.cached = {revision: written.value, claims: applied.claims};
+        return applied.results;
+      }
+      this.cached = undefined;
+      if (written.error.kind === 'unknown-effect') {
+        // Read back. If the revision is unchanged, the repeated write also
+        // prevents the lost one from taking effect later.
+        uncertain = true;
+      } else if (written.error.kind !== 'conflict') {
+        return failAll(written.error.message);
+      }
+    }
+    return failAll('other daemons kept changing the claims');
+  }
+
+  /** Returns why the bucket cannot be read, if it cannot. */
+  private async read(): Promise<BucketState | string> {
+    const read = await this.store.get(this.storeKey);
+    if (read.isErr) return read.error.message;
+    const entry = read.value;
+    if (!entry) return {revision: ABSENT_REVISION, claims: new Map()};
+    const parsed = parseBucket(entry.value, this.storeKey);
+    if (parsed.isErr) return parsed.error;
+    const state = {revision: entry.revision, claims: parsed.value};
+    this.cached = state;
+    return state;
+  }
+}
+
+function parseBucket(
+  value: string,
+  storeKey: string,
+): Result<ReadonlyMap<string, Claim>, string> {
+  const parsed = validateJson(bucketSchema, value, storeKey);
+  if (parsed.isErr) return Result.err(parsed.error.message);
+  const claims = parsed.value.claims.map(fromTuple);
+  return Result.ok(new Map(claims.map((claim) => [claimName(claim), claim])));
+}
+
+function applyChanges(
+  state: BucketState,
+  changes: readonly ClaimChange[],
+  now: Instant,
+): Applied {
+  const claims = new Map(
+    [...state.claims].filter(([, claim]) => claim.expiresAt > now),
+  );
+  const size = {bytes: serialize(claims).length};
+  let changed = false;
+  const results = changes.map((change): ClaimResult => {
+    const result =
+      change.kind === 'claim'
+        ? applyClaim(claims, change, size, now)
+        : applyRelease(claims, change.claim, size);
+    // A release is always written: it makes an earlier write of the claim,
+    // whose answer was lost, fail if it arrives later.
+    const wasWritten =
+      change.kind === 'claim' && isClaimed(state.claims, change.claim);
+    if (result.kind === 'done' && !wasWritten) changed = true;
+    return result;
+  });
+  return {claims, results, value: serialize(claims), changed};
+}
+
+function applyClaim(
+  claims: Map<string, Claim>,
+  change: Extract<ClaimChange, {kind: 'claim'}>,
+  size: {bytes: number},
+  now: Instant,
+): ClaimResult {
+  const {claim, replaces} = change;
+  const present = claims.get(claimName(claim));
+  if (present?.requestId === claim.requestId) return {kind: 'done'};
+  if (present && present.requestId !== replaces) {
+    return {kind: 'taken', by: present};
+  }
+  const growth = tupleBytes(claim) - (present ? tupleBytes(present) : 0);
+  if (size.bytes + growth > MAXIMUM_BUCKET_BYTES) {
+    return {kind: 'full', retryAfterMs: nextExpiryMs(claims, now)};
+  }
+  size.bytes += growth;
+  claims.set(claimName(claim), claim);
+  return {kind: 'done'};
+}
+
+function applyRelease(
+  claims: Map<string, Claim>,
+  claim: Claim,
+  size: {bytes: number},
+): ClaimResult {
+  if (isClaimed(claims, claim)) {
+    claims.delete(claimName(claim));
+    size.bytes -= tupleBytes(claim);
+  }
+  return {kind: 'done'};
+}
+
+function isClaimed(claims: ReadonlyMap<string, Claim>, claim: Claim): boolean {
+  return claims.get(claimName(claim))?.requestId === claim.requestId;
+}
+
+function nextExpiryMs(claims: ReadonlyMap<string, Claim>, now: Instant) {
+  let earliest = Infinity;
+  for (const claim of claims.values()) {
+    earliest = Math.min(earliest, claim.expiresAt);
+  }
+  return Math.max(0, earliest - now);
+}
+
+/** Ids contain no slash, so the name is unique. */
+function claimName(claim: Claim): string {
+  return `${claim.customerId}/${claim.key}`;
+}
+
+/** Ids and digests are ASCII, so characters are bytes. */
+function serialize(claims: ReadonlyMap<string, Claim>): string {
+  return JSON.stringify({claims: [...claims.values()].map(toTuple)});
+}
+
+function tupleBytes(claim: Claim): number {
+  return JSON.stringify(toTuple(claim)).length + 1;
+}
+
+function toTuple(claim: Claim): ClaimTuple {
+  return [
+    claim.customerId,
+    claim.key,
+    claim.requestId,
+    claim.daemonId,
+    claim.contentDigest,
+    claim.expiresAt,
+  ];
+}
+
+function fromTuple(tuple: ClaimTuple): Claim {
+  const [customerId, key, requestId, daemonId, contentDigest, expiresAt] =
+    tuple;
+  return {customerId, key, requestId, daemonId, contentDigest, expiresAt};
+}
+
+function unavailable(message: string, uncertain: boolean): ClaimResult {
+  return {kind: 'unavailable', message, uncertain};
+}
--- /dev/null
+++ b/src/requests/request_outcomes.ts
@@ -0,0 +1,110 @@
+/**
+ * Outcomes of keyed requests, kept for `claimRetentionMs` so that duplicates
+ * and later questions get the answer of the first request. The table is
+ * bounded in entries and in the size of the answers it holds.
+ */
+
+import {after} from '../model/ids.js';
+import type {Instant, RequestId} from '../model/ids.js';
+import type {Outcome} from '../model/requests.js';
+import {unknown} from './exchange.js';
+
+/** About 400 bytes each without the answer. */
+const MAXIMUM_ENTRIES = 50_000;
+
+/** Characters of answers held at once; a daemon has 256 MB in all. */
+const MAXIMUM_ANSWER_CHARACTERS = 33_554_432;
+
+interface KeptOutcome {
+  /** Undefined while the request is in progress. */
+  outcome: Outcome | undefined;
+  forgetAt: Instant;
+}
+
+export class RequestOutcomes {
+  /** In order of their start. */
+  private readonly entries = new Map<RequestId, KeptOutcome>();
+  /** Requests whose whole answer is held, oldest first. */
+  private readonly answers = new Map<RequestId, number>();
+  private answerCharacters = 0;
+
+  constructor(
+    private readonly retentionMs: number,
+    private readonly maximumEntries = MAXIMUM_ENTRIES,
+    private readonly maximumAnswerCharacters = MAXIMUM_ANSWER_CHARACTERS,
+  ) {}
+
+  get size(): number {
+    return this.entries.size;
+  }
+
+  start(requestId: RequestId, now: Instant): void {
+    this.makeRoom();
+    this.entries.set(requestId, {
+      outcome: undefined,
+      forgetAt: after(now, this.retentionMs),
+    });
+  }
+
+  settle(outcome: Outcome, now: Instant): void {
+    const entry = this.entries.get(outcome.requestId);
+    if (!entry) return;
+    entry.outcome = outcome;
+    entry.forgetAt = after(now, this.retentionMs);
+    if (outcome.outcome !== 'answered') return;
+    this.answers.set(outcome.requestId, outcome.answer.length);
+    this.answerCharacters += outcome.answer.length;
+    this.dropOldAnswers();
+  }
+
+  /** Undefined if the request is not or no longer known. */
+  find(requestId: RequestId): Outcome | undefined {
+    const entry = this.entries.get(requestId);
+    if (!entry) return undefined;
+    return (
+      entry.outcome ??
+      unknown(requestId, 'in-progress', 'the request is in progress')
+    );
+  }
+
+  forget(now: Instant): void {
+    for (const [requestId, entry] of this.entries) {
+      if (entry.outcome && now >= entry.forgetAt) this.remove(requestId);
+    }
+  }
+
+  /** Removes the oldest settled entry if the table is full. */
+  private makeRoom(): void {
+    if (this.entries.size < this.maximumEntries) return;
+    for (const [requestId, entry] of this.entries) {
+      if (!entry.outcome) continue;
+      this.remove(requestId);
+      return;
+    }
+  }
+
+  private dropOldAnswers(): void {
+    for (const requestId of this.answers.keys()) {
+      if (this.answerCharacters <= this.maximumAnswerCharacters) return;
+      const entry = this.entries.get(requestId);
+      this.dropAnswer(requestId);
+      if (entry) {
+        entry.outcome = unknown(
+          requestId,
+          'duplicate',
+          'the request was answered; its answer is no longer held',
+        );
+      }
+    }
+  }
+
+  private remove(requestId: RequestId): void {
+    this.dropAnswer(requestId);
+    this.entries.delete(requestId);
+  }
+
+  private dropAnswer(requestId: RequestId): void {
+    this.answerCharacters -= this.answers.get(requestId) ?? 0;
+    this.answers.delete(requestId);
+  }
+}
