Add retry, routing, dispatch and the request service

Cause: the chain needs its last steps and one object that the daemon wires. Ruled out: reporting notRun after a repeated attempt when an earlier attempt may have run.

--- /dev/null
+++ b/src/requests/dispatch_filter.ts
@@ -0,0 +1,77 @@
+/**
+ * The last step in the entry daemon: hands the request to the home daemon of
+ * the chosen minion, which may be this daemon itself.
+ */
+
+import type {CallError} from '../model/errors.js';
+import {hadNoEffect} from '../model/errors.js';
+import type {Outcome} from '../model/requests.js';
+import type {Dispatch, PeerClient} from '../platform/peer_client.js';
+import type {RequestDirectory} from './directory.js';
+import {notRun, RequestFilter, unknown} from './exchange.js';
+import type {Exchange} from './exchange.js';
+import type {HomeDispatcher} from './home_dispatcher.js';
+
+/**
+ * The home daemon answers at the deadline; its answer has this time to
+ * arrive, so that a `notRun` is not lost as `unknown`.
+ */
+const PEER_ANSWER_MARGIN_MS = 250;
+
+export class DispatchFilter extends RequestFilter {
+  constructor(
+    private readonly directory: RequestDirectory,
+    private readonly home: HomeDispatcher,
+    private readonly peers: PeerClient,
+  ) {
+    super();
+  }
+
+  override async handle(exchange: Exchange): Promise<Outcome> {
+    const {target, request} = exchange;
+    const {home, minion} = target;
+    const dispatch: Dispatch = {
+      minionId: minion.vmId,
+      request,
+      homeDaemonId: home.daemonId,
+      attempt: exchange.startAttempt(),
+      remainingMs: Math.max(0, exchange.remainingMs()),
+    };
+    if (home.daemonId === this.directory.daemonId) {
+      return this.home.dispatch(dispatch, exchange.signal);
+    }
+    return this.dispatchToPeer(home.address, dispatch);
+  }
+
+  private async dispatchToPeer(
+    address: string,
+    dispatch: Dispatch,
+  ): Promise<Outcome> {
+    const {requestId} = dispatch.request;
+    const timeoutMs = (dispatch.remainingMs ?? 0) + PEER_ANSWER_MARGIN_MS;
+    const result = await this.peers.dispatch(address, dispatch, timeoutMs);
+    if (result.isErr) return failedCall(dispatch, result.error);
+    if (result.value.requestId === requestId) return result.value;
+    return unknown(
+      requestId,
+      'malformed-answer',
+      'the home daemon answered for another request',
+    );
+  }
+}
+
+function failedCall(dispatch: Dispatch, error: CallError): Outcome {
+  const {requestId} = dispatch.request;
+  if (hadNoEffect(error)) {
+    return notRun(
+      requestId,
+      'minion-unreachable',
+      `the home daemon of the minion was not reached: ${error.problem}`,
+    );
+  }
+  return unknown(
+    requestId,
+    error.kind === 'timeout' ? 'no-answer-in-time' : 'peer-lost',
+    `the answer of the home daemon is lost: ${error.problem}`,
+  );
+}
--- /dev/null
+++ b/src/requests/minion_health.ts
@@ -0,0 +1,108 @@
+/**
+ * How recent attempts at each minion ended, as seen by one entry daemon.
+ * A minion that failed gets a small share of the traffic until it answers.
+ */
+
+import {after} from '../model/ids.js';
+import type {Instant, VmId} from '../model/ids.js';
+import type {Outcome} from '../model/requests.js';
+
+const FIRST_PROBATION_MS = 1_000;
+const LONGEST_PROBATION_MS = 30_000;
+
+/** Share of the choices in which a minion on probation takes part. */
+export const PROBATION_SHARE = 0.05;
+
+/** No choice after a refusal; a leaving minion shows up in the VM list. */
+const REFUSAL_PAUSE_MS = 1_000;
+
+/**
+ * An attempt that had less time than this says nothing about the minion: a
+ * caller with a short deadline must not put minions on probation for others.
+ */
+const MINIMUM_TELLING_ATTEMPT_MS = 500;
+
+const MAXIMUM_MINIONS = 10_000;
+
+interface MinionRecord {
+  failures: number;
+  probationUntil: Instant;
+  pausedUntil: Instant;
+}
+
+export type MinionStanding = 'good' | 'probation' | 'paused';
+
+export class MinionHealth {
+  /** Minions without a recent failure or refusal are absent. */
+  private readonly records = new Map<VmId, MinionRecord>();
+
+  standing(minionId: VmId, now: Instant): MinionStanding {
+    const record = this.records.get(minionId);
+    if (!record) return 'good';
+    if (now < record.pausedUntil) return 'paused';
+    return now < record.probationUntil ? 'probation' : 'good';
+  }
+
+  /** Records how an attempt that took `elapsedMs` ended. */
+  record(
+    minionId: VmId,
+    outcome: Outcome,
+    elapsedMs: number,
+    now: Instant,
+  ): void {
+    switch (effectOf(outcome, elapsedMs)) {
+      case 'success':
+        this.records.delete(minionId);
+        return;
+      case 'failure':
+        this.recordFailure(minionId, now);
+        return;
+      case 'refusal':
+        this.recordOf(minionId).pausedUntil = after(now, REFUSAL_PAUSE_MS);
+        return;
+      case 'none':
+    }
+  }
+
+  private recordFailure(minionId: VmId, now: Instant): void {
+    const record = this.recordOf(minionId);
+    const length = Math.min(
+      LONGEST_PROBATION_MS,
+      FIRST_PROBATION_MS * 2 ** record.failures,
+    );
+    record.failures += 1;
+    record.probationUntil = after(now, length);
+  }
+
+  private recordOf(minionId: VmId): MinionRecord {
+    let record = this.records.get(minionId);
+    if (!record) {
+      if (this.records.size >= MAXIMUM_MINIONS) this.records.clear();
+      const never = 0 as Instant;
+      record = {failures: 0, probationUntil: never, pausedUntil: never};
+      this.records.set(minionId, record);
+    }
+    return record;
+  }
+}
+
+function effectOf(
+  outcome: Outcome,
+  elapsedMs: number,
+): 'success' | 'failure' | 'refusal' | 'none' {
+  if (outcome.outcome === 'answered') return 'success';
+  switch (outcome.reason) {
+    case 'minion-unreachable':
+    case 'connection-lost':
+    case 'malformed-answer':
+    case 'peer-lost':
+      return 'failure';
+    case 'no-answer-in-time':
+      return elapsedMs >= MINIMUM_TELLING_ATTEMPT_MS ? 'failure' : 'none';
+    case 'minion-refused':
+    case 'shutting-down':
+      return 'refusal';
+    default:
+      return 'none';
+  }
+}
--- /dev/null
+++ b/src/requests/request_service.ts
@@ -0,0 +1,173 @@
+/**
+ * The path of a service request in one daemon, assembled: the filter chain of
+ * the entry daemon and the queues of the minions it is home of.
+ */
+
+import type {CleanupScope} from '../lifecycle/cleanup_scope.js';
+import type {Clock} from '../lifecycle/clock.js';
+import type {RandomSource} from '../lifecycle/random.js';
+import {randomId} from '../model/ids.js';
+import type {RequestId} from '../model/ids.js';
+import type {Outcome, RequestSubmission} from '../model/requests.js';
+import type {KeyValueStore} from '../platform/key_value_store.js';
+import type {MinionClient} from '../platform/minion_client.js';
+import type {
+  Dispatch,
+  PeerClient,
+  QueueLength,
+} from '../platform/peer_client.js';
+import {CheckFilter} from './check_filter.js';
+import {ClaimFilter, ClaimRegistry} from './claims.js';
+import {LimitFilter} from './customer_limits.js';
+import {DeadlineFilter} from './deadline_filter.js';
+import type {RequestDirectory} from './directory.js';
+import {DispatchFilter} from './dispatch_filter.js';
+import {Exchange, notRun, runFilters, unknown} from './exchange.js';
+import type {RequestFilter} from './exchange.js';
+import {HomeDispatcher} from './home_dispatcher.js';
+import {RequestOutcomes} from './request_outcomes.js';
+import {RetryFilter} from './retry_filter.js';
+import {MinionRouter, RouteFilter} from './routing.js';
+
+/** A queued request is refused at most this long after its deadline. */
+const QUEUE_INTERVAL_MS = 20;
+
+/** Between two tries to release claims that the store did not take. */
+const STORE_INTERVAL_MS = 1_000;
+
+export interface RequestServiceParts {
+  readonly directory: RequestDirectory;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly store: KeyValueStore;
+  readonly minions: MinionClient;
+  readonly peers: PeerClient;
+  /** How long claims and outcomes of keyed requests are kept. */
+  readonly claimRetentionMs: number;
+}
+
+/** A request in progress. */
+export interface StartedRequest {
+  readonly requestId: RequestId;
+  readonly outcome: Promise<Outcome>;
+}
+
+export class RequestService {
+  private readonly home: HomeDispatcher;
+  private readonly outcomes: RequestOutcomes;
+  private readonly claims: ClaimRegistry;
+  private readonly filters: readonly RequestFilter[];
+  private readonly inProgress = new Set<Promise<Outcome>>();
+  private draining = false;
+
+  constructor(private readonly parts: RequestServiceParts) {
+    const {directory, clock, peers, random, claimRetentionMs} = parts;
+    this.home = new HomeDispatcher(directory, parts.minions, clock);
+    this.outcomes = new RequestOutcomes(claimRetentionMs);
+    this.claims = new ClaimRegistry(
+      parts.store,
+      clock,
+      directory.daemonId,
+      claimRetentionMs,
+    );
+    this.filters = [
+      new CheckFilter(directory),
+      new LimitFilter(directory),
+      new DeadlineFilter(),
+      new ClaimFilter(this.claims, this.outcomes, directory, peers),
+      new RetryFilter(),
+      new DeadlineFilter(),
+      new RouteFilter(new MinionRouter(directory, this.home, random)),
+      new DispatchFilter(directory, this.home, peers),
+    ];
+  }
+
+  /** Runs the recurring work of the path until the scope closes. */
+  start(scope: CleanupScope): void {
+    scope.every(QUEUE_INTERVAL_MS, () => this.maintainQueues());
+    scope.every(STORE_INTERVAL_MS, () => void this.maintainClaims());
+  }
+
+  /**
+   * Starts a caller's request. Aborting `signal` cancels it if it was not
+   * handed over to a minion or another daemon yet.
+   */
+  submit(submission: RequestSubmission, signal?: AbortSignal): StartedRequest {
+    const requestId = randomId<RequestId>('request');
+    const outcome = this.run(requestId, submission, signal);
+    this.inProgress.add(outcome);
+    const forget = () => this.inProgress.delete(outcome);
+    void outcome.then(forget, forget);
+    return {requestId, outcome};
+  }
+
+  /** Outcome of a keyed request that this daemon took, if it is kept. */
+  outcome(requestId: RequestId): Outcome | undefined {
+    return this.outcomes.find(requestId);
+  }
+
+  /** Answers `PeerClient.claimOutcome`. */
+  claimOutcome(requestId: RequestId): Outcome {
+    return (
+      this.outcomes.find(requestId) ??
+      unknown(requestId, 'duplicate', 'its outcome is no longer held')
+    );
+  }
+
+  /** Answers `PeerClient.dispatch`. */
+  dispatch(dispatch: Dispatch): Promise<Outcome> {
+    return this.home.dispatch(dispatch);
+  }
+
+  /** For the heartbeat. */
+  queueLengths(): readonly QueueLength[] {
+    return this.home.lengths();
+  }
+
+  /** Refuses late waiting requests and forgets what is no longer needed. */
+  maintainQueues(): void {
+    this.home.maintain(this.parts.clock.now());
+  }
+
+  /** Forgets old outcomes and repeats releases that the store missed. */
+  async maintainClaims(): Promise<void> {
+    this.outcomes.forget(this.parts.clock.now());
+    await this.claims.retryReleases();
+  }
+
+  /**
+   * For a planned stop: takes no new request, refuses what waits in the
+   * queues of its minions and resolves when everything in progress has ended.
+   */
+  async drain(): Promise<void> {
+    this.draining = true;
+    await Promise.all([this.home.drain(), ...this.inProgress]);
+  }
+
+  private async run(
+    requestId: RequestId,
+    submission: RequestSubmission,
+    signal: AbortSignal | undefined,
+  ): Promise<Outcome> {
+    if (this.draining) {
+      return notRun(requestId, 'shutting-down', 'the daemon is stopping');
+    }
+    const {clock} = this.parts;
+    const now = clock.now();
+    const exchange = new Exchange(requestId, submission, now, clock, signal);
+    if (submission.key !== undefined) this.outcomes.start(requestId, now);
+    const outcome = await this.runChain(exchange);
+    this.outcomes.settle(outcome, clock.now());
+    return outcome;
+  }
+
+  private async runChain(exchange: Exchange): Promise<Outcome> {
+    try {
+      return await runFilters(this.filters, exchange);
+    } catch (error) {
+      // How far the request came is not known after a programming error.
+      const detail = error instanceof Error ? error.message : String(error);
+      return unknown(exchange.requestId, 'internal-error', detail);
+    }
+  }
+}
--- /dev/null
+++ b/src/requests/retry_filter.ts
@@ -0,0 +1,96 @@
+/**
+ * Repeats an attempt where that is safe. A request that was certainly not run
+ * is routed anew; one that may have run is repeated only if it is repeatable.
+ * Attempts after the first are paid from a budget that grows with successes,
+ * so that an outage cannot multiply the load.
+ */
+
+import type {Outcome, ServiceRequest} from '../model/requests.js';
+import {RequestFilter} from './exchange.js';
+import type {Exchange, Next} from './exchange.js';
+
+/** Further attempts allowed for each answered request. */
+const BUDGET_PER_SUCCESS = 0.1;
+
+/** Budget of a daemon that has just started. */
+const INITIAL_BUDGET = 5;
+
+/** Bounds the burst of retries after a long time without failures. */
+const MAXIMUM_BUDGET = 100;
+
+/** A repeatable request without an answer gets one further attempt. */
+const MAXIMUM_PAID_RETRIES = 1;
+
+/**
+ * A home daemon that stops refuses what it has not handed over, which costs
+ * the minions nothing. Two covers a second stop in a rolling restart.
+ */
+const MAXIMUM_FREE_REROUTES = 2;
+
+export class RetryBudget {
+  private available = INITIAL_BUDGET;
+
+  recordSuccess(): void {
+    this.available = Math.min(
+      MAXIMUM_BUDGET,
+      this.available + BUDGET_PER_SUCCESS,
+    );
+  }
+
+  /** Takes the price of one attempt if it is there. */
+  take(): boolean {
+    if (this.available < 1) return false;
+    this.available -= 1;
+    return true;
+  }
+}
+
+export class RetryFilter extends RequestFilter {
+  constructor(private readonly budget = new RetryBudget()) {
+    super();
+  }
+
+  override async handle(exchange: Exchange, next: Next): Promise<Outcome> {
+    let freeReroutes = MAXIMUM_FREE_REROUTES;
+    let paidRetries = MAXIMUM_PAID_RETRIES;
+    /** An attempt that may have run; the request is then not `notRun`. */
+    let uncertain: Outcome | undefined;
+    for (;;) {
+      const outcome = await next();
+      if (outcome.outcome === 'answered') {
+        this.budget.recordSuccess();
+        return outcome;
+      }
+      if (outcome.outcome === 'unknown') uncertain ??= outcome;
+      const stop = exchange.reasonToStop();
+      const kind = stop ? 'none' : retryKind(exchange.request, outcome);
+      if (kind === 'free' && freeReroutes > 0) {
+        freeReroutes -= 1;
+      } else if (kind !== 'none' && paidRetries > 0 && this.budget.take()) {
+        paidRetries -= 1;
+      } else {
+        return uncertain ?? outcome;
+      }
+    }
+  }
+}
+
+function retryKind(
+  request: ServiceRequest,
+  outcome: Exclude<Outcome, {outcome: 'answered'}>,
+): 'free' | 'paid' | 'none' {
+  if (outcome.outcome === 'unknown') {
+    return request.repeatable ? 'paid' : 'none';
+  }
+  switch (outcome.reason) {
+    case 'shutting-down':
+      return 'free';
+    case 'minion-refused':
+    case 'minion-unreachable':
+      return 'paid';
+    // Another minion was already preferred by its queue length, or another
+    // attempt cannot change the result.
+    default:
+      return 'none';
+  }
+}
--- /dev/null
+++ b/src/requests/routing.ts
@@ -0,0 +1,207 @@
+/**
+ * The choice of a minion for an attempt: the better of two random minions of
+ * the daemon's own zone by queue length, or of another zone if the own zone
+ * has no minion below its limit.
+ */
+
+import type {RandomSource} from '../lifecycle/random.js';
+import type {AvailabilityZone, Instant, VmId} from '../model/ids.js';
+import type {Outcome} from '../model/requests.js';
+import type {MinionCandidate, RequestDirectory} from './directory.js';
+import {notRun, RequestFilter} from './exchange.js';
+import type {Exchange, Next} from './exchange.js';
+import type {HomeDispatcher} from './home_dispatcher.js';
+import {MinionHealth, PROBATION_SHARE} from './minion_health.js';
+import {queueLimit} from './minion_queue.js';
+
+/** After this time a reported queue length counts half. */
+const LENGTH_HALF_LIFE_MS = 1_000;
+
+/** Suggested wait when all minions are at their limit. */
+const OVERLOAD_RETRY_MS = 500;
+
+/** A candidate with the queue length that the choice goes by. */
+interface Rated {
+  readonly candidate: MinionCandidate;
+  readonly length: number;
+}
+
+export type RouteChoice =
+  | {readonly kind: 'chosen'; readonly candidate: MinionCandidate}
+  | {readonly kind: 'no-minion'}
+  | {readonly kind: 'overloaded'};
+
+export class MinionRouter {
+  /** This daemon's own attempts in progress, for lengths not yet reported. */
+  private readonly inProgress = new Map<VmId, number>();
+
+  constructor(
+    private readonly directory: RequestDirectory,
+    private readonly home: HomeDispatcher,
+    private readonly random: RandomSource,
+    private readonly health = new MinionHealth(),
+  ) {}
+
+  choose(tried: ReadonlySet<VmId>, now: Instant): RouteChoice {
+    const zones = [
+      this.directory.availabilityZone,
+      ...this.directory.otherZones(),
+    ];
+    const usable = zones.map((zone) => this.usable(zone, now));
+    if (usable.every((candidates) => candidates.length === 0)) {
+      return {kind: 'no-minion'};
+    }
+    const preferred = usable.map((candidates) =>
+      candidates.filter((c) => this.isPreferred(c, tried, now)),
+    );
+    for (const candidates of [...preferred, ...usable]) {
+      const candidate = this.betterOfTwo(candidates, now);
+      if (candidate) return {kind: 'chosen', candidate};
+    }
+    return {kind: 'overloaded'};
+  }
+
+  started(minionId: VmId): void {
+    this.inProgress.set(minionId, this.ownInProgress(minionId) + 1);
+  }
+
+  ended(minionId: VmId): void {
+    const left = this.ownInProgress(minionId) - 1;
+    if (left > 0) this.inProgress.set(minionId, left);
+    else this.inProgress.delete(minionId);
+  }
+
+  /** Records how an attempt that took `elapsedMs` ended. */
+  record(
+    minionId: VmId,
+    outcome: Outcome,
+    elapsedMs: number,
+    now: Instant,
+  ): void {
+    this.health.record(minionId, outcome, elapsedMs, now);
+  }
+
+  private ownInProgress(minionId: VmId): number {
+    return this.inProgress.get(minionId) ?? 0;
+  }
+
+  private usable(zone: AvailabilityZone, now: Instant): MinionCandidate[] {
+    return this.directory
+      .candidates(zone)
+      .filter(
+        ({minion, suspect}) =>
+          minion.state === 'live' &&
+          !suspect &&
+          !this.home.refuses(minion.vmId) &&
+          this.health.standing(minion.vmId, now) !== 'paused',
+      );
+  }
+
+  private isPreferred(
+    candidate: MinionCandidate,
+    tried: ReadonlySet<VmId>,
+    now: Instant,
+  ): boolean {
+    const {vmId} = candidate.minion;
+    if (tried.has(vmId)) return false;
+    if (this.health.standing(vmId, now) === 'good') return true;
+    return this.random.next() < PROBATION_SHARE;
+  }
+
+  /** Undefined if no candidate is below its limit. */
+  private betterOfTwo(
+    candidates: readonly MinionCandidate[],
+    now: Instant,
+  ): MinionCandidate | undefined {
+    const rated = this.rate(candidates, now).filter(
+      ({candidate, length}) => length < queueLimit(candidate.minion),
+    );
+    const first = rated[this.random.nextBelow(rated.length)];
+    if (!first) return undefined;
+    const others = rated.filter((other) => other !== first);
+    const second = others[this.random.nextBelow(others.length)] ?? first;
+    const better = fullness(second) < fullness(first) ? second : first;
+    return better.candidate;
+  }
+
+  /**
+   * Lengths as far as they are known. A report is discounted by its age
+   * towards the mean of the candidates, so that an old low figure does not
+   * draw the traffic of all daemons.
+   */
+  private rate(
+    candidates: readonly MinionCandidate[],
+    now: Instant,
+  ): readonly Rated[] {
+    const lengths = candidates.map((c) => this.knownLength(c));
+    const known = lengths.filter((length) => length !== undefined);
+    const sum = known.reduce((total, length) => total + length, 0);
+    const mean = known.length === 0 ? 0 : sum / known.length;
+    return candidates.map((candidate, index) => {
+      const weight = this.weightOfReport(candidate, now);
+      const length = (lengths[index] ?? mean) * weight + mean * (1 - weight);
+      const own = this.ownInProgress(candidate.minion.vmId);
+      return {candidate, length: Math.max(length, own)};
+    });
+  }
+
+  private knownLength(candidate: MinionCandidate): number | undefined {
+    if (!this.isHome(candidate)) return candidate.reported?.queued;
+    return this.home.lengthOf(candidate.minion.vmId) ?? 0;
+  }
+
+  private weightOfReport(candidate: MinionCandidate, now: Instant): number {
+    if (this.isHome(candidate)) return 1;
+    if (!candidate.reported) return 0;
+    const ageMs = Math.max(0, now - candidate.reported.at);
+    return 0.5 ** (ageMs / LENGTH_HALF_LIFE_MS);
+  }
+
+  private isHome(candidate: MinionCandidate): boolean {
+    return candidate.home.daemonId === this.directory.daemonId;
+  }
+}
+
+/** Queue length in relation to the minion's slots. */
+function fullness(rated: Rated): number {
+  return rated.length / rated.candidate.minion.slots;
+}
+
+/** Chooses a minion for each attempt and records how the attempt ended. */
+export class RouteFilter extends RequestFilter {
+  constructor(private readonly router: MinionRouter) {
+    super();
+  }
+
+  override async handle(exchange: Exchange, next: Next): Promise<Outcome> {
+    const startedAt = exchange.now();
+    const choice = this.router.choose(exchange.triedMinions, startedAt);
+    if (choice.kind === 'no-minion') {
+      return notRun(
+        exchange.requestId,
+        'no-minion',
+        'no zone that this daemon can reach has a usable minion',
+        OVERLOAD_RETRY_MS,
+      );
+    }
+    if (choice.kind === 'overloaded') {
+      return notRun(
+        exchange.requestId,
+        'overloaded',
+        'all minions are at their limit',
+        OVERLOAD_RETRY_MS,
+      );
+    }
+    const {vmId} = choice.candidate.minion;
+    exchange.route(choice.candidate);
+    this.router.started(vmId);
+    try {
+      const outcome = await next();
+      const now = exchange.now();
+      this.router.record(vmId, outcome, now - startedAt, now);
+      return outcome;
+    } finally {
+      this.router.ended(vmId);
+    }
+  }
+}
