Let reads of the store and the VM list fail with a ProtocolError

Cause: an answer that is malformed or too large has to be told apart from an outage, and the read errors of KeyValueStore and VmList had no kind for it. Ruled out: UnavailableError (hides that both sides disagree), throwing (such an answer is an expected failure). Conclusion: ProtocolError joins both unions; writes keep their union, since a write without an understood answer is an unknown effect.

--- a/src/platform/key_value_store.ts
+++ b/src/platform/key_value_store.ts
@@ -7,6 +7,7 @@
 import type {Result} from 'true-myth';
 import type {
   ConflictError,
+  ProtocolError,
   RefusedError,
   UnavailableError,
   UnknownEffectError,
@@ -36,7 +37,7 @@
   readonly compacted: boolean;
 }
 
-export type StoreReadError = UnavailableError | RefusedError;
+export type StoreReadError = UnavailableError | RefusedError | ProtocolError;
 
 /**
  * `ConflictError`: the key is not at the expected revision, nothing was
--- a/src/platform/vm_list.ts
+++ b/src/platform/vm_list.ts
@@ -5,7 +5,11 @@
 
 import type {Result} from 'true-myth';
 import {z} from 'zod';
-import type {RefusedError, UnavailableError} from '../model/errors.js';
+import type {
+  ProtocolError,
+  RefusedError,
+  UnavailableError,
+} from '../model/errors.js';
 import {
   availabilityZoneSchema,
   rackIdSchema,
@@ -68,5 +72,7 @@
     afterVersion: number,
     waitMs: number,
     signal: AbortSignal,
-  ): Promise<Result<VmListBatch, UnavailableError | RefusedError>>;
+  ): Promise<
+    Result<VmListBatch, UnavailableError | RefusedError | ProtocolError>
+  >;
 }
