--- /dev/null
+++ b/src/transport/http_connections.ts
@@ -0,0 +1,374 @@
+/**
+ * HTTP connections to one address. Each connection carries one call at a time
+ * and is destroyed when a call on it fails in any way, so that no call waits
+ * on a connection that went silent or receives the answer to an earlier call.
+ *
+ * undici's own `Pool` is not used: after an aborted call it reconnects by
+ * itself, also through a network that is still faulty.
+ */
+
+import {Result} from 'true-myth';
+import {Client} from 'undici';
+import type {Dispatcher} from 'undici';
+import type {CleanupScope} from '../lifecycle/cleanup_scope.js';
+
+const FIRST_FINAL_STATUS = 200;
+
+/** A party that does not accept a connection in this time is down. */
+const CONNECT_TIMEOUT_MS = 2_000;
+
+/** Longer than any interval between two polls of one party. */
+const IDLE_CONNECTION_MS = 30_000;
+
+/** Keeps connections to VMs that are gone from adding up. */
+const UNUSED_ADDRESS_MS = 60_000;
+
+export interface HttpCall {
+  readonly method: 'GET' | 'POST' | 'PUT' | 'DELETE';
+  readonly path: string;
+  readonly headers?: Readonly<Record<string, string>>;
+  readonly body?: string;
+  /** Covers waiting for a connection, sending and the whole answer. */
+  readonly timeoutMs: number;
+  readonly maximumAnswerBytes: number;
+  readonly signal?: AbortSignal;
+  /**
+   * Returns what is wrong with a whole answer. A connection that carried a
+   * wrong answer is destroyed, since the next answer on it may be wrong too.
+   */
+  readonly check?: (answer: HttpAnswer) => string | undefined;
+}
+
+export interface HttpAnswer {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+  readonly body: Buffer;
+}
+
+/** Why there is no whole answer. */
+export interface ExchangeFailure {
+  /**
+   * - `not-sent`: no byte of the request left this process;
+   * - `timed-out`, `cancelled`: the request was sent, no whole answer came;
+   * - `lost`: the connection broke before the answer began;
+   * - `truncated`: the connection broke within the answer;
+   * - `malformed`: the answer breaks HTTP, is too large or fails its check.
+   */
+  readonly kind:
+    'not-sent' | 'timed-out' | 'cancelled' | 'lost' | 'truncated' | 'malformed';
+  readonly message: string;
+}
+
+/** Connections to one address, limited in number. */
+export class HttpConnections {
+  private readonly open = new Set<Client>();
+  private readonly idle: Client[] = [];
+  private readonly waiting = new Set<(client: Client | undefined) => void>();
+  private destroyed = false;
+
+  constructor(
+    private readonly address: string,
+    private limit: number,
+  ) {}
+
+  /** True if no call is under way. */
+  get isIdle(): boolean {
+    return this.open.size === this.idle.length;
+  }
+
+  /** Changes the limit; connections above it close after their calls. */
+  limitTo(limit: number): void {
+    this.limit = limit;
+  }
+
+  /** Sends the call once and returns the whole answer, whatever its status. */
+  async exchange(call: HttpCall): Promise<Result<HttpAnswer, ExchangeFailure>> {
+    const end = performance.now() + call.timeoutMs;
+    const client = await this.acquire(call);
+    const timeoutMs = end - performance.now();
+    if (client === undefined || timeoutMs <= 0 || call.signal?.aborted) {
+      if (client !== undefined) this.release(client);
+      const message = 'ended before a connection was free';
+      return Result.err({kind: 'not-sent', message});
+    }
+    const result = await send(client, {...call, timeoutMs});
+    if (result.isOk) this.release(client);
+    else this.discard(client);
+    return result;
+  }
+
+  /** Breaks all connections; calls under way fail, later ones are not sent. */
+  async destroy(): Promise<void> {
+    this.destroyed = true;
+    for (const give of [...this.waiting]) give(undefined);
+    const clients = [...this.open];
+    this.open.clear();
+    this.idle.length = 0;
+    await Promise.all(clients.map((client) => client.destroy()));
+  }
+
+  private async acquire(call: HttpCall): Promise<Client | undefined> {
+    if (this.destroyed) return undefined;
+    const idle = this.idle.pop();
+    if (idle !== undefined) return idle;
+    if (this.open.size < this.limit) return this.connect();
+    return new Promise((resolve) => {
+      const give = (client: Client | undefined) => {
+        clearTimeout(timer);
+        call.signal?.removeEventListener('abort', giveUp);
+        this.waiting.delete(give);
+        resolve(client);
+      };
+      const giveUp = () => give(undefined);
+      const timer = setTimeout(giveUp, call.timeoutMs);
+      call.signal?.addEventListener('abort', giveUp);
+      this.waiting.add(give);
+    });
+  }
+
+  private connect(): Client {
+    const client = new Client(`http://${this.address}`, {
+      pipelining: 1,
+      connectTimeout: CONNECT_TIMEOUT_MS,
+      keepAliveTimeout: IDLE_CONNECTION_MS,
+      keepAliveMaxTimeout: IDLE_CONNECTION_MS,
+      // The time limit of each call replaces these.
+      headersTimeout: 0,
+      bodyTimeout: 0,
+    });
+    this.open.add(client);
+    return client;
+  }
+
+  private release(client: Client): void {
+    if (this.destroyed) return;
+    const [next] = this.waiting;
+    if (this.open.size > this.limit) this.discard(client);
+    else if (next === undefined) this.idle.push(client);
+    else next(client);
+  }
+
+  private discard(client: Client): void {
+    this.open.delete(client);
+    void client.destroy();
+    if (this.destroyed) return;
+    const [next] = this.waiting;
+    if (next !== undefined && this.open.size < this.limit) {
+      next(this.connect());
+    }
+  }
+}
+
+/** Opens connections to `address` that end with `scope`. */
+export function openConnections(
+  scope: CleanupScope,
+  address: string,
+  limit: number,
+): HttpConnections {
+  const connections = new HttpConnections(address, limit);
+  scope.add(() => connections.destroy());
+  return connections;
+}
+
+interface KeptConnections {
+  readonly connections: HttpConnections;
+  lastUse: number;
+}
+
+/** Connections to many addresses; those to unused addresses are closed. */
+export class ConnectionsByAddress {
+  private readonly kept = new Map<string, KeptConnections>();
+
+  constructor(private readonly scope: CleanupScope) {
+    scope.every(UNUSED_ADDRESS_MS, () => this.closeUnused());
+    scope.add(async () => {
+      const all = [...this.kept.values()];
+      this.kept.clear();
+      await Promise.all(all.map(({connections}) => connections.destroy()));
+    });
+  }
+
+  /** Returns the connections to `address`, at most `limit`. */
+  get(address: string, limit: number): HttpConnections {
+    const kept = this.kept.get(address);
+    if (kept !== undefined) {
+      kept.lastUse = performance.now();
+      kept.connections.limitTo(limit);
+      return kept.connections;
+    }
+    const connections = new HttpConnections(address, limit);
+    if (this.scope.closed) void connections.destroy();
+    else this.kept.set(address, {connections, lastUse: performance.now()});
+    return connections;
+  }
+
+  private closeUnused(): void {
+    const oldest = performance.now() - UNUSED_ADDRESS_MS;
+    for (const [address, {connections, lastUse}] of this.kept) {
+      if (lastUse > oldest || !connections.isIdle) continue;
+      this.kept.delete(address);
+      void connections.destroy();
+    }
+  }
+}
+
+/** Sends the call once and returns the whole answer, whatever its status. */
+function send(
+  client: Client,
+  call: HttpCall,
+): Promise<Result<HttpAnswer, ExchangeFailure>> {
+  return new Promise((resolve) => {
+    const handler = new ExchangeHandler(call, resolve);
+    client.dispatch(
+      {
+        method: call.method,
+        path: call.path,
+        headers: {...call.headers},
+        body: call.body ?? null,
+      },
+      handler,
+    );
+  });
+}
+
+/** Collects one answer. Settles once; whatever comes later is discarded. */
+class ExchangeHandler implements Dispatcher.DispatchHandler {
+  private readonly chunks: Buffer[] = [];
+  private readonly timer: NodeJS.Timeout;
+  private controller: Dispatcher.DispatchController | undefined;
+  private receivedBytes = 0;
+  private declaredBytes: number | undefined;
+  private status = 0;
+  private headers: HttpAnswer['headers'] = {};
+  private settled = false;
+
+  constructor(
+    private readonly call: HttpCall,
+    private readonly resolve: (
+      result: Result<HttpAnswer, ExchangeFailure>,
+    ) => void,
+  ) {
+    this.timer = setTimeout(this.onTimeout, call.timeoutMs);
+    call.signal?.addEventListener('abort', this.onCancel);
+  }
+
+  /** Called immediately before the first byte is written. */
+  onRequestStart(controller: Dispatcher.DispatchController): void {
+    // An abort at this point keeps the request from being written. A second
+    // start would send the request twice.
+    if (this.settled || this.controller !== undefined) {
+      controller.abort(new Error('the call has ended'));
+      return;
+    }
+    this.controller = controller;
+  }
+
+  onResponseStart(
+    _controller: Dispatcher.DispatchController,
+    status: number,
+    headers: HttpAnswer['headers'],
+  ): void {
+    if (status < FIRST_FINAL_STATUS) return;
+    this.status = status;
+    this.headers = headers;
+    const length = headers['content-length'];
+    if (typeof length === 'string') this.declaredBytes = Number(length);
+    if ((this.declaredBytes ?? 0) > this.call.maximumAnswerBytes) {
+      this.failOversized();
+    } else if (this.declaredBytes === 0) {
+      this.checkWhole();
+    }
+  }
+
+  onResponseData(
+    _controller: Dispatcher.DispatchController,
+    chunk: Buffer,
+  ): void {
+    if (this.settled) return;
+    this.receivedBytes += chunk.length;
+    if (this.receivedBytes > this.call.maximumAnswerBytes) {
+      this.failOversized();
+      return;
+    }
+    this.chunks.push(chunk);
+    if (this.receivedBytes === this.declaredBytes) this.checkWhole();
+  }
+
+  onResponseEnd(): void {
+    if (this.settled) return;
+    if (this.declaredBytes === undefined) this.checkWhole();
+    this.settle(Result.ok(this.answer()));
+  }
+
+  onResponseError(
+    _controller: Dispatcher.DispatchController,
+    error: Error,
+  ): void {
+    this.fail(this.failureKind(error), describe(error));
+  }
+
+  private readonly onTimeout = (): void => {
+    const message = `no whole answer within ${this.call.timeoutMs} ms`;
+    if (this.controller === undefined) {
+      this.fail('not-sent', `no connection within ${this.call.timeoutMs} ms`);
+    } else {
+      this.fail('timed-out', message);
+    }
+  };
+
+  private readonly onCancel = (): void => {
+    const sent = this.controller !== undefined;
+    this.fail(sent ? 'cancelled' : 'not-sent', 'the call was cancelled');
+  };
+
+  /** Checks the answer while its connection can still be destroyed. */
+  private checkWhole(): void {
+    const problem = this.call.check?.(this.answer());
+    if (problem !== undefined) this.fail('malformed', problem);
+  }
+
+  private answer(): HttpAnswer {
+    return {
+      status: this.status,
+      headers: this.headers,
+      body: Buffer.concat(this.chunks),
+    };
+  }
+
+  private failOversized(): void {
+    const limit = this.call.maximumAnswerBytes;
+    this.fail('malformed', `the answer is larger than ${limit} bytes`);
+  }
+
+  private failureKind(error: Error): ExchangeFailure['kind'] {
+    if (this.controller === undefined) return 'not-sent';
+    const code = errorCode(error);
+    if (code.startsWith('HPE_')) return 'malformed';
+    if (code === 'UND_ERR_HEADERS_OVERFLOW') return 'malformed';
+    return this.status === 0 ? 'lost' : 'truncated';
+  }
+
+  private fail(kind: ExchangeFailure['kind'], message: string): void {
+    if (this.settled) return;
+    this.settle(Result.err({kind, message}));
+    this.chunks.length = 0;
+    this.controller?.abort(new Error(message));
+  }
+
+  private settle(result: Result<HttpAnswer, ExchangeFailure>): void {
+    if (this.settled) return;
+    this.settled = true;
+    clearTimeout(this.timer);
+    this.call.signal?.removeEventListener('abort', this.onCancel);
+    this.resolve(result);
+  }
+}
+
+function errorCode(error: Error): string {
+  return 'code' in error && typeof error.code === 'string' ? error.code : '';
+}
+
+function describe(error: Error): string {
+  const code = errorCode(error);
+  return error.message === '' ? code : error.message;
+}
--- /dev/null
+++ b/src/transport/http_minion_client.ts
@@ -0,0 +1,146 @@
+/**
+ * Calls to minions over HTTP. The payload and the answer are the bodies; the
+ * request id and a digest (RFC 9530) travel in headers in both directions, so
+ * that an answer that is cut short or belongs to another request is noticed.
+ */
+
+import type {CleanupScope} from '../lifecycle/cleanup_scope.js';
+import type {ServiceRequest} from '../model/requests.js';
+import {MAXIMUM_PAYLOAD_CHARACTERS} from '../model/requests.js';
+import type {MinionResult} from '../platform/minion_client.js';
+import {MinionClient} from '../platform/minion_client.js';
+import type {MinionVm} from '../platform/vm_list.js';
+import {parseJson} from './http_call.js';
+import type {ExchangeFailure, HttpAnswer} from './http_connections.js';
+import {ConnectionsByAddress} from './http_connections.js';
+import {
+  CUSTOMER_HEADER,
+  DIGEST_HEADER,
+  LEAVING_HEADER,
+  REPEATABLE_HEADER,
+  REQUEST_ID_HEADER,
+  TIME_LIMIT_HEADER,
+  WORK_CLASS_HEADER,
+  contentDigest,
+  notRunAnswerSchema,
+} from './http_protocol.js';
+
+const ANSWERED_STATUS = 200;
+const NOT_RUN_STATUS = 503;
+
+/** A UTF-16 code unit takes at most 3 bytes in UTF-8. */
+const MAXIMUM_ANSWER_BYTES = 3 * MAXIMUM_PAYLOAD_CHARACTERS;
+
+export class HttpMinionClient extends MinionClient {
+  private readonly minions: ConnectionsByAddress;
+
+  constructor(scope: CleanupScope) {
+    super();
+    this.minions = new ConnectionsByAddress(scope);
+  }
+
+  override async run(
+    minion: MinionVm,
+    request: ServiceRequest,
+    timeoutMs: number,
+  ): Promise<MinionResult> {
+    const connections = this.minions.get(minion.address, minion.connections);
+    const exchanged = await connections.exchange({
+      method: 'POST',
+      path: '/run',
+      headers: requestHeaders(request, timeoutMs),
+      body: request.payload,
+      timeoutMs,
+      maximumAnswerBytes: MAXIMUM_ANSWER_BYTES,
+      check: (answer) => problemOf(answer, request.requestId),
+    });
+    return exchanged.match({
+      Ok: (answer) => resultOf(answer),
+      Err: (failure) => resultOfFailure(failure, minion),
+    });
+  }
+}
+
+function requestHeaders(
+  request: ServiceRequest,
+  timeoutMs: number,
+): Record<string, string> {
+  return {
+    'content-type': 'application/octet-stream',
+    [REQUEST_ID_HEADER]: request.requestId,
+    [CUSTOMER_HEADER]: request.customerId,
+    [WORK_CLASS_HEADER]: request.workClassId,
+    [REPEATABLE_HEADER]: String(request.repeatable),
+    [TIME_LIMIT_HEADER]: String(Math.ceil(timeoutMs)),
+    [DIGEST_HEADER]: contentDigest(request.payload),
+  };
+}
+
+/** Returns what is wrong with a whole answer, or undefined. */
+function problemOf(answer: HttpAnswer, requestId: string): string | undefined {
+  const {headers, body, status} = answer;
+  if (headers['content-length'] !== String(body.length)) {
+    return 'the answer does not state its length';
+  }
+  if (headers[REQUEST_ID_HEADER] !== requestId) {
+    return `the answer carries request id ${String(headers[REQUEST_ID_HEADER])} instead of ${requestId}`;
+  }
+  if (headers[DIGEST_HEADER] !== contentDigest(body)) {
+    return 'the answer does not match its digest';
+  }
+  if (status === ANSWERED_STATUS) {
+    const text = decode(body);
+    if (text === undefined) return 'the answer is not UTF-8 text';
+    if (text.length <= MAXIMUM_PAYLOAD_CHARACTERS) return undefined;
+    return `the answer is longer than ${MAXIMUM_PAYLOAD_CHARACTERS} characters`;
+  }
+  if (status === NOT_RUN_STATUS && notRunMessage(body) !== undefined) {
+    return undefined;
+  }
+  return `status ${status} says neither that the request ran nor that it did not`;
+}
+
+/** Converts an answer that passed `problemOf`. */
+function resultOf(answer: HttpAnswer): MinionResult {
+  const leaving = answer.headers[LEAVING_HEADER] === 'true';
+  if (answer.status === ANSWERED_STATUS) {
+    return {kind: 'answered', answer: answer.body.toString('utf8'), leaving};
+  }
+  const message = notRunMessage(answer.body) ?? '';
+  return {kind: 'notRun', reason: 'refused', message, leaving};
+}
+
+function resultOfFailure(
+  failure: ExchangeFailure,
+  minion: MinionVm,
+): MinionResult {
+  const message = `minion ${minion.vmId}: ${failure.message}`;
+  switch (failure.kind) {
+    case 'not-sent':
+      return {kind: 'notRun', reason: 'unreachable', message, leaving: false};
+    case 'timed-out':
+    case 'cancelled':
+      return {kind: 'unknown', reason: 'no-answer-in-time', message};
+    case 'lost':
+      return {kind: 'unknown', reason: 'connection-lost', message};
+    case 'truncated':
+    case 'malformed':
+      return {kind: 'unknown', reason: 'malformed-answer', message};
+  }
+}
+
+function notRunMessage(body: Buffer): string | undefined {
+  const parsed = notRunAnswerSchema.safeParse(parseJson(body));
+  return parsed.success ? parsed.data.message : undefined;
+}
+
+/** Returns the text, or undefined if the bytes are not UTF-8. */
+function decode(body: Buffer): string | undefined {
+  try {
+    return new TextDecoder('utf-8', {fatal: true, ignoreBOM: true}).decode(
+      body,
+    );
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/src/transport/http_protocol.ts
@@ -0,0 +1,108 @@
+/**
+ * What the HTTP interfaces of the platform, workers and minions have in
+ * common with their clients: paths, headers and schemas of the bodies. Ids
+ * need no escaping in paths.
+ *
+ * - store: `GET|PUT|DELETE /store/entry`, `GET /store/entries`,
+ *   `GET /store/watch`; the value is the body of the `PUT`;
+ * - VM list: `GET /vms/watch`;
+ * - workers: `POST /tasks/:taskId/hold|release|checkpoint|throttle`,
+ *   `DELETE /tasks/:taskId`, `GET /tasks`, `POST /watch`;
+ * - minions: `POST /run`; payload and answer are the bodies.
+ *
+ * Except for minions, an answer with an error status has an `ErrorReport` as
+ * its body, whose kind says whether the call had an effect.
+ */
+
+import {createHash} from 'node:crypto';
+import {z} from 'zod';
+import {vmSchema} from '../platform/vm_list.js';
+
+export const errorReportSchema = z.object({
+  kind: z.enum([
+    'invalid-input',
+    'not-found',
+    'conflict',
+    'refused',
+    'unavailable',
+    'timeout',
+    'unknown-effect',
+    'protocol',
+  ]),
+  message: z.string(),
+  remedy: z.string(),
+});
+
+const storeEntrySchema = z.object({
+  key: z.string(),
+  value: z.string(),
+  revision: z.int().min(1),
+});
+
+/** Answer to `GET /store/entry`; without an entry if the key is absent. */
+export const entryAnswerSchema = z.object({entry: storeEntrySchema.optional()});
+
+/** Answer to `GET /store/entries`. */
+export const listAnswerSchema = z.object({
+  revision: z.int().min(0),
+  entries: z.array(storeEntrySchema),
+});
+
+/** Answer to `PUT` and `DELETE /store/entry`. */
+export const writeAnswerSchema = z.object({revision: z.int().min(1)});
+
+/** Answer to `GET /store/watch`. */
+export const watchAnswerSchema = z.object({
+  revision: z.int().min(0),
+  changed: z.array(storeEntrySchema),
+  deletedKeys: z.array(z.string()),
+  compacted: z.boolean(),
+});
+
+/** Answer to `GET /vms/watch`. */
+export const vmListAnswerSchema = z.object({
+  version: z.int().min(0),
+  vms: z.array(vmSchema),
+  complete: z.boolean(),
+});
+
+/** Answer to a call that returns nothing. */
+export const doneAnswerSchema = z.object({});
+
+/** Answer to `POST /tasks/:taskId/release`. */
+export const releaseAnswerSchema = z.object({released: z.boolean()});
+
+/** Answer to `POST /tasks/:taskId/checkpoint`. */
+export const checkpointAnswerSchema = z.object({checkpoint: z.string()});
+
+/** Body of `POST /tasks/:taskId/throttle`. */
+export const throttleBodySchema = z.object({share: z.number().min(0).max(1)});
+
+/** Body of `POST /watch`, which renews the lease of a worker. */
+export const watchBodySchema = z.object({
+  afterVersion: z.int().min(0),
+  waitMs: z.number().min(0),
+  leaseMs: z.number().positive(),
+});
+
+export const REQUEST_ID_HEADER = 'x-request-id';
+export const CUSTOMER_HEADER = 'x-customer-id';
+export const WORK_CLASS_HEADER = 'x-work-class-id';
+export const REPEATABLE_HEADER = 'x-repeatable';
+/** Milliseconds after which the caller no longer waits. */
+export const TIME_LIMIT_HEADER = 'x-time-limit-ms';
+/** `true` in an answer of a minion whose VM is leaving. */
+export const LEAVING_HEADER = 'x-leaving';
+export const DIGEST_HEADER = 'content-digest';
+
+/** Body of a 503 answer of a minion that did not run the request. */
+export const notRunAnswerSchema = z.object({
+  notRun: z.literal(true),
+  message: z.string(),
+});
+
+/** Value of the `content-digest` header (RFC 9530) for `body`. */
+export function contentDigest(body: Buffer | string): string {
+  const digest = createHash('sha256').update(body).digest('base64');
+  return `sha-256=:${digest}:`;
+}
--- /dev/null
+++ b/src/transport/http_worker_client.ts
@@ -0,0 +1,166 @@
+/**
+ * Calls to workers over HTTP. Connections are kept per worker address and
+ * closed when a worker has not been called for some time.
+ */
+
+import {Result} from 'true-myth';
+import type {z} from 'zod';
+import type {CleanupScope} from '../lifecycle/cleanup_scope.js';
+import type {CallError} from '../model/errors.js';
+import {ProtocolError} from '../model/errors.js';
+import type {TaskId} from '../model/ids.js';
+import type {TaskList, TaskSpecification} from '../model/jobs.js';
+import {taskListSchema} from '../model/jobs.js';
+import type {WorkerVm} from '../platform/vm_list.js';
+import {WorkerClient} from '../platform/worker_client.js';
+import {callJson} from './http_call.js';
+import {ConnectionsByAddress} from './http_connections.js';
+import {
+  checkpointAnswerSchema,
+  doneAnswerSchema,
+  releaseAnswerSchema,
+} from './http_protocol.js';
+
+const DEFAULT_CALL_TIMEOUT_MS = 2_000;
+
+/** One watch waits while calls for all accelerators are under way. */
+const DEFAULT_CONNECTIONS_PER_WORKER = 16;
+
+/** Room for some hundred ended tasks with payloads of the greatest size. */
+const MAXIMUM_LIST_BYTES = 16 * 1_048_576;
+
+const MAXIMUM_ANSWER_BYTES = 65_536;
+
+export interface HttpWorkerClientOptions {
+  /** Time limit of a call; a watch may take its wait in addition. */
+  readonly callTimeoutMs?: number;
+  readonly connectionsPerWorker?: number;
+}
+
+interface WorkerCall {
+  readonly method: 'GET' | 'POST' | 'DELETE';
+  readonly path: string;
+  readonly body?: unknown;
+  readonly timeoutMs?: number;
+  readonly maximumAnswerBytes?: number;
+  readonly signal?: AbortSignal;
+}
+
+export class HttpWorkerClient extends WorkerClient {
+  private readonly workers: ConnectionsByAddress;
+  private readonly callTimeoutMs: number;
+  private readonly limit: number;
+
+  constructor(scope: CleanupScope, options: HttpWorkerClientOptions = {}) {
+    super();
+    this.workers = new ConnectionsByAddress(scope);
+    this.callTimeoutMs = options.callTimeoutMs ?? DEFAULT_CALL_TIMEOUT_MS;
+    this.limit = options.connectionsPerWorker ?? DEFAULT_CONNECTIONS_PER_WORKER;
+  }
+
+  override async hold(
+    worker: WorkerVm,
+    task: TaskSpecification,
+  ): Promise<Result<void, CallError>> {
+    const path = `/tasks/${task.taskId}/hold`;
+    const call: WorkerCall = {method: 'POST', path, body: task};
+    const answer = await this.call(worker, call, doneAnswerSchema);
+    return answer.map(() => undefined);
+  }
+
+  override async release(
+    worker: WorkerVm,
+    taskId: TaskId,
+  ): Promise<Result<boolean, CallError>> {
+    const call: WorkerCall = {method: 'POST', path: `/tasks/${taskId}/release`};
+    const answer = await this.call(worker, call, releaseAnswerSchema);
+    return answer.map(({released}) => released);
+  }
+
+  override async checkpoint(
+    worker: WorkerVm,
+    taskId: TaskId,
+    timeoutMs: number,
+  ): Promise<Result<string, CallError>> {
+    const path = `/tasks/${taskId}/checkpoint`;
+    const call: WorkerCall = {method: 'POST', path, timeoutMs};
+    const answer = await this.call(worker, call, checkpointAnswerSchema);
+    return answer.map(({checkpoint}) => checkpoint);
+  }
+
+  override async throttle(
+    worker: WorkerVm,
+    taskId: TaskId,
+    share: number,
+  ): Promise<Result<void, CallError>> {
+    const path = `/tasks/${taskId}/throttle`;
+    const call: WorkerCall = {method: 'POST', path, body: {share}};
+    const answer = await this.call(worker, call, doneAnswerSchema);
+    return answer.map(() => undefined);
+  }
+
+  override async remove(
+    worker: WorkerVm,
+    taskId: TaskId,
+  ): Promise<Result<void, CallError>> {
+    const call: WorkerCall = {method: 'DELETE', path: `/tasks/${taskId}`};
+    const answer = await this.call(worker, call, doneAnswerSchema);
+    return answer.map(() => undefined);
+  }
+
+  override listTasks(worker: WorkerVm): Promise<Result<TaskList, CallError>> {
+    return this.callForList(worker, {method: 'GET', path: '/tasks'});
+  }
+
+  override watchTasks(
+    worker: WorkerVm,
+    afterVersion: number,
+    waitMs: number,
+    leaseMs: number,
+    signal: AbortSignal,
+  ): Promise<Result<TaskList, CallError>> {
+    return this.callForList(worker, {
+      method: 'POST',
+      path: '/watch',
+      body: {afterVersion, waitMs, leaseMs},
+      timeoutMs: this.callTimeoutMs + waitMs,
+      signal,
+    });
+  }
+
+  /** Reads a list and refuses one that another worker sent. */
+  private async callForList(
+    worker: WorkerVm,
+    call: WorkerCall,
+  ): Promise<Result<TaskList, CallError>> {
+    const answer = await this.call(
+      worker,
+      {...call, maximumAnswerBytes: MAXIMUM_LIST_BYTES},
+      taskListSchema,
+    );
+    if (answer.isErr || answer.value.workerId === worker.vmId) return answer;
+    return Result.err(
+      new ProtocolError(
+        `${worker.address} answered as worker ${answer.value.workerId} instead of ${worker.vmId}`,
+        'read the VM list for the present address',
+      ),
+    );
+  }
+
+  private call<T>(
+    worker: WorkerVm,
+    call: WorkerCall,
+    schema: z.ZodType<T>,
+  ): Promise<Result<T, CallError>> {
+    const connections = this.workers.get(worker.address, this.limit);
+    const httpCall = {
+      method: call.method,
+      path: call.path,
+      timeoutMs: call.timeoutMs ?? this.callTimeoutMs,
+      maximumAnswerBytes: call.maximumAnswerBytes ?? MAXIMUM_ANSWER_BYTES,
+      ...(call.body === undefined ? {} : {body: JSON.stringify(call.body)}),
+      ...(call.signal === undefined ? {} : {signal: call.signal}),
+    };
+    return callJson(connections, httpCall, schema, `worker ${worker.vmId}`);
+  }
+}
