--- /dev/null
+++ b/src/standins/platform.ts
@@ -0,0 +1,8 @@
+/** Program of the stand-in for the platform. */
+
+import {PlatformService, platformOptionsSchema} from './platform_service.js';
+import {runStandin} from './standin_process.js';
+
+await runStandin('platform', platformOptionsSchema, (scope, options, log) =>
+  new PlatformService(scope, options, log).start(),
+);
--- /dev/null
+++ b/src/standins/platform_service.ts
@@ -0,0 +1,292 @@
+/**
+ * Stand-in for the platform: the key-value service and the VM list on one
+ * port, with faults for each of the two.
+ */
+
+import {z} from 'zod';
+import type {CleanupScope} from '../lifecycle/cleanup_scope.js';
+import {RefusedError} from '../model/errors.js';
+import {vmIdSchema} from '../model/ids.js';
+import {vmSchema} from '../platform/vm_list.js';
+import {KeyValueState} from './key_value_state.js';
+import type {RunLog} from './run_log.js';
+import {listenOptionsSchema} from './standin_process.js';
+import type {FirstLine} from './standin_process.js';
+import type {ReceivedCall} from './standin_server.js';
+import {
+  ChangeSignal,
+  FaultGate,
+  StandinServer,
+  parseBody,
+  parseParameters,
+  parseQuery,
+  serverFaultsSchema,
+} from './standin_server.js';
+import {VmListState} from './vm_list_state.js';
+
+const DEFAULT_HISTORY_EVENTS = 1_000;
+
+export const platformOptionsSchema = listenOptionsSchema.extend({
+  /** Events that the store's history keeps for watches. */
+  historyEvents: z.int().min(1).default(DEFAULT_HISTORY_EVENTS),
+  /** Rate limits of the store; no limit if left out. */
+  readsPerSecond: z.number().positive().optional(),
+  writesPerSecond: z.number().positive().optional(),
+  /** Time until a change of the VM list becomes visible. */
+  vmListLagMs: z.number().min(0).default(0),
+  vms: z.array(vmSchema).default([]),
+});
+export type PlatformOptions = z.infer<typeof platformOptionsSchema>;
+
+/** Body of `POST /admin/limits`; a limit that is left out is lifted. */
+export const limitsSchema = platformOptionsSchema.pick({
+  readsPerSecond: true,
+  writesPerSecond: true,
+});
+
+/** Calls since the start or the last reset. */
+export const platformCountersSchema = z.object({
+  reads: z.int(),
+  writes: z.int(),
+  /** Watches that began; a watch counts once however long it waits. */
+  watches: z.int(),
+  /** Calls that a rate limit refused; they are in no other count. */
+  rateLimited: z.int(),
+  /** Bytes of the bodies of store writes. */
+  writtenBytes: z.int(),
+  /** Calls to the VM list. */
+  vmListCalls: z.int(),
+  /** Watches of the store that wait at present. */
+  waitingWatches: z.int(),
+});
+export type PlatformCounters = z.infer<typeof platformCountersSchema>;
+
+const keyQuerySchema = z.object({key: z.string().min(1)});
+const writeQuerySchema = keyQuerySchema.extend({
+  expectedRevision: z.coerce.number().int().min(0),
+});
+const prefixQuerySchema = z.object({prefix: z.string()});
+const watchQuerySchema = prefixQuerySchema.extend({
+  afterRevision: z.coerce.number().int().min(0),
+  waitMs: z.coerce.number().min(0),
+});
+const vmWatchQuerySchema = z.object({
+  afterVersion: z.coerce.number().int().min(0),
+  waitMs: z.coerce.number().min(0),
+});
+
+const vmParametersSchema = z.object({vmId: vmIdSchema});
+
+/** Token bucket that holds the tokens of one second. */
+class RateLimit {
+  private tokens: number;
+  private refilledAt: number;
+
+  constructor(private readonly perSecond: number | undefined) {
+    this.tokens = perSecond ?? 0;
+    this.refilledAt = performance.now();
+  }
+
+  take(): boolean {
+    if (this.perSecond === undefined) return true;
+    const now = performance.now();
+    const refill = ((now - this.refilledAt) / 1_000) * this.perSecond;
+    const most = Math.max(1, this.perSecond);
+    this.tokens = Math.min(most, this.tokens + refill);
+    this.refilledAt = now;
+    if (this.tokens < 1) return false;
+    this.tokens -= 1;
+    return true;
+  }
+}
+
+export class PlatformService {
+  private readonly server = new StandinServer();
+  private readonly adminServer = new StandinServer();
+  private readonly storeGate = new FaultGate();
+  private readonly vmListGate = new FaultGate();
+  private readonly store: KeyValueState;
+  private readonly vmList = new VmListState();
+  private readonly storeChanged = new ChangeSignal();
+  private readonly vmListChanged = new ChangeSignal();
+  private readLimit: RateLimit;
+  private writeLimit: RateLimit;
+  private vmListLagMs: number;
+  private counters = noCalls();
+
+  constructor(
+    private readonly scope: CleanupScope,
+    private readonly options: PlatformOptions,
+    private readonly log: RunLog,
+  ) {
+    this.store = new KeyValueState(options.historyEvents);
+    this.readLimit = new RateLimit(options.readsPerSecond);
+    this.writeLimit = new RateLimit(options.writesPerSecond);
+    this.vmListLagMs = options.vmListLagMs;
+    for (const vm of options.vms) this.vmList.set(vm);
+  }
+
+  async start(): Promise<FirstLine> {
+    this.addStoreCalls();
+    this.addVmListCalls();
+    this.addStoreAdminCalls();
+    this.addVmListAdminCalls();
+    const {host, port, adminPort} = this.options;
+    return {
+      listening: await this.server.listen(this.scope, host, port),
+      admin: await this.adminServer.listen(this.scope, host, adminPort),
+    };
+  }
+
+  private addStoreCalls(): void {
+    const {server, storeGate: gate} = this;
+    server.read('GET', '/store/entry', (call) => this.get(call), gate);
+    server.read('GET', '/store/entries', (call) => this.list(call), gate);
+    server.read('GET', '/store/watch', (call) => this.watch(call), gate);
+    server.write('PUT', '/store/entry', (call) => this.put(call), gate);
+    server.write('DELETE', '/store/entry', (call) => this.delete(call), gate);
+  }
+
+  private get(call: ReceivedCall): unknown {
+    const {key} = parseQuery(call, keyQuerySchema);
+    this.countRead();
+    return {entry: this.store.get(key)};
+  }
+
+  private list(call: ReceivedCall): unknown {
+    const {prefix} = parseQuery(call, prefixQuerySchema);
+    this.countRead();
+    return this.store.list(prefix);
+  }
+
+  private async watch(call: ReceivedCall): Promise<unknown> {
+    const {prefix, afterRevision, waitMs} = parseQuery(call, watchQuerySchema);
+    this.takeFrom(this.readLimit);
+    this.counters.watches += 1;
+    const changes = await this.storeChanged.poll(
+      () => this.store.changesAfter(prefix, afterRevision),
+      waitMs,
+      call.signal,
+    );
+    return changes ?? this.store.unchanged();
+  }
+
+  private put(call: ReceivedCall): unknown {
+    const {key, expectedRevision} = parseQuery(call, writeQuerySchema);
+    this.countWrite(call);
+    const value = call.body.toString('utf8');
+    const revision = this.store.put(key, value, expectedRevision);
+    this.log.record({event: 'written', at: Date.now(), key, revision});
+    this.storeChanged.notify();
+    return {revision};
+  }
+
+  private delete(call: ReceivedCall): unknown {
+    const {key, expectedRevision} = parseQuery(call, writeQuerySchema);
+    this.countWrite(call);
+    const revision = this.store.delete(key, expectedRevision);
+    this.log.record({event: 'deleted', at: Date.now(), key, revision});
+    this.storeChanged.notify();
+    return {revision};
+  }
+
+  private countRead(): void {
+    this.takeFrom(this.readLimit);
+    this.counters.reads += 1;
+  }
+
+  private countWrite(call: ReceivedCall): void {
+    this.takeFrom(this.writeLimit);
+    this.counters.writes += 1;
+    this.counters.writtenBytes += call.body.length;
+  }
+
+  private takeFrom(limit: RateLimit): void {
+    if (limit.take()) return;
+    this.counters.rateLimited += 1;
+    throw new RefusedError('the rate limit is reached', 'send fewer calls');
+  }
+
+  private addVmListCalls(): void {
+    this.server.read(
+      'GET',
+      '/vms/watch',
+      async (call) => {
+        const query = parseQuery(call, vmWatchQuerySchema);
+        this.counters.vmListCalls += 1;
+        const changes = await this.vmListChanged.poll(
+          () => this.vmList.changesAfter(query.afterVersion),
+          query.waitMs,
+          call.signal,
+        );
+        return changes ?? this.vmList.unchanged();
+      },
+      this.vmListGate,
+    );
+  }
+
+  private addStoreAdminCalls(): void {
+    const {adminServer} = this;
+    adminServer.write('POST', '/admin/faults/store', (call) => {
+      this.storeGate.faults = parseBody(call, serverFaultsSchema);
+    });
+    adminServer.write('POST', '/admin/limits', (call) => {
+      const limits = parseBody(call, limitsSchema);
+      this.readLimit = new RateLimit(limits.readsPerSecond);
+      this.writeLimit = new RateLimit(limits.writesPerSecond);
+    });
+    adminServer.write('POST', '/admin/compact', () => this.store.compact());
+    adminServer.read('GET', '/admin/store', () => this.store.list(''));
+    adminServer.read('GET', '/admin/counters', () => ({
+      ...this.counters,
+      waitingWatches: this.storeChanged.waiters,
+    }));
+    adminServer.write('DELETE', '/admin/counters', () => {
+      this.counters = noCalls();
+    });
+  }
+
+  private addVmListAdminCalls(): void {
+    const {adminServer} = this;
+    adminServer.write('POST', '/admin/faults/vms', (call) => {
+      this.vmListGate.faults = parseBody(call, serverFaultsSchema);
+    });
+    adminServer.write('POST', '/admin/lag', (call) => {
+      const {lagMs} = parseBody(call, z.object({lagMs: z.number().min(0)}));
+      this.vmListLagMs = lagMs;
+    });
+    adminServer.write('PUT', '/admin/vms', (call) => {
+      const vm = parseBody(call, vmSchema);
+      this.changeVmList(() => this.vmList.set(vm));
+    });
+    adminServer.write('DELETE', '/admin/vms/:vmId', (call) => {
+      const {vmId} = parseParameters(call, vmParametersSchema);
+      this.changeVmList(() => this.vmList.remove(vmId));
+    });
+  }
+
+  /** Makes a change visible after the lag. */
+  private changeVmList(change: () => void): void {
+    const apply = () => {
+      change();
+      this.vmListChanged.notify();
+    };
+    if (this.vmListLagMs === 0) {
+      apply();
+      return;
+    }
+    const timer = setTimeout(apply, this.vmListLagMs);
+    this.scope.add(() => clearTimeout(timer));
+  }
+}
+
+function noCalls(): Omit<PlatformCounters, 'waitingWatches'> {
+  return {
+    reads: 0,
+    writes: 0,
+    watches: 0,
+    rateLimited: 0,
+    writtenBytes: 0,
+    vmListCalls: 0,
+  };
+}
--- /dev/null
+++ b/src/standins/run_log.ts
@@ -0,0 +1,106 @@
+/**
+ * The run log of a stand-in: one JSON line per event on standard output, which
+ * tests read as the truth about what ran and when.
+ */
+
+import bunyan from 'bunyan';
+import {z} from 'zod';
+import {
+  customerIdSchema,
+  gangIdSchema,
+  requestIdSchema,
+  taskIdSchema,
+  vmIdSchema,
+  workClassIdSchema,
+} from '../model/ids.js';
+
+const storeEventSchema = z.object({
+  event: z.enum(['written', 'deleted']),
+  /** Milliseconds since the Unix epoch. */
+  at: z.number(),
+  key: z.string(),
+  revision: z.int(),
+});
+
+const taskEventSchema = z.object({
+  event: z.enum([
+    'held',
+    /** The task runs from here on. */
+    'released',
+    /** Taken off the list; a task that ran is stopped from here on. */
+    'removed',
+    'checkpointed',
+    'throttled',
+    'finished',
+    'failed',
+    /** Stopped because the lease lapsed. */
+    'leaseLapsed',
+  ]),
+  at: z.number(),
+  workerId: vmIdSchema,
+  taskId: taskIdSchema,
+  gangId: gangIdSchema,
+  accelerators: z.array(z.int()),
+  /** The checkpoint that was written or that the task resumed from. */
+  checkpoint: z.string().optional(),
+  share: z.number().optional(),
+});
+
+const requestEventSchema = z.object({
+  event: z.enum(['runStarted', 'runEnded']),
+  at: z.number(),
+  minionId: vmIdSchema,
+  requestId: requestIdSchema,
+  workClassId: workClassIdSchema,
+  customerId: customerIdSchema,
+});
+
+const linkEventSchema = z.object({
+  event: z.literal('linkFaultsSet'),
+  at: z.number(),
+  link: z.string(),
+});
+
+export const runEventSchema = z.union([
+  storeEventSchema,
+  taskEventSchema,
+  requestEventSchema,
+  linkEventSchema,
+]);
+export type StoreEvent = z.infer<typeof storeEventSchema>;
+export type TaskEvent = z.infer<typeof taskEventSchema>;
+export type RequestEvent = z.infer<typeof requestEventSchema>;
+export type LinkEvent = z.infer<typeof linkEventSchema>;
+export type RunEvent = z.infer<typeof runEventSchema>;
+
+/** Takes the events of a stand-in in the order in which they happen. */
+export abstract class RunLog {
+  abstract record(event: RunEvent): void;
+}
+
+/** Writes each event to standard output, after the first line. */
+export class StdoutRunLog extends RunLog {
+  private readonly logger: bunyan;
+  private readonly early: RunEvent[] = [];
+  private opened = false;
+
+  constructor(name: string) {
+    super();
+    this.logger = bunyan.createLogger({name, stream: process.stdout});
+  }
+
+  /** Writes `firstLine` and then the events that were recorded before. */
+  open(firstLine: object): void {
+    process.stdout.write(`${JSON.stringify(firstLine)}\n`);
+    this.opened = true;
+    for (const event of this.early.splice(0)) this.record(event);
+  }
+
+  override record(event: RunEvent): void {
+    if (this.opened) {
+      this.logger.info(event, `[run] ${event.event}`);
+    } else {
+      this.early.push(event);
+    }
+  }
+}
--- /dev/null
+++ b/src/standins/vm_list_state.ts
@@ -0,0 +1,49 @@
+/**
+ * State of the stand-in for the VM list: VMs with the version of their last
+ * change. VMs that were removed stay as `gone`, so that watches see them go.
+ */
+
+import type {VmId} from '../model/ids.js';
+import type {Vm, VmListBatch} from '../platform/vm_list.js';
+
+/** Watches from version 0 return at once, so the list starts above it. */
+const FIRST_VERSION = 1;
+
+export class VmListState {
+  private readonly vms = new Map<VmId, {vm: Vm; version: number}>();
+  private version = FIRST_VERSION;
+
+  set(vm: Vm): void {
+    this.version += 1;
+    this.vms.set(vm.vmId, {vm, version: this.version});
+  }
+
+  remove(vmId: VmId): void {
+    const known = this.vms.get(vmId);
+    if (known !== undefined) this.set({...known.vm, state: 'gone'});
+  }
+
+  /** Returns the changes after a version, or undefined if there are none. */
+  changesAfter(afterVersion: number): VmListBatch | undefined {
+    const {version} = this;
+    if (afterVersion < FIRST_VERSION || afterVersion > version) {
+      return {version, vms: this.present(), complete: true};
+    }
+    if (afterVersion === version) return undefined;
+    const vms = [...this.vms.values()]
+      .filter((known) => known.version > afterVersion)
+      .map((known) => known.vm);
+    return {version, vms, complete: false};
+  }
+
+  /** The answer of a watch whose wait ended without a change. */
+  unchanged(): VmListBatch {
+    return {version: this.version, vms: [], complete: false};
+  }
+
+  private present(): Vm[] {
+    return [...this.vms.values()]
+      .map((known) => known.vm)
+      .filter((vm) => vm.state !== 'gone');
+  }
+}
