Add the stand-in for a worker

Cause: the gang protocol is tested against workers that start what they are given, refuse used ids, and stop their tasks when the lease lapses. Ruled out: keeping checkpoints in the worker, since a job resumes elsewhere; the checkpoint's name carries the remaining run time. Conclusion: a task is a timer whose payload states run time and failure.

--- /dev/null
+++ b/src/standins/worker_service.ts
@@ -0,0 +1,172 @@
+/**
+ * Stand-in for a worker: the calls of `WorkerClient` with a lease, and admin
+ * calls that make it misbehave.
+ */
+
+import {z} from 'zod';
+import type {CleanupScope} from '../lifecycle/cleanup_scope.js';
+import {taskIdSchema, vmIdSchema} from '../model/ids.js';
+import type {TaskId} from '../model/ids.js';
+import {taskSpecificationSchema} from '../model/jobs.js';
+import {
+  throttleBodySchema,
+  watchBodySchema,
+} from '../transport/http_protocol.js';
+import type {RunLog} from './run_log.js';
+import {listenOptionsSchema} from './standin_process.js';
+import type {FirstLine} from './standin_process.js';
+import type {ReceivedCall} from './standin_server.js';
+import {
+  ChangeSignal,
+  FaultGate,
+  StandinServer,
+  parseBody,
+  parseParameters,
+  serverFaultsSchema,
+} from './standin_server.js';
+import {WorkerTasks} from './worker_tasks.js';
+
+/** Lease from the first hold of a worker that no watch has leased yet. */
+const DEFAULT_INITIAL_LEASE_MS = 60_000;
+
+export const workerBehaviourSchema = z.object({
+  failTasks: z.boolean().default(false),
+  leaving: z.boolean().default(false),
+  checkpointMs: z.number().min(0).default(0),
+  idleWatts: z.number().min(0).default(400),
+  wattsPerAccelerator: z.number().min(0).default(350),
+});
+
+export const workerOptionsSchema = listenOptionsSchema.extend({
+  workerId: vmIdSchema,
+  initialLeaseMs: z.number().positive().default(DEFAULT_INITIAL_LEASE_MS),
+  ...workerBehaviourSchema.shape,
+});
+export type WorkerOptions = z.infer<typeof workerOptionsSchema>;
+
+const taskParametersSchema = z.object({taskId: taskIdSchema});
+
+export class WorkerService {
+  private readonly server = new StandinServer();
+  private readonly adminServer = new StandinServer();
+  private readonly gate = new FaultGate();
+  private readonly listChanged = new ChangeSignal();
+  private readonly tasks: WorkerTasks;
+  private leaseTimer: NodeJS.Timeout | undefined;
+
+  constructor(
+    private readonly scope: CleanupScope,
+    private readonly options: WorkerOptions,
+    log: RunLog,
+  ) {
+    this.tasks = new WorkerTasks(options.workerId, options, log, () =>
+      this.listChanged.notify(),
+    );
+    scope.add(() => {
+      clearTimeout(this.leaseTimer);
+      this.tasks.close();
+    });
+  }
+
+  async start(): Promise<FirstLine> {
+    this.addTaskCalls();
+    this.addListCalls();
+    this.addAdminCalls();
+    const {host, port, adminPort} = this.options;
+    return {
+      listening: await this.server.listen(this.scope, host, port),
+      admin: await this.adminServer.listen(this.scope, host, adminPort),
+    };
+  }
+
+  private addTaskCalls(): void {
+    const {server, tasks, gate} = this;
+    server.write(
+      'POST',
+      '/tasks/:taskId/hold',
+      (call) => this.hold(call),
+      gate,
+    );
+    server.write(
+      'POST',
+      '/tasks/:taskId/release',
+      (call) => ({released: tasks.release(taskIdOf(call))}),
+      gate,
+    );
+    server.write(
+      'POST',
+      '/tasks/:taskId/checkpoint',
+      async (call) => ({checkpoint: await tasks.checkpoint(taskIdOf(call))}),
+      gate,
+    );
+    server.write(
+      'POST',
+      '/tasks/:taskId/throttle',
+      (call) => {
+        const {share} = parseBody(call, throttleBodySchema);
+        tasks.throttle(taskIdOf(call), share);
+      },
+      gate,
+    );
+    server.write(
+      'DELETE',
+      '/tasks/:taskId',
+      (call) => tasks.remove(taskIdOf(call)),
+      gate,
+    );
+  }
+
+  private hold(call: ReceivedCall): void {
+    this.tasks.hold(parseBody(call, taskSpecificationSchema));
+    if (this.leaseTimer === undefined) this.lease(this.options.initialLeaseMs);
+  }
+
+  private addListCalls(): void {
+    const {server, tasks, gate} = this;
+    server.read('GET', '/tasks', () => tasks.list(), gate);
+    server.read(
+      'POST',
+      '/watch',
+      async (call) => {
+        const {afterVersion, waitMs, leaseMs} = parseBody(
+          call,
+          watchBodySchema,
+        );
+        this.lease(leaseMs);
+        // A restarted worker counts from 0, so a lower version is newer too.
+        const changed = await this.listChanged.poll(
+          () => {
+            const list = tasks.list();
+            return list.version === afterVersion ? undefined : list;
+          },
+          waitMs,
+          call.signal,
+        );
+        return changed ?? tasks.list();
+      },
+      gate,
+    );
+  }
+
+  private addAdminCalls(): void {
+    this.adminServer.write('POST', '/admin/faults', (call) => {
+      this.gate.faults = parseBody(call, serverFaultsSchema);
+    });
+    this.adminServer.write('POST', '/admin/behaviour', (call) => {
+      this.tasks.behaviour = parseBody(call, workerBehaviourSchema);
+    });
+    this.adminServer.read('GET', '/admin/tasks', () => this.tasks.list());
+  }
+
+  private lease(leaseMs: number): void {
+    clearTimeout(this.leaseTimer);
+    this.leaseTimer = setTimeout(() => {
+      this.leaseTimer = undefined;
+      void this.tasks.lapse();
+    }, leaseMs);
+  }
+}
+
+function taskIdOf(call: ReceivedCall): TaskId {
+  return parseParameters(call, taskParametersSchema).taskId;
+}
--- /dev/null
+++ b/src/standins/worker_tasks.ts
@@ -0,0 +1,306 @@
+/**
+ * Tasks of the stand-in for a worker. A task is a timer: its payload states
+ * its true run time and whether it fails. Nothing checks whether tasks fit on
+ * the accelerators.
+ */
+
+import {z} from 'zod';
+import {NotFoundError, RefusedError} from '../model/errors.js';
+import type {TaskId, VmId} from '../model/ids.js';
+import {instant} from '../model/ids.js';
+import type {
+  TaskList,
+  TaskSpecification,
+  TaskState,
+  TaskStatus,
+} from '../model/jobs.js';
+import type {RunLog, TaskEvent} from './run_log.js';
+import {wait} from './standin_server.js';
+
+export const DEFAULT_RUN_TIME_MS = 300;
+
+const payloadSchema = z.object({
+  /** True run time at full speed. */
+  runTimeMs: z.number().min(0).default(DEFAULT_RUN_TIME_MS),
+  /** Fails at the end of the run time. */
+  fail: z.boolean().default(false),
+});
+
+const CHECKPOINT_PATTERN = /^checkpoint:[^:]+:(\d+(?:\.\d+)?)$/;
+
+/** What a worker does to all of its tasks. */
+export interface WorkerBehaviour {
+  /** Fails every task as soon as it is released. */
+  readonly failTasks: boolean;
+  readonly leaving: boolean;
+  readonly checkpointMs: number;
+  readonly idleWatts: number;
+  readonly wattsPerAccelerator: number;
+}
+
+interface WorkerTask {
+  readonly specification: TaskSpecification;
+  readonly fails: boolean;
+  /** Run time at full speed that is left as of `resumedAt`. */
+  remainingMs: number;
+  state: TaskState;
+  share: number;
+  resumedAt: number;
+  startedAt?: number;
+  checkpoint?: string;
+  reason?: string;
+  timer?: NodeJS.Timeout;
+}
+
+export class WorkerTasks {
+  private readonly tasks = new Map<TaskId, WorkerTask>();
+  /** Ids that were held or removed and are refused from then on. */
+  private readonly usedIds = new Set<TaskId>();
+  private version = 0;
+
+  /** `changed` is called after each change of the list. */
+  constructor(
+    private readonly workerId: VmId,
+    private current: WorkerBehaviour,
+    private readonly log: RunLog,
+    private readonly changed: () => void,
+  ) {}
+
+  get behaviour(): WorkerBehaviour {
+    return this.current;
+  }
+
+  set behaviour(behaviour: WorkerBehaviour) {
+    this.current = behaviour;
+    this.bump();
+  }
+
+  /** True if a task is held or runs. */
+  get isBusy(): boolean {
+    return [...this.tasks.values()].some(isActive);
+  }
+
+  list(): TaskList {
+    return {
+      workerId: this.workerId,
+      version: this.version,
+      leaving: this.current.leaving,
+      tasks: [...this.tasks.values()].map(statusOf),
+      drawWatts: this.drawWatts(),
+    };
+  }
+
+  hold(specification: TaskSpecification): void {
+    const {taskId} = specification;
+    if (this.usedIds.has(taskId)) {
+      throw new RefusedError(
+        `task ${taskId} was held or removed before`,
+        'use a fresh task id',
+      );
+    }
+    if (this.current.leaving) {
+      throw new RefusedError('the worker is leaving', 'use another worker');
+    }
+    const {runTimeMs, fail} = parsePayload(specification.payload);
+    const task: WorkerTask = {
+      specification,
+      fails: fail,
+      remainingMs: remainingFrom(specification.checkpoint) ?? runTimeMs,
+      state: 'held',
+      share: 1,
+      resumedAt: performance.now(),
+    };
+    this.usedIds.add(taskId);
+    this.tasks.set(taskId, task);
+    this.record('held', task, specification.checkpoint);
+    this.bump();
+  }
+
+  /** Returns false if the id is not on the worker. */
+  release(taskId: TaskId): boolean {
+    const task = this.tasks.get(taskId);
+    if (task?.state !== 'held') return task !== undefined;
+    task.state = 'running';
+    task.startedAt = Date.now();
+    this.record('released', task, task.specification.checkpoint);
+    this.bump();
+    if (this.current.failTasks) {
+      this.end(task, 'failed', 'the worker fails every task');
+    } else {
+      this.resume(task);
+    }
+    return true;
+  }
+
+  throttle(taskId: TaskId, share: number): void {
+    const task = this.find(taskId);
+    if (task.state !== 'running') throw notRunning(task);
+    this.pause(task);
+    task.share = share;
+    this.record('throttled', task, undefined);
+    this.resume(task);
+  }
+
+  /** Writes a checkpoint while the task goes on. */
+  async checkpoint(taskId: TaskId): Promise<string> {
+    const task = this.find(taskId);
+    if (task.state !== 'running') throw notRunning(task);
+    const checkpoint = `checkpoint:${taskId}:${remainingOf(task)}`;
+    await wait(this.current.checkpointMs);
+    if (task.state !== 'running') throw notRunning(task);
+    task.checkpoint = checkpoint;
+    this.record('checkpointed', task, checkpoint);
+    this.bump();
+    return checkpoint;
+  }
+
+  /** Stops the task and takes it off the list; unknown ids are refused later. */
+  remove(taskId: TaskId): void {
+    this.usedIds.add(taskId);
+    const task = this.tasks.get(taskId);
+    if (task === undefined) return;
+    this.pause(task);
+    this.tasks.delete(taskId);
+    // An unfinished checkpoint call must not count the task as running.
+    if (isActive(task)) task.state = 'failed';
+    this.record('removed', task, undefined);
+    this.bump();
+  }
+
+  /** Checkpoints the running tasks and stops everything that is active. */
+  async lapse(): Promise<void> {
+    const active = [...this.tasks.values()].filter(isActive);
+    await Promise.all(active.map((task) => this.lapseTask(task)));
+  }
+
+  /** Stops all timers. */
+  close(): void {
+    for (const task of this.tasks.values()) clearTimeout(task.timer);
+  }
+
+  private async lapseTask(task: WorkerTask): Promise<void> {
+    if (task.state === 'running') {
+      // A task that ended or was removed meanwhile has no checkpoint.
+      await this.checkpoint(task.specification.taskId).catch(() => undefined);
+    }
+    if (!isActive(task)) return;
+    this.pause(task);
+    task.state = 'failed';
+    task.reason = 'the lease lapsed';
+    this.record('leaseLapsed', task, task.checkpoint);
+    this.bump();
+  }
+
+  private find(taskId: TaskId): WorkerTask {
+    const task = this.tasks.get(taskId);
+    if (task !== undefined) return task;
+    throw new NotFoundError(
+      `task ${taskId} is not on worker ${this.workerId}`,
+      'read the task list',
+    );
+  }
+
+  private resume(task: WorkerTask): void {
+    task.resumedAt = performance.now();
+    if (task.share === 0) return;
+    task.timer = setTimeout(() => {
+      if (task.fails) this.end(task, 'failed', 'the payload fails');
+      else this.end(task, 'finished', undefined);
+    }, task.remainingMs / task.share);
+  }
+
+  private pause(task: WorkerTask): void {
+    clearTimeout(task.timer);
+    task.remainingMs = remainingOf(task);
+    task.resumedAt = performance.now();
+  }
+
+  private end(
+    task: WorkerTask,
+    state: 'finished' | 'failed',
+    reason: string | undefined,
+  ): void {
+    task.state = state;
+    if (reason !== undefined) task.reason = reason;
+    this.record(state, task, undefined);
+    this.bump();
+  }
+
+  private drawWatts(): number {
+    const {idleWatts, wattsPerAccelerator} = this.current;
+    const running = [...this.tasks.values()]
+      .filter((task) => task.state === 'running')
+      .map((task) => task.specification.accelerators.length * task.share);
+    const busy = running.reduce((sum, accelerators) => sum + accelerators, 0);
+    return idleWatts + busy * wattsPerAccelerator;
+  }
+
+  private record(
+    event: TaskEvent['event'],
+    task: WorkerTask,
+    checkpoint: string | undefined,
+  ): void {
+    const {taskId, gangId, accelerators} = task.specification;
+    this.log.record({
+      event,
+      at: Date.now(),
+      workerId: this.workerId,
+      taskId,
+      gangId,
+      accelerators,
+      ...(checkpoint === undefined ? {} : {checkpoint}),
+      ...(event === 'throttled' ? {share: task.share} : {}),
+    });
+  }
+
+  private bump(): void {
+    this.version += 1;
+    this.changed();
+  }
+}
+
+function isActive(task: WorkerTask): boolean {
+  return task.state === 'held' || task.state === 'running';
+}
+
+function remainingOf(task: WorkerTask): number {
+  if (task.state !== 'running') return task.remainingMs;
+  const elapsed = performance.now() - task.resumedAt;
+  return Math.max(0, Math.round(task.remainingMs - elapsed * task.share));
+}
+
+function statusOf(task: WorkerTask): TaskStatus {
+  const checkpoint = task.checkpoint ?? task.specification.checkpoint;
+  return {
+    ...task.specification,
+    state: task.state,
+    ...(checkpoint === undefined ? {} : {checkpoint}),
+    ...(task.startedAt === undefined
+      ? {}
+      : {startedAt: instant(task.startedAt)}),
+    ...(task.reason === undefined ? {} : {reason: task.reason}),
+  };
+}
+
+function notRunning(task: WorkerTask): RefusedError {
+  return new RefusedError(
+    `task ${task.specification.taskId} is ${task.state}, not running`,
+    'read the task list',
+  );
+}
+
+/** A payload that is not such JSON stands for a task of default run time. */
+function parsePayload(payload: string): z.infer<typeof payloadSchema> {
+  try {
+    const parsed = payloadSchema.safeParse(JSON.parse(payload));
+    if (parsed.success) return parsed.data;
+  } catch {
+    // Not JSON.
+  }
+  return payloadSchema.parse({});
+}
+
+function remainingFrom(checkpoint: string | undefined): number | undefined {
+  const match = CHECKPOINT_PATTERN.exec(checkpoint ?? '');
+  return match?.[1] === undefined ? undefined : Number(match[1]);
+}
