Add the stand-in for a minion

Cause: the outcomes of requests are tested against backends whose answers are late, cut short, foreign, oversized or missing. Ruled out: dropping a queued request whose caller has gone, since it would hide requests that run after a timeout. Conclusion: each request that arrived runs, and the run log says when.

--- /dev/null
+++ b/src/standins/minion_service.ts
@@ -0,0 +1,291 @@
+/**
+ * Stand-in for a minion. It runs requests in a number of slots, in order of
+ * arrival, and runs each request that it received also when the caller has
+ * gone, as a backend server does that does not watch its connections.
+ */
+
+import {createHash} from 'node:crypto';
+import type {OutgoingHttpHeaders, ServerResponse} from 'node:http';
+import PQueue from 'p-queue';
+import {z} from 'zod';
+import type {CleanupScope} from '../lifecycle/cleanup_scope.js';
+import type {RequestId} from '../model/ids.js';
+import {
+  customerIdSchema,
+  requestIdSchema,
+  vmIdSchema,
+  workClassIdSchema,
+} from '../model/ids.js';
+import {
+  CUSTOMER_HEADER,
+  DIGEST_HEADER,
+  LEAVING_HEADER,
+  REQUEST_ID_HEADER,
+  WORK_CLASS_HEADER,
+  contentDigest,
+} from '../transport/http_protocol.js';
+import type {RunLog} from './run_log.js';
+import {listenOptionsSchema} from './standin_process.js';
+import type {FirstLine} from './standin_process.js';
+import type {ReceivedCall} from './standin_server.js';
+import {StandinServer, parseBody, wait} from './standin_server.js';
+
+const DEFAULT_SLOTS = 8;
+const DEFAULT_CONNECTIONS = 64;
+const DEFAULT_SERVICE_TIME_MS = 20;
+const BAD_REQUEST_STATUS = 400;
+const ANSWERED_STATUS = 200;
+const NOT_RUN_STATUS = 503;
+
+/** Larger than any answer that a client accepts. */
+const OVERSIZED_ANSWER_BYTES = 8 * 1_048_576;
+const FILLER = Buffer.alloc(65_536, 'x');
+const FOREIGN_REQUEST_ID = 'request-of-another-caller';
+
+export const minionFaultsSchema = z.object({
+  /**
+   * What is wrong with the answers:
+   * - `silent`: accepts the request, does not run it and never answers;
+   * - `silent-after-run`: runs the request and never answers;
+   * - `truncated`: closes the connection within the answer;
+   * - `foreign`: the answer to another request, with its id;
+   * - `wrong-digest`: the body does not match the digest;
+   * - `oversized`: states its length, which is too large;
+   * - `never-ending`: chunks without end;
+   * - `refused`: does not run the request and says so.
+   */
+  answers: z
+    .enum([
+      'whole',
+      'silent',
+      'silent-after-run',
+      'truncated',
+      'foreign',
+      'wrong-digest',
+      'oversized',
+      'never-ending',
+      'refused',
+    ])
+    .default('whole'),
+  /** Says that its VM is leaving and refuses requests that arrive later. */
+  leaving: z.boolean().default(false),
+  /** Added to each service time. */
+  slowMs: z.number().min(0).default(0),
+});
+export type MinionFaults = z.infer<typeof minionFaultsSchema>;
+
+export const minionOptionsSchema = listenOptionsSchema.extend({
+  minionId: vmIdSchema,
+  /** Requests that run at once; others wait. */
+  slots: z.int().min(1).default(DEFAULT_SLOTS),
+  /** Connections beyond this number are closed at once. */
+  connections: z.int().min(1).default(DEFAULT_CONNECTIONS),
+  serviceTimeMs: z.number().min(0).default(DEFAULT_SERVICE_TIME_MS),
+  ...minionFaultsSchema.shape,
+});
+export type MinionOptions = z.infer<typeof minionOptionsSchema>;
+
+export const minionStatusSchema = z.object({
+  /** Open connections. */
+  connections: z.int(),
+  /** The greatest number of connections that were open at once. */
+  mostConnections: z.int(),
+  /** Connections that were accepted since the start. */
+  acceptedConnections: z.int(),
+  running: z.int(),
+  waiting: z.int(),
+});
+export type MinionStatus = z.infer<typeof minionStatusSchema>;
+
+const payloadSchema = z.object({serviceTimeMs: z.number().min(0)});
+
+const identitySchema = z.object({
+  requestId: requestIdSchema,
+  customerId: customerIdSchema,
+  workClassId: workClassIdSchema,
+});
+type RequestIdentity = z.infer<typeof identitySchema>;
+
+/** The answer that a minion owes to a request. */
+export function expectedAnswer(requestId: RequestId, payload: string): string {
+  const sha256 = createHash('sha256').update(payload).digest('hex');
+  return JSON.stringify({requestId, sha256});
+}
+
+export class MinionService {
+  private readonly server = new StandinServer();
+  private readonly adminServer = new StandinServer();
+  private readonly slots: PQueue;
+  private faults: MinionFaults;
+  private mostConnections = 0;
+  private acceptedConnections = 0;
+
+  constructor(
+    private readonly scope: CleanupScope,
+    private readonly options: MinionOptions,
+    private readonly log: RunLog,
+  ) {
+    this.faults = minionFaultsSchema.parse(options);
+    this.slots = new PQueue({concurrency: options.slots});
+    this.server.server.maxConnections = options.connections;
+    this.server.server.on('connection', () => {
+      this.acceptedConnections += 1;
+      const open = this.server.connections;
+      this.mostConnections = Math.max(this.mostConnections, open);
+    });
+  }
+
+  async start(): Promise<FirstLine> {
+    this.server.route('POST', '/run', (call) => this.receive(call));
+    this.adminServer.write('POST', '/admin/faults', (call) => {
+      this.faults = parseBody(call, minionFaultsSchema);
+    });
+    this.adminServer.read('GET', '/admin/status', () => this.status());
+    const {host, port, adminPort} = this.options;
+    return {
+      listening: await this.server.listen(this.scope, host, port),
+      admin: await this.adminServer.listen(this.scope, host, adminPort),
+    };
+  }
+
+  private status(): MinionStatus {
+    return {
+      connections: this.server.connections,
+      mostConnections: this.mostConnections,
+      acceptedConnections: this.acceptedConnections,
+      running: this.slots.pending,
+      waiting: this.slots.size,
+    };
+  }
+
+  private async receive(call: ReceivedCall): Promise<void> {
+    const identity = identityOf(call);
+    if (identity === undefined) {
+      call.response.writeHead(BAD_REQUEST_STATUS).end();
+      return;
+    }
+    if (call.request.headers[DIGEST_HEADER] !== contentDigest(call.body)) {
+      this.refuse(call, identity, 'the payload does not match its digest');
+      return;
+    }
+    if (this.faults.answers === 'silent') return;
+    if (this.faults.leaving || this.faults.answers === 'refused') {
+      this.refuse(call, identity, 'the minion takes no request');
+      return;
+    }
+    await this.slots.add(() => this.run(call, identity));
+  }
+
+  private async run(
+    call: ReceivedCall,
+    identity: RequestIdentity,
+  ): Promise<void> {
+    const {minionId} = this.options;
+    const event = {minionId, ...identity};
+    this.log.record({event: 'runStarted', at: Date.now(), ...event});
+    const payload = call.body.toString('utf8');
+    const serviceTimeMs = serviceTimeOf(payload) ?? this.options.serviceTimeMs;
+    await wait(serviceTimeMs + this.faults.slowMs);
+    this.log.record({event: 'runEnded', at: Date.now(), ...event});
+    this.answer(call.response, identity.requestId, payload);
+  }
+
+  private answer(
+    response: ServerResponse,
+    requestId: RequestId,
+    payload: string,
+  ): void {
+    const body = Buffer.from(expectedAnswer(requestId, payload));
+    const headers = this.headers(requestId, body);
+    switch (this.faults.answers) {
+      case 'silent-after-run':
+        return;
+      case 'truncated':
+        response.writeHead(ANSWERED_STATUS, headers);
+        response.write(body.subarray(0, body.length / 2), () =>
+          response.destroy(),
+        );
+        return;
+      case 'foreign':
+        response.writeHead(ANSWERED_STATUS, {
+          ...headers,
+          [REQUEST_ID_HEADER]: FOREIGN_REQUEST_ID,
+        });
+        response.end(body);
+        return;
+      case 'wrong-digest':
+        response.writeHead(ANSWERED_STATUS, headers);
+        response.end(Buffer.alloc(body.length, 'x'));
+        return;
+      case 'oversized':
+        response.writeHead(ANSWERED_STATUS, {
+          ...headers,
+          'content-length': OVERSIZED_ANSWER_BYTES,
+        });
+        pour(response, OVERSIZED_ANSWER_BYTES);
+        return;
+      case 'never-ending':
+        delete headers['content-length'];
+        response.writeHead(ANSWERED_STATUS, headers);
+        pour(response, Infinity);
+        return;
+      default:
+        response.writeHead(ANSWERED_STATUS, headers);
+        response.end(body);
+    }
+  }
+
+  private refuse(
+    call: ReceivedCall,
+    identity: RequestIdentity,
+    message: string,
+  ): void {
+    const body = Buffer.from(JSON.stringify({notRun: true, message}));
+    const headers = this.headers(identity.requestId, body);
+    call.response.writeHead(NOT_RUN_STATUS, headers);
+    call.response.end(body);
+  }
+
+  private headers(requestId: RequestId, body: Buffer): OutgoingHttpHeaders {
+    return {
+      'content-type': 'application/octet-stream',
+      'content-length': body.length,
+      [REQUEST_ID_HEADER]: requestId,
+      [DIGEST_HEADER]: contentDigest(body),
+      [LEAVING_HEADER]: String(this.faults.leaving),
+    };
+  }
+}
+
+/** Writes filler until `bytes` are written or the connection is closed. */
+function pour(response: ServerResponse, bytes: number): void {
+  let written = 0;
+  const write = () => {
+    while (written < bytes && !response.destroyed) {
+      written += FILLER.length;
+      if (!response.write(FILLER)) return;
+    }
+    response.end();
+  };
+  response.on('drain', write);
+  write();
+}
+
+function identityOf(call: ReceivedCall): RequestIdentity | undefined {
+  const {headers} = call.request;
+  const parsed = identitySchema.safeParse({
+    requestId: headers[REQUEST_ID_HEADER],
+    customerId: headers[CUSTOMER_HEADER],
+    workClassId: headers[WORK_CLASS_HEADER],
+  });
+  return parsed.success ? parsed.data : undefined;
+}
+
+function serviceTimeOf(payload: string): number | undefined {
+  try {
+    const parsed = payloadSchema.safeParse(JSON.parse(payload));
+    return parsed.success ? parsed.data.serviceTimeMs : undefined;
+  } catch {
+    return undefined;
+  }
+}
