Add the TCP fault proxy

Cause: cuts, delays and connections that go silent happen in the network, not in the processes at its ends. Ruled out: pausing sockets for a freeze for good, since the proxy would then not notice that an end closed. Conclusion: a freeze either drops for good or holds everything back, per direction.

--- /dev/null
+++ b/src/standins/fault_link.ts
@@ -0,0 +1,274 @@
+/**
+ * One link of the fault proxy: a listening port whose connections are
+ * forwarded to one target, with the faults of a network on the way.
+ */
+
+import {once} from 'node:events';
+import {connect, createServer} from 'node:net';
+import type {AddressInfo, Socket} from 'node:net';
+import {z} from 'zod';
+import type {CleanupScope} from '../lifecycle/cleanup_scope.js';
+
+export const linkFaultsSchema = z.object({
+  /** Resets open connections and each new one. */
+  cut: z.boolean().default(false),
+  /**
+   * Silently drops what comes from one or both sides, ends of connections
+   * included. Connections stay open.
+   */
+  freeze: z.enum(['none', 'to-target', 'to-client', 'both']).default('none'),
+  /**
+   * Connections that were open during a freeze stay frozen after it, as
+   * connections do whose state a device on the way has lost. If false, what
+   * was sent meanwhile is held back and delivered after the freeze.
+   */
+  frozenForGood: z.boolean().default(true),
+  /** Added to each direction. */
+  delayMs: z.number().min(0).default(0),
+  /**
+   * Closes a connection once this many bytes went to the client, counted from
+   * the start of the connection.
+   */
+  truncateAfterBytes: z.int().min(0).optional(),
+});
+/** Faults of a link; the default values mean that it is healthy. */
+export type LinkFaults = z.infer<typeof linkFaultsSchema>;
+
+export const linkStatusSchema = z.object({
+  openConnections: z.int(),
+  acceptedConnections: z.int(),
+  /** Bytes that were forwarded to the target and to the client. */
+  bytesToTarget: z.int(),
+  bytesToClient: z.int(),
+});
+export type LinkStatus = z.infer<typeof linkStatusSchema>;
+
+/** Bytes that one direction may hold back before it stops reading. */
+const MAXIMUM_HELD_BYTES = 1_048_576;
+
+type Side = 'to-target' | 'to-client';
+
+/** A chunk on its way; undefined stands for the end of the stream. */
+interface Held {
+  readonly chunk: Buffer | undefined;
+  /** Not delivered before this time. */
+  readonly due: number;
+}
+
+/** Forwards one direction of a connection in order. */
+class Direction {
+  private readonly held: Held[] = [];
+  private heldBytes = 0;
+  private dropping = false;
+  private timer: NodeJS.Timeout | undefined;
+
+  constructor(
+    private readonly source: Socket,
+    private readonly sink: Socket,
+    private readonly side: Side,
+    private readonly faults: () => LinkFaults,
+    /** Called before delivery; returns how many bytes may be delivered. */
+    private readonly admit: (bytes: number) => number,
+  ) {
+    source.on('data', (chunk) => this.take(chunk));
+    source.on('end', () => this.take(undefined));
+    source.on('close', () => this.onSourceClosed());
+    sink.on('drain', () => this.deliver());
+  }
+
+  /** Called when the faults of the link change. */
+  refresh(): void {
+    if (this.isFrozen() && this.faults().frozenForGood) this.drop();
+    this.deliver();
+  }
+
+  stop(): void {
+    clearTimeout(this.timer);
+    this.held.length = 0;
+  }
+
+  private isFrozen(): boolean {
+    const {freeze} = this.faults();
+    return freeze === 'both' || freeze === this.side;
+  }
+
+  private drop(): void {
+    this.dropping = true;
+    this.stop();
+    this.heldBytes = 0;
+    this.source.resume();
+  }
+
+  private take(chunk: Buffer | undefined): void {
+    if (this.dropping) return;
+    const due = performance.now() + this.faults().delayMs;
+    this.held.push({chunk, due});
+    this.heldBytes += chunk?.length ?? 0;
+    if (this.heldBytes > MAXIMUM_HELD_BYTES) this.source.pause();
+    this.deliver();
+  }
+
+  private deliver(): void {
+    clearTimeout(this.timer);
+    let next = this.held[0];
+    while (
+      next !== undefined &&
+      !this.isFrozen() &&
+      !this.sink.writableNeedDrain
+    ) {
+      const waitMs = next.due - performance.now();
+      if (waitMs > 0) {
+        this.timer = setTimeout(() => this.deliver(), waitMs);
+        return;
+      }
+      this.held.shift();
+      this.forward(next.chunk);
+      next = this.held[0];
+    }
+  }
+
+  private forward(chunk: Buffer | undefined): void {
+    if (chunk === undefined) {
+      this.sink.end();
+      return;
+    }
+    this.heldBytes -= chunk.length;
+    if (this.heldBytes <= MAXIMUM_HELD_BYTES) this.source.resume();
+    const admitted = this.admit(chunk.length);
+    if (admitted > 0) this.sink.write(chunk.subarray(0, admitted));
+    if (admitted < chunk.length) {
+      this.sink.destroySoon();
+      this.source.destroy();
+    }
+  }
+
+  /** Passes on a reset; an orderly end was passed on as such before. */
+  private onSourceClosed(): void {
+    if (this.dropping) return;
+    if (this.isFrozen()) this.take(undefined);
+    else if (this.source.errored !== null) this.sink.resetAndDestroy();
+    else if (this.held.length === 0) this.sink.end();
+  }
+}
+
+interface Connection {
+  readonly client: Socket;
+  readonly target: Socket;
+  readonly directions: readonly Direction[];
+}
+
+export class FaultLink {
+  private readonly server = createServer({allowHalfOpen: true}, (client) =>
+    this.accept(client),
+  );
+  private readonly connections = new Set<Connection>();
+  private current: LinkFaults = linkFaultsSchema.parse({});
+  private acceptedConnections = 0;
+  private bytesToTarget = 0;
+  private bytesToClient = 0;
+
+  /** `target` is an IP address and a port. */
+  constructor(private readonly target: string) {}
+
+  get faults(): LinkFaults {
+    return this.current;
+  }
+
+  set faults(faults: LinkFaults) {
+    this.current = faults;
+    for (const connection of [...this.connections]) {
+      if (faults.cut) this.reset(connection);
+      else for (const direction of connection.directions) direction.refresh();
+    }
+  }
+
+  get status(): LinkStatus {
+    return {
+      openConnections: this.connections.size,
+      acceptedConnections: this.acceptedConnections,
+      bytesToTarget: this.bytesToTarget,
+      bytesToClient: this.bytesToClient,
+    };
+  }
+
+  /** Listens until the scope closes and returns host and port. */
+  async listen(
+    scope: CleanupScope,
+    host: string,
+    port: number,
+  ): Promise<string> {
+    const listening = once(this.server, 'listening');
+    this.server.listen(port, host);
+    await listening;
+    scope.add(() => this.close());
+    const address = this.server.address() as AddressInfo;
+    return `${host}:${address.port}`;
+  }
+
+  private accept(client: Socket): void {
+    this.acceptedConnections += 1;
+    client.on('error', () => undefined);
+    if (this.current.cut) {
+      client.resetAndDestroy();
+      return;
+    }
+    const target = this.dial();
+    const faults = () => this.current;
+    const connection: Connection = {
+      client,
+      target,
+      directions: [
+        new Direction(client, target, 'to-target', faults, (bytes) => {
+          this.bytesToTarget += bytes;
+          return bytes;
+        }),
+        new Direction(target, client, 'to-client', faults, this.truncation()),
+      ],
+    };
+    this.connections.add(connection);
+    for (const direction of connection.directions) direction.refresh();
+    const forget = () => {
+      if (client.closed && target.closed) this.connections.delete(connection);
+    };
+    client.on('close', forget);
+    target.on('close', forget);
+  }
+
+  private dial(): Socket {
+    const separator = this.target.lastIndexOf(':');
+    const host = this.target.slice(0, separator);
+    const port = Number(this.target.slice(separator + 1));
+    const socket = connect({host, port, allowHalfOpen: true, noDelay: true});
+    socket.on('error', () => undefined);
+    return socket;
+  }
+
+  /** Counts the bytes to one client and cuts them off at the limit. */
+  private truncation(): (bytes: number) => number {
+    let passed = 0;
+    return (bytes) => {
+      const limit = this.current.truncateAfterBytes ?? Infinity;
+      const admitted = Math.max(0, Math.min(bytes, limit - passed));
+      passed += admitted;
+      this.bytesToClient += admitted;
+      return admitted;
+    };
+  }
+
+  private reset(connection: Connection): void {
+    for (const direction of connection.directions) direction.stop();
+    connection.client.resetAndDestroy();
+    connection.target.resetAndDestroy();
+  }
+
+  private async close(): Promise<void> {
+    const closed = once(this.server, 'close');
+    this.server.close();
+    for (const connection of this.connections) {
+      for (const direction of connection.directions) direction.stop();
+      connection.client.destroy();
+      connection.target.destroy();
+    }
+    await closed;
+  }
+}
--- /dev/null
+++ b/src/standins/fault_proxy_service.ts
@@ -0,0 +1,89 @@
+/**
+ * TCP proxy with several links, each with its own port, target and faults.
+ */
+
+import {z} from 'zod';
+import type {CleanupScope} from '../lifecycle/cleanup_scope.js';
+import {NotFoundError} from '../model/errors.js';
+import {addressSchema} from '../platform/vm_list.js';
+import {FaultLink, linkFaultsSchema} from './fault_link.js';
+import type {RunLog} from './run_log.js';
+import {listenOptionsSchema} from './standin_process.js';
+import type {FirstLine} from './standin_process.js';
+import type {ReceivedCall} from './standin_server.js';
+import {StandinServer, parseBody, parseParameters} from './standin_server.js';
+
+const linkNameSchema = z.string().regex(/^[A-Za-z0-9._-]+$/);
+
+const linkParametersSchema = z.object({link: linkNameSchema});
+
+const linkOptionsSchema = z.object({
+  name: linkNameSchema,
+  port: z.int().min(0).max(65_535).default(0),
+  target: addressSchema,
+});
+
+/** The proxy has no interface of its own besides its links and `adminPort`. */
+export const faultProxyOptionsSchema = listenOptionsSchema
+  .omit({port: true})
+  .extend({links: z.array(linkOptionsSchema).default([])});
+export type FaultProxyOptions = z.infer<typeof faultProxyOptionsSchema>;
+
+/** Answer to `POST /admin/links`. */
+export const linkAddressSchema = z.object({address: addressSchema});
+
+export class FaultProxyService {
+  private readonly adminServer = new StandinServer();
+  private readonly links = new Map<string, FaultLink>();
+
+  constructor(
+    private readonly scope: CleanupScope,
+    private readonly options: FaultProxyOptions,
+    private readonly log: RunLog,
+  ) {}
+
+  async start(): Promise<FirstLine> {
+    this.addAdminCalls();
+    const links: Record<string, string> = {};
+    for (const link of this.options.links) {
+      links[link.name] = await this.addLink(link);
+    }
+    const {host, adminPort} = this.options;
+    const admin = await this.adminServer.listen(this.scope, host, adminPort);
+    return {listening: admin, admin, links};
+  }
+
+  private async addLink(
+    options: z.infer<typeof linkOptionsSchema>,
+  ): Promise<string> {
+    const link = new FaultLink(options.target);
+    const {host} = this.options;
+    const address = await link.listen(this.scope, host, options.port);
+    this.links.set(options.name, link);
+    return address;
+  }
+
+  private addAdminCalls(): void {
+    const {adminServer} = this;
+    adminServer.write('POST', '/admin/links', async (call) => ({
+      address: await this.addLink(parseBody(call, linkOptionsSchema)),
+    }));
+    adminServer.write('POST', '/admin/links/:link/faults', (call) => {
+      const {name, link} = this.find(call);
+      link.faults = parseBody(call, linkFaultsSchema);
+      this.log.record({event: 'linkFaultsSet', at: Date.now(), link: name});
+    });
+    adminServer.read(
+      'GET',
+      '/admin/links/:link',
+      (call) => this.find(call).link.status,
+    );
+  }
+
+  private find(call: ReceivedCall): {name: string; link: FaultLink} {
+    const {link: name} = parseParameters(call, linkParametersSchema);
+    const link = this.links.get(name);
+    if (link !== undefined) return {name, link};
+    throw new NotFoundError(`link ${name} does not exist`, 'add it first');
+  }
+}
