--- /dev/null
+++ b/src/standins/admin_client.ts
@@ -0,0 +1,167 @@
+/**
+ * Typed calls to the admin interfaces of the stand-ins, for tests and the
+ * demonstration. A failed call throws, since it is a fault of the test.
+ */
+
+import type {z} from 'zod';
+import type {CleanupScope} from '../lifecycle/cleanup_scope.js';
+import type {VmId} from '../model/ids.js';
+import type {TaskList} from '../model/jobs.js';
+import {taskListSchema} from '../model/jobs.js';
+import type {StoreEntry} from '../platform/key_value_store.js';
+import type {Vm} from '../platform/vm_list.js';
+import {callJson} from '../transport/http_call.js';
+import type {HttpConnections} from '../transport/http_connections.js';
+import {openConnections} from '../transport/http_connections.js';
+import {
+  doneAnswerSchema,
+  listAnswerSchema,
+} from '../transport/http_protocol.js';
+import type {LinkStatus, linkFaultsSchema} from './fault_link.js';
+import {linkStatusSchema} from './fault_link.js';
+import {linkAddressSchema} from './fault_proxy_service.js';
+import type {MinionStatus, minionFaultsSchema} from './minion_service.js';
+import {minionStatusSchema} from './minion_service.js';
+import type {PlatformCounters, limitsSchema} from './platform_service.js';
+import {platformCountersSchema} from './platform_service.js';
+import type {serverFaultsSchema} from './standin_server.js';
+import type {workerBehaviourSchema} from './worker_service.js';
+
+const MAXIMUM_CONNECTIONS = 8;
+const CALL_TIMEOUT_MS = 10_000;
+const MAXIMUM_ANSWER_BYTES = 64 * 1_048_576;
+
+/** Faults; what is left out is healthy. */
+export type ServerFaultsInput = z.input<typeof serverFaultsSchema>;
+export type LinkFaultsInput = z.input<typeof linkFaultsSchema>;
+export type MinionFaultsInput = z.input<typeof minionFaultsSchema>;
+export type WorkerBehaviourInput = z.input<typeof workerBehaviourSchema>;
+
+abstract class AdminClient {
+  private readonly connections: HttpConnections;
+
+  /** `address` is the admin address of the stand-in. */
+  constructor(scope: CleanupScope, address: string) {
+    this.connections = openConnections(scope, address, MAXIMUM_CONNECTIONS);
+  }
+
+  protected async call<T>(
+    method: 'GET' | 'POST' | 'PUT' | 'DELETE',
+    path: string,
+    schema: z.ZodType<T>,
+    body?: unknown,
+  ): Promise<T> {
+    const answer = await callJson(
+      this.connections,
+      {
+        method,
+        path,
+        timeoutMs: CALL_TIMEOUT_MS,
+        maximumAnswerBytes: MAXIMUM_ANSWER_BYTES,
+        ...(body === undefined ? {} : {body: JSON.stringify(body)}),
+      },
+      schema,
+      `admin interface, ${path}`,
+    );
+    if (answer.isErr) throw answer.error;
+    return answer.value;
+  }
+
+  protected async post(path: string, body: unknown): Promise<void> {
+    await this.call('POST', path, doneAnswerSchema, body);
+  }
+}
+
+export class PlatformAdmin extends AdminClient {
+  setStoreFaults(faults: ServerFaultsInput): Promise<void> {
+    return this.post('/admin/faults/store', faults);
+  }
+
+  setVmListFaults(faults: ServerFaultsInput): Promise<void> {
+    return this.post('/admin/faults/vms', faults);
+  }
+
+  /** Sets the store's rate limits; a limit that is left out is lifted. */
+  setLimits(limits: z.input<typeof limitsSchema>): Promise<void> {
+    return this.post('/admin/limits', limits);
+  }
+
+  setVmListLag(lagMs: number): Promise<void> {
+    return this.post('/admin/lag', {lagMs});
+  }
+
+  /** Adds a VM or replaces what is known of it. */
+  async setVm(vm: Vm): Promise<void> {
+    await this.call('PUT', '/admin/vms', doneAnswerSchema, vm);
+  }
+
+  async removeVm(vmId: VmId): Promise<void> {
+    await this.call('DELETE', `/admin/vms/${vmId}`, doneAnswerSchema);
+  }
+
+  /** Drops the store's history, so that older watches are compacted. */
+  compact(): Promise<void> {
+    return this.post('/admin/compact', {});
+  }
+
+  /** Returns all entries of the store, in order of their keys. */
+  async dumpStore(): Promise<readonly StoreEntry[]> {
+    const list = await this.call('GET', '/admin/store', listAnswerSchema);
+    return list.entries;
+  }
+
+  counters(): Promise<PlatformCounters> {
+    return this.call('GET', '/admin/counters', platformCountersSchema);
+  }
+
+  async resetCounters(): Promise<void> {
+    await this.call('DELETE', '/admin/counters', doneAnswerSchema);
+  }
+}
+
+export class WorkerAdmin extends AdminClient {
+  setFaults(faults: ServerFaultsInput): Promise<void> {
+    return this.post('/admin/faults', faults);
+  }
+
+  /** Replaces the behaviour; what is left out takes its default. */
+  setBehaviour(behaviour: WorkerBehaviourInput): Promise<void> {
+    return this.post('/admin/behaviour', behaviour);
+  }
+
+  /** Reads the task list past all faults. */
+  tasks(): Promise<TaskList> {
+    return this.call('GET', '/admin/tasks', taskListSchema);
+  }
+}
+
+export class MinionAdmin extends AdminClient {
+  setFaults(faults: MinionFaultsInput): Promise<void> {
+    return this.post('/admin/faults', faults);
+  }
+
+  status(): Promise<MinionStatus> {
+    return this.call('GET', '/admin/status', minionStatusSchema);
+  }
+}
+
+export class FaultProxyAdmin extends AdminClient {
+  /** Adds a link and returns its address. */
+  async addLink(name: string, target: string): Promise<string> {
+    const link = {name, target};
+    const path = '/admin/links';
+    return (await this.call('POST', path, linkAddressSchema, link)).address;
+  }
+
+  setFaults(link: string, faults: LinkFaultsInput): Promise<void> {
+    return this.post(`/admin/links/${link}/faults`, faults);
+  }
+
+  heal(link: string): Promise<void> {
+    return this.setFaults(link, {});
+  }
+
+  status(link: string): Promise<LinkStatus> {
+    return this.call('GET', `/admin/links/${link}`, linkStatusSchema);
+  }
+}
