--- /dev/null
+++ b/test/transport_minion.test.ts
@@ -0,0 +1,187 @@
+/**
+ * Guards against callers that receive a wrong or cut answer, that are told
+ * "not run" about a request that ran, or that wait on a dead connection.
+ */
+
+import assert from 'node:assert/strict';
+import {afterEach, beforeEach, describe, it} from 'node:test';
+import {CleanupScope} from '../src/lifecycle/cleanup_scope.js';
+import type {MinionResult} from '../src/platform/minion_client.js';
+import {FaultProxyAdmin, MinionAdmin} from '../src/standins/admin_client.js';
+import type {MinionFaultsInput} from '../src/standins/admin_client.js';
+import {StandinProcess} from '../src/standins/launcher.js';
+import {expectedAnswer} from '../src/standins/minion_service.js';
+import {HttpMinionClient} from '../src/transport/http_minion_client.js';
+import {
+  LONG_MS,
+  SHORT_MS,
+  eventually,
+  minionVm,
+  serviceRequest,
+} from './standins_support.js';
+
+/** Long enough for other requests to time out meanwhile. */
+const SERVICE_TIME_MS = 2_000;
+
+let scope: CleanupScope;
+let minion: StandinProcess;
+let admin: MinionAdmin;
+let proxy: StandinProcess;
+let proxyAdmin: FaultProxyAdmin;
+let client: HttpMinionClient;
+
+beforeEach(async () => {
+  scope = new CleanupScope();
+  minion = await StandinProcess.start(scope, 'minion', {minionId: 'minion-1'});
+  admin = new MinionAdmin(scope, minion.adminAddress);
+  proxy = await StandinProcess.start(scope, 'faultProxy', {
+    links: [{name: 'minion', target: minion.address}],
+  });
+  proxyAdmin = new FaultProxyAdmin(scope, proxy.adminAddress);
+  client = new HttpMinionClient(scope);
+});
+
+afterEach(() => scope.close());
+
+function run(id: string, timeoutMs = LONG_MS): Promise<MinionResult> {
+  const vm = minionVm(proxy.link('minion'));
+  return client.run(vm, serviceRequest(id), timeoutMs);
+}
+
+function reasonOf(result: MinionResult): string {
+  return result.kind === 'answered'
+    ? 'answered'
+    : `${result.kind} ${result.reason}`;
+}
+
+/** Ids of the requests that the minion ran. */
+function runs(): string[] {
+  return minion.events.flatMap((event) =>
+    event.event === 'runStarted' ? [event.requestId] : [],
+  );
+}
+
+describe('answers', () => {
+  it('each of many concurrent requests gets its own whole answer', async () => {
+    const requests = Array.from({length: 100}, (_, index) =>
+      serviceRequest(`r-${index}`, `{"serviceTimeMs":${index % 7}}`),
+    );
+    const vm = minionVm(minion.address, 16);
+    const results = await Promise.all(
+      requests.map((request) => client.run(vm, request, LONG_MS)),
+    );
+    for (const [index, request] of requests.entries()) {
+      assert.deepEqual(results[index], {
+        kind: 'answered',
+        answer: expectedAnswer(request.requestId, request.payload),
+        leaving: false,
+      });
+    }
+  });
+
+  const wrongAnswers: ReadonlyArray<MinionFaultsInput['answers']> = [
+    'truncated',
+    'foreign',
+    'wrong-digest',
+    'oversized',
+    'never-ending',
+  ];
+  for (const answers of wrongAnswers) {
+    it(`a ${answers} answer is not passed on and its connection not reused`, async () => {
+      await admin.setFaults({answers});
+      assert.equal(reasonOf(await run('r-1')), 'unknown malformed-answer');
+      await eventually('the connection is closed', async () =>
+        (await admin.status()).connections === 0 ? true : undefined,
+      );
+      await admin.setFaults({});
+      assert.equal(reasonOf(await run('r-2')), 'answered');
+      assert.equal((await admin.status()).acceptedConnections, 2);
+    });
+  }
+
+  it('the memory for a never-ending answer is bounded', async () => {
+    await admin.setFaults({answers: 'never-ending'});
+    await run('r-1');
+    // 3 MiB are accepted; the rest is what buffers on the way may hold.
+    const {bytesToClient} = await proxyAdmin.status('minion');
+    assert.ok(bytesToClient < 32 * 1_048_576, `${bytesToClient} bytes`);
+  });
+});
+
+describe('silent connections', () => {
+  it('a connection that went silent is closed and never reused', async () => {
+    assert.equal(reasonOf(await run('r-1')), 'answered');
+    await proxyAdmin.setFaults('minion', {freeze: 'both'});
+    const silent = await run('r-2', SHORT_MS);
+    assert.equal(reasonOf(silent), 'unknown no-answer-in-time');
+    // The frozen connection stays dead; only a new one can answer.
+    await proxyAdmin.heal('minion');
+    assert.equal(reasonOf(await run('r-3')), 'answered');
+    assert.equal((await proxyAdmin.status('minion')).acceptedConnections, 2);
+  });
+
+  it('a late answer is never given to the next request', async () => {
+    await admin.setFaults({slowMs: 2 * SHORT_MS});
+    const late = await run('r-1', SHORT_MS);
+    assert.equal(reasonOf(late), 'unknown no-answer-in-time');
+    const next = await run('r-2');
+    const {payload, requestId} = serviceRequest('r-2');
+    assert.equal(
+      next.kind === 'answered' && next.answer,
+      expectedAnswer(requestId, payload),
+    );
+    assert.deepEqual(runs(), ['r-1', 'r-2']);
+  });
+});
+
+describe('not run', () => {
+  it('a refusal for this request is trusted and shows that the VM leaves', async () => {
+    await admin.setFaults({leaving: true});
+    const result = await run('r-1');
+    assert.equal(reasonOf(result), 'notRun refused');
+    assert.equal(result.kind === 'notRun' && result.leaving, true);
+    await admin.setFaults({answers: 'refused'});
+    assert.equal(reasonOf(await run('r-2')), 'notRun refused');
+    assert.deepEqual(runs(), []);
+  });
+
+  it('a minion that accepts no connection got nothing', async () => {
+    await minion.kill();
+    const vm = minionVm(minion.address);
+    const result = await client.run(vm, serviceRequest('r-1'), LONG_MS);
+    assert.equal(reasonOf(result), 'notRun unreachable');
+  });
+
+  it('a connection that breaks after the request was sent is unknown', async () => {
+    await admin.setFaults({slowMs: LONG_MS});
+    const result = run('r-1');
+    await minion.waitForEvent((event) => event.event === 'runStarted');
+    await proxyAdmin.setFaults('minion', {cut: true});
+    assert.equal(reasonOf(await result), 'unknown connection-lost');
+  });
+
+  it('no more connections are opened than the minion takes, and a request that found none in time never runs', async () => {
+    const vm = minionVm(minion.address, 2);
+    const payload = JSON.stringify({serviceTimeMs: SERVICE_TIME_MS});
+    const first = ['r-1', 'r-2'].map((id) =>
+      client.run(vm, serviceRequest(id, payload), LONG_MS),
+    );
+    await eventually('both run', async () =>
+      runs().length === 2 ? true : undefined,
+    );
+    const waiting = await Promise.all(
+      ['r-3', 'r-4'].map((id) => client.run(vm, serviceRequest(id), SHORT_MS)),
+    );
+    assert.deepEqual(waiting.map(reasonOf), [
+      'notRun unreachable',
+      'notRun unreachable',
+    ]);
+    // The connections are free again, and nothing is left to be sent on them.
+    await Promise.all(first);
+    const last = await client.run(vm, serviceRequest('r-5'), LONG_MS);
+    assert.equal(reasonOf(last), 'answered');
+    assert.deepEqual(runs().sort(), ['r-1', 'r-2', 'r-5']);
+    const {mostConnections, acceptedConnections} = await admin.status();
+    assert.deepEqual([mostConnections, acceptedConnections], [2, 2]);
+  });
+});
