Let the first watch of a worker return at once

Cause: the watcher asks for a list newer than version -1 so that it gets the current list at once, but the protocol's schema accepted only 0 and above. A scheduler read no worker until its wait of 10 s had passed, and jobs waited with "the largest free cell has 0". Ruled out: a second call to list the tasks before the first watch (one more message per worker and takeover). Conclusion: NO_LIST_VERSION names the value on WorkerClient; a test asks a worker that never ran a task.

--- a/src/controllers/worker_watcher.ts
+++ b/src/controllers/worker_watcher.ts
@@ -13,15 +13,13 @@
 import type {Instant, VmId} from '../model/ids.js';
 import type {TaskList} from '../model/jobs.js';
 import type {WorkerVm} from '../platform/vm_list.js';
+import {NO_LIST_VERSION} from '../platform/worker_client.js';
 import type {WorkerClient} from '../platform/worker_client.js';
 import type {ZoneControllerOptions} from './zone_options.js';
 
 /** Shortest watch as a share of the longest, so that polls spread out. */
 const SHORTEST_WAIT_SHARE = 0.75;
 
-/** Version that is older than every list. */
-const NO_VERSION = -1;
-
 export interface WorkerWatcherListener {
   listSeen(workerId: VmId, list: TaskList, requestedAt: Instant): void;
   /** Calls have failed for longer than `workerSilentMs`. */
@@ -40,7 +38,7 @@
 
 export class WorkerWatcher {
   private readonly backoff: Backoff;
-  private version = NO_VERSION;
+  private version = NO_LIST_VERSION;
   private failingSince: Instant | undefined;
 
   constructor(
@@ -84,7 +82,7 @@
   private async watchOnce(): Promise<Result<TaskList, CallError>> {
     const {watchWaitMs, leaseMs, watchOverrunMs} = this.parts.options;
     const immediate =
-      this.version === NO_VERSION || this.failingSince !== undefined;
+      this.version === NO_LIST_VERSION || this.failingSince !== undefined;
     const share =
       SHORTEST_WAIT_SHARE +
       this.parts.random.next() * (1 - SHORTEST_WAIT_SHARE);
--- a/src/platform/worker_client.ts
+++ b/src/platform/worker_client.ts
@@ -9,6 +9,9 @@
 import type {TaskList, TaskSpecification} from '../model/jobs.js';
 import type {WorkerVm} from './vm_list.js';
 
+/** Older than every list, also than that of a worker that never ran a task. */
+export const NO_LIST_VERSION = -1;
+
 /**
  * Calls to workers. The gang protocol relies on three properties of a worker:
  *
@@ -62,8 +65,9 @@
 
   /**
    * Renews the worker's lease for `leaseMs` and waits at most `waitMs` for a
-   * list newer than `afterVersion`; returns the current list in any case. A
-   * worker whose lease lapses checkpoints and stops its tasks.
+   * list newer than `afterVersion`; returns the current list in any case.
+   * `NO_LIST_VERSION` returns at once. A worker whose lease lapses checkpoints
+   * and stops its tasks.
    */
   abstract watchTasks(
     worker: WorkerVm,
--- a/src/transport/http_protocol.ts
+++ b/src/transport/http_protocol.ts
@@ -17,6 +17,7 @@
 import {createHash} from 'node:crypto';
 import {z} from 'zod';
 import {vmSchema} from '../platform/vm_list.js';
+import {NO_LIST_VERSION} from '../platform/worker_client.js';
 
 export const errorReportSchema = z.object({
   kind: z.enum([
@@ -80,7 +81,7 @@
 
 /** Body of `POST /watch`, which renews the lease of a worker. */
 export const watchBodySchema = z.object({
-  afterVersion: z.int().min(0),
+  afterVersion: z.int().min(NO_LIST_VERSION),
   waitMs: z.number().min(0),
   leaseMs: z.number().positive(),
 });
--- a/test/transport_worker.test.ts
+++ b/test/transport_worker.test.ts
@@ -13,6 +13,7 @@
 import type {TaskId} from '../src/model/ids.js';
 import type {TaskList, TaskSpecification} from '../src/model/jobs.js';
 import type {WorkerVm} from '../src/platform/vm_list.js';
+import {NO_LIST_VERSION} from '../src/platform/worker_client.js';
 import {WorkerAdmin} from '../src/standins/admin_client.js';
 import {StandinProcess} from '../src/standins/launcher.js';
 import {HttpWorkerClient} from '../src/transport/http_worker_client.js';
@@ -280,3 +281,13 @@
     await ended(task.taskId, 'finished');
   });
 });
+
+describe('a worker that has not run a task yet', () => {
+  it('answers the first watch at once, so that a takeover can proceed', async () => {
+    const {signal} = new AbortController();
+    const list = await expectOk(
+      client.watchTasks(worker, NO_LIST_VERSION, LONG_MS, LONG_MS, signal),
+    );
+    assert.deepEqual(list.tasks, []);
+  });
+});
