--- a/src/controllers/job_router.ts
+++ b/src/controllers/job_router.ts
@@ -181,7 +181,8 @@
     return Result.ok({record, keeping});
   }
 
-  private async read(jobId: JobId): Promise<Result<JobReport, CallError>> {
+  /** Reads a job from its scheduler, or from the store. */
+  async read(jobId: JobId): Promise<Result<JobReport, CallError>> {
     const zone = zoneOfJob(jobId);
     if (zone === undefined) return Result.err(notFound(jobId));
     const live = await this.options.holders.scheduler(zone)?.job(jobId);
--- a/src/controllers/vm_controller.ts
+++ b/src/controllers/vm_controller.ts
@@ -3,11 +3,9 @@
  * them. The last list is kept while the platform cannot be reached.
  */
 
-import type {Result} from 'true-myth';
 import {Backoff} from '../lifecycle/backoff.js';
 import type {CleanupScope} from '../lifecycle/cleanup_scope.js';
 import type {RandomSource} from '../lifecycle/random.js';
-import type {RefusedError, UnavailableError} from '../model/errors.js';
 import type {AvailabilityZone, VmId} from '../model/ids.js';
 import type {
   EntryVm,
@@ -156,9 +154,7 @@
     }
   }
 
-  private watchOnce(
-    version: number,
-  ): Promise<Result<VmListBatch, UnavailableError | RefusedError>> {
+  private watchOnce(version: number): ReturnType<VmList['watch']> {
     const waitMs = this.options.watchWaitMs ?? DEFAULT_WATCH_WAIT_MS;
     return this.options.vmList.watch(
       version,
--- a/src/controllers/zone_controller.ts
+++ b/src/controllers/zone_controller.ts
@@ -12,7 +12,7 @@
 import type {Configuration} from '../model/configuration.js';
 import {UnavailableError} from '../model/errors.js';
 import type {CallError} from '../model/errors.js';
-import type {AvailabilityZone, JobId} from '../model/ids.js';
+import type {AvailabilityZone, JobId, VmId} from '../model/ids.js';
 import type {JobRecord} from '../model/jobs.js';
 import type {KeyValueStore} from '../platform/key_value_store.js';
 import type {JobReport} from '../platform/peer_client.js';
@@ -126,6 +126,11 @@
     return this.term?.session.listJobs() ?? [];
   }
 
+  /** Workers of the zone that are quarantined now. */
+  quarantined(): readonly VmId[] {
+    return this.term?.session.quarantinedWorkers() ?? [];
+  }
+
   private notScheduler<T>(): Result<T, CallError> {
     return Result.err(
       new UnavailableError(
--- a/src/controllers/zone_session.ts
+++ b/src/controllers/zone_session.ts
@@ -316,6 +316,11 @@
     entry.runner.stop('setAside', this.parts.options.reclaimBoundMs);
   }
 
+  /** Workers that the planner quarantines. */
+  quarantinedWorkers(): readonly VmId[] {
+    return [...this.quarantined];
+  }
+
   private reportQuarantine(now: Instant): void {
     const before = this.quarantined;
     this.quarantined = new Set(this.parts.planner.quarantined(now));
--- /dev/null
+++ b/src/platform/observed_store.ts
@@ -0,0 +1,66 @@
+/**
+ * A key-value store that reports the result of each call, for metrics and for
+ * the state of the store that operators see.
+ */
+
+import type {Result} from 'true-myth';
+import {KeyValueStore} from './key_value_store.js';
+import type {StoreWatchBatch} from './key_value_store.js';
+
+export type StoreCall = 'get' | 'list' | 'put' | 'delete' | 'watch';
+
+/** `reached`: the service answered, even if it answered with a refusal. */
+export type StoreObserver = (call: StoreCall, reached: boolean) => void;
+
+export class ObservedStore extends KeyValueStore {
+  constructor(
+    private readonly store: KeyValueStore,
+    private readonly observe: StoreObserver,
+  ) {
+    super();
+  }
+
+  override get(key: string) {
+    return this.report('get', this.store.get(key));
+  }
+
+  override list(prefix: string) {
+    return this.report('list', this.store.list(prefix));
+  }
+
+  override put(key: string, value: string, expectedRevision: number) {
+    return this.report('put', this.store.put(key, value, expectedRevision));
+  }
+
+  override delete(key: string, expectedRevision: number) {
+    return this.report('delete', this.store.delete(key, expectedRevision));
+  }
+
+  override async watch(
+    prefix: string,
+    afterRevision: number,
+    waitMs: number,
+    signal: AbortSignal,
+  ): ReturnType<KeyValueStore['watch']> {
+    const waiting = this.store.watch(prefix, afterRevision, waitMs, signal);
+    const result: Result<StoreWatchBatch, {kind: string}> = await waiting;
+    // A watch that its owner gave up says nothing about the service.
+    if (!signal.aborted) this.observe('watch', isReached(result));
+    return waiting;
+  }
+
+  private async report<T, E extends {readonly kind: string}>(
+    call: StoreCall,
+    pending: Promise<Result<T, E>>,
+  ): Promise<Result<T, E>> {
+    const result = await pending;
+    this.observe(call, isReached(result));
+    return result;
+  }
+}
+
+function isReached<T>(result: Result<T, {readonly kind: string}>): boolean {
+  if (result.isOk) return true;
+  const {kind} = result.error;
+  return kind !== 'unavailable' && kind !== 'unknown-effect';
+}
