Assemble the daemon, the operators' interface and the demonstration

Cause: the parts existed but nothing ran a request or a gang job end to end. Ruled out: logs on standard output (the first line there names the addresses, and controllers log before the listeners are open).

--- /dev/null
+++ b/src/daemon/daemon.ts
@@ -0,0 +1,442 @@
+/**
+ * One daemon, assembled: the controllers, the request path, the links to
+ * peers and the HTTP interfaces, with a graceful stop.
+ */
+
+import {AuditReader, DecisionLog} from '../controllers/audit_trail.js';
+import {ConfigurationController} from '../controllers/configuration_controller.js';
+import {JobKeeper} from '../controllers/job_keeper.js';
+import {JobRouter} from '../controllers/job_router.js';
+import {MembershipController} from '../controllers/membership_controller.js';
+import {VmController} from '../controllers/vm_controller.js';
+import {ZoneController} from '../controllers/zone_controller.js';
+import {DEFAULT_ZONE_OPTIONS} from '../controllers/zone_options.js';
+import type {ZoneControllerOptions} from '../controllers/zone_options.js';
+import {CleanupScope} from '../lifecycle/cleanup_scope.js';
+import type {Clock} from '../lifecycle/clock.js';
+import type {RandomSource} from '../lifecycle/random.js';
+import {randomId} from '../model/ids.js';
+import type {DaemonId, Instant} from '../model/ids.js';
+import {ObservedStore} from '../platform/observed_store.js';
+import {RequestService} from '../requests/request_service.js';
+import {CellZonePlanner} from '../scheduling/cell_zone_planner.js';
+import {HttpKeyValueStore} from '../transport/http_key_value_store.js';
+import {HttpMinionClient} from '../transport/http_minion_client.js';
+import {HttpVmList} from '../transport/http_vm_list.js';
+import {HttpWorkerClient} from '../transport/http_worker_client.js';
+import {TrpcPeerClient} from '../transport/trpc_peer_client.js';
+import {TrpcPeerServer} from '../transport/trpc_peer_server.js';
+import {CallerApi} from './caller_api.js';
+import {createGuaranteeCheck} from './guarantee_check.js';
+import {DaemonLog} from './log.js';
+import type {LogPart} from './log.js';
+import {DaemonMetrics} from './metrics.js';
+import {OperatorApi} from './operator_api.js';
+import {DaemonOperatorService} from './operator_service.js';
+import {PeerService} from './peer_service.js';
+import {RoutedJobs} from './routed_jobs.js';
+import type {Settings} from './settings.js';
+import {
+  LocalJobHolder,
+  SiteJobHolders,
+  SiteRequestDirectory,
+} from './site_directory.js';
+import {ZoneReporter} from './zone_reporter.js';
+
+/** Addresses that the daemon listens on. */
+export interface DaemonAddresses {
+  readonly callers: string;
+  readonly operators: string;
+  readonly peers: string;
+}
+
+export interface DaemonParts {
+  readonly settings: Settings;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+}
+
+export class Daemon {
+  readonly daemonId = randomId<DaemonId>('daemon');
+  readonly startedAt: Instant;
+  readonly log: DaemonLog;
+  readonly metrics = new DaemonMetrics();
+  readonly vms: VmController;
+  readonly configuration: ConfigurationController;
+  readonly zone: ZoneController;
+  readonly requests: RequestService;
+  readonly jobs: JobRouter;
+  readonly auditReader: AuditReader;
+  private readonly scope = new CleanupScope();
+  private readonly store: ObservedStore;
+  private readonly peers: TrpcPeerClient;
+  private readonly decisions: DecisionLog;
+  private readonly keeper: JobKeeper;
+  private readonly callerApi: CallerApi;
+  private readonly operatorApi: OperatorApi;
+  private membershipController: MembershipController | undefined;
+  private storeAnswers = false;
+  private stopping: Promise<void> | undefined;
+
+  constructor(private readonly parts: DaemonParts) {
+    const {settings, clock, random} = parts;
+    const {scope, daemonId} = this;
+    const {availabilityZone, timings} = settings;
+    this.startedAt = clock.now();
+    this.log = new DaemonLog(settings.vmId, settings.logLevel);
+    this.store = this.openStore();
+    this.peers = new TrpcPeerClient({random, scope, log: this.line('peers')});
+    this.vms = new VmController({
+      vmList: new HttpVmList(scope, {
+        address: settings.platform.address,
+        callTimeoutMs: timings.storeCallTimeoutMs,
+      }),
+      random,
+      scope,
+      log: this.line('vms'),
+      watchWaitMs: timings.watchWaitMs,
+    });
+    this.configuration = new ConfigurationController({
+      store: this.store,
+      clock,
+      random,
+      scope,
+      log: this.line('configuration'),
+      validator: createGuaranteeCheck(this.vms),
+      watchWaitMs: timings.watchWaitMs,
+    });
+    this.decisions = new DecisionLog({
+      store: this.store,
+      clock,
+      random,
+      scope,
+      log: this.line('audit'),
+      daemonId,
+      availabilityZone,
+    });
+    this.auditReader = new AuditReader(this.store);
+    this.zone = this.createZoneController();
+    this.requests = this.createRequestService();
+    const holders = this.createJobHolders();
+    this.keeper = new JobKeeper({store: this.store, holders, random, scope});
+    this.jobs = new JobRouter({
+      availabilityZone,
+      clock,
+      store: this.store,
+      holders,
+      configuration: () => this.configuration.current,
+    });
+    this.callerApi = this.createCallerApi();
+    this.operatorApi = new OperatorApi(
+      new DaemonOperatorService(this),
+      this.metrics,
+    );
+    this.addGauges();
+  }
+
+  get settings(): Settings {
+    return this.parts.settings;
+  }
+
+  get clock(): Clock {
+    return this.parts.clock;
+  }
+
+  /** Available once the daemon listens for peers. */
+  get membership(): MembershipController {
+    if (!this.membershipController) throw new Error('not started');
+    return this.membershipController;
+  }
+
+  /** True if the last call to the store was answered. */
+  get storeReachable(): boolean {
+    return this.storeAnswers;
+  }
+
+  /** Opens all listeners and starts the controllers. */
+  async start(): Promise<DaemonAddresses> {
+    const {settings} = this.parts;
+    const peers = await this.listenForPeers();
+    this.membershipController = this.createMembership(
+      settings.peers.advertise ?? peers,
+    );
+    this.connectControllers(this.membershipController);
+    this.vms.start();
+    this.configuration.start();
+    this.decisions.start();
+    this.requests.start(this.scope);
+    this.membershipController.start();
+    const operators = await this.listen(
+      this.operatorApi,
+      settings.operators.listen,
+    );
+    const callers = await this.listen(this.callerApi, settings.callers.listen);
+    this.log.part('daemon').info(`serving callers on ${callers}`);
+    return {callers, operators, peers};
+  }
+
+  /**
+   * Stops gracefully: peers and the load balancer are told first, requests in
+   * progress are finished, then everything is closed.
+   */
+  stop(): Promise<void> {
+    this.stopping ??= this.stopInOrder();
+    return this.stopping;
+  }
+
+  private async stopInOrder(): Promise<void> {
+    const {timings} = this.parts.settings;
+    this.log.part('daemon').info('stopping, requests in progress are finished');
+    this.membership.leave();
+    await this.scope.sleep(timings.lingerMs);
+    await this.zone.stopGracefully(timings.stopDeadlineMs);
+    await within(timings.stopDeadlineMs, [
+      this.callerApi.close(),
+      this.requests.drain(),
+    ]);
+    await this.operatorApi.close();
+    await this.scope.close();
+    this.log.part('daemon').info('stopped');
+  }
+
+  private line(part: LogPart): (sentence: string) => void {
+    const log = this.log.part(part);
+    const prefix = `[${part}] `;
+    // The controllers write the prefix of their part themselves.
+    return (sentence) =>
+      log.info(
+        sentence.startsWith(prefix) ? sentence.slice(prefix.length) : sentence,
+      );
+  }
+
+  private openStore(): ObservedStore {
+    const {platform, timings} = this.parts.settings;
+    const store = new HttpKeyValueStore(this.scope, {
+      address: platform.address,
+      callTimeoutMs: timings.storeCallTimeoutMs,
+    });
+    return new ObservedStore(store, (_call, reached) => {
+      this.storeAnswers = reached;
+      this.metrics.countCall('store', reached);
+    });
+  }
+
+  private createZoneController(): ZoneController {
+    const {settings, clock, random} = this.parts;
+    const {availabilityZone, timings} = settings;
+    const {starvationBoundMs} = timings;
+    return new ZoneController({
+      zone: availabilityZone,
+      createPlanner: () =>
+        new CellZonePlanner({availabilityZone, starvationBoundMs}),
+      workers: new HttpWorkerClient(this.scope, {
+        callTimeoutMs: timings.workerCallTimeoutMs,
+      }),
+      store: this.store,
+      clock,
+      random,
+      listener: new ZoneReporter(
+        this.log.part('zone'),
+        this.metrics,
+        this.decisions,
+      ),
+      options: zoneOptions(settings),
+      scope: this.scope,
+    });
+  }
+
+  private createRequestService(): RequestService {
+    const {settings, clock, random} = this.parts;
+    const {daemonId, configuration, vms} = this;
+    const {availabilityZone} = settings;
+    const membership = () => this.membership;
+    return new RequestService({
+      directory: new SiteRequestDirectory({
+        daemonId,
+        availabilityZone,
+        configuration,
+        vms,
+        clock,
+        get membership() {
+          return membership();
+        },
+      }),
+      clock,
+      random,
+      store: this.store,
+      minions: new HttpMinionClient(this.scope),
+      peers: this.peers,
+      claimRetentionMs: settings.timings.claimRetentionMs,
+    });
+  }
+
+  private createPeerService(): PeerService {
+    return new PeerService({
+      availabilityZone: this.parts.settings.availabilityZone,
+      membership: () => this.membership,
+      configuration: this.configuration,
+      zone: () => this.zone,
+      keeper: () => this.keeper,
+      requests: () => this.requests,
+    });
+  }
+
+  private createJobHolders(): SiteJobHolders {
+    const local = new LocalJobHolder(this.createPeerService());
+    return new SiteJobHolders(() => this.membership, this.peers, local);
+  }
+
+  private createCallerApi(): CallerApi {
+    return new CallerApi({
+      requests: {
+        submit: (submission, signal) => {
+          const receivedAt = this.clock.now();
+          const started = this.requests.submit(submission, signal);
+          void started.outcome.then((outcome) => {
+            this.metrics.countOutcome(outcome, this.clock.now() - receivedAt);
+          });
+          return started;
+        },
+        outcome: (requestId) => this.requests.outcome(requestId),
+      },
+      jobs: new RoutedJobs(this.jobs, this.metrics),
+      reasonNotReady: () => this.reasonNotReady(),
+    });
+  }
+
+  private reasonNotReady(): string | undefined {
+    if (this.membership.leaving) return 'the daemon is leaving';
+    if (this.configuration.version === 0) return 'no configuration is known';
+    return undefined;
+  }
+
+  private createMembership(address: string): MembershipController {
+    const {settings, clock} = this.parts;
+    const {timings} = settings;
+    return new MembershipController({
+      daemonId: this.daemonId,
+      vmId: settings.vmId,
+      availabilityZone: settings.availabilityZone,
+      address,
+      seeds: settings.peers.seeds,
+      heartbeatIntervalMs: timings.heartbeatIntervalMs,
+      remoteHeartbeatIntervalMs: timings.crossZoneHeartbeatIntervalMs,
+      peerTimeoutMs: timings.peerTimeoutMs,
+      peers: this.peers,
+      vms: this.vms,
+      configuration: this.configuration,
+      queueLengths: () => this.requests.queueLengths(),
+      clock,
+      scope: this.scope,
+      log: this.line('membership'),
+    });
+  }
+
+  private connectControllers(membership: MembershipController): void {
+    const {zone, vms, configuration} = this;
+    const {availabilityZone} = this.parts.settings;
+    const updateTerm = () => {
+      if (membership.isScheduler()) zone.start();
+      else zone.stop();
+      this.keeper.handOver();
+    };
+    membership.onChange((change) => {
+      if (change.availabilityZone === availabilityZone) updateTerm();
+    });
+    vms.onChange(() => zone.setWorkers(vms.workers(availabilityZone)));
+    configuration.onApplied((applied) => {
+      zone.configure(applied.configuration);
+    });
+  }
+
+  private async listenForPeers(): Promise<string> {
+    const {host, port} = splitAddress(this.parts.settings.peers.listen);
+    const server = await TrpcPeerServer.listen({
+      handler: this.createPeerService(),
+      host,
+      port,
+      scope: this.scope,
+      log: this.line('peers'),
+    });
+    if (server.isErr) throw server.error;
+    this.metrics.addGauge(
+      'peer_server_sent_bytes',
+      'Bytes sent on connections that peers opened.',
+      () => server.value.totals().sentBytes,
+    );
+    this.metrics.addGauge(
+      'peer_server_received_bytes',
+      'Bytes received on connections that peers opened.',
+      () => server.value.totals().receivedBytes,
+    );
+    return `${host}:${server.value.port}`;
+  }
+
+  private async listen(
+    api: {listen(host: string, port: number): Promise<number>},
+    address: string,
+  ): Promise<string> {
+    const {host, port} = splitAddress(address);
+    return `${host}:${await api.listen(host, port)}`;
+  }
+
+  private addGauges(): void {
+    const {metrics} = this;
+    metrics.addGauge(
+      'configuration_version',
+      'Version of the configuration in force.',
+      () => this.configuration.version,
+    );
+    metrics.addGauge(
+      'scheduler',
+      '1 if this daemon is the scheduler of its zone, else 0.',
+      () => (this.zone.active ? 1 : 0),
+    );
+    metrics.addGauge(
+      'live_peers',
+      'Peers that were heard in time.',
+      () => this.membershipController?.livePeers().length ?? 0,
+    );
+    metrics.addGauge(
+      'store_reachable',
+      '1 if the last call to the store was answered, else 0.',
+      () => (this.storeAnswers ? 1 : 0),
+    );
+    metrics.addGauge(
+      'jobs_held_in_memory',
+      'Accepted jobs that are not known to be in the store.',
+      () => this.keeper.size,
+    );
+  }
+}
+
+function zoneOptions(settings: Settings): ZoneControllerOptions {
+  const {timings, limits} = settings;
+  return {
+    ...DEFAULT_ZONE_OPTIONS,
+    workerCallConcurrency: limits.workerCallConcurrency,
+    watchWaitMs: timings.workerWatchWaitMs,
+    leaseMs: timings.workerLeaseMs,
+    workerSilentMs: timings.workerLostAfterMs,
+    reclaimBoundMs: timings.reclaimBoundMs,
+    gangSkewBoundMs: timings.gangSkewBoundMs,
+    storeWatchWaitMs: timings.watchWaitMs,
+  };
+}
+
+/** Splits `10.0.0.1:7000` or `[::1]:7000`. */
+function splitAddress(address: string): {host: string; port: number} {
+  const end = address.lastIndexOf(':');
+  const host = address.slice(0, end).replace(/^\[(.*)\]$/, '$1');
+  return {host, port: Number(address.slice(end + 1))};
+}
+
+/** Waits for all, at most `limitMs`. */
+async function within(
+  limitMs: number,
+  waits: ReadonlyArray<Promise<void>>,
+): Promise<void> {
+  const limit = new CleanupScope();
+  await Promise.race([Promise.all(waits), limit.sleep(limitMs)]);
+  await limit.close();
+}
--- /dev/null
+++ b/src/daemon/guarantee_check.ts
@@ -0,0 +1,71 @@
+/**
+ * Refuses a configuration whose guarantees the workers of a zone cannot hold.
+ */
+
+import {Result} from 'true-myth';
+import type {ConfigurationValidator} from '../controllers/configuration_writer.js';
+import type {VmController} from '../controllers/vm_controller.js';
+import type {Configuration} from '../model/configuration.js';
+import {RefusedError} from '../model/errors.js';
+import type {AvailabilityZone} from '../model/ids.js';
+import type {WorkerVm} from '../platform/vm_list.js';
+import {guaranteesFit} from '../scheduling/packing.js';
+import type {PlannedWorker} from '../scheduling/zone_planner.js';
+
+/**
+ * Checks the zones in which a change adds guaranteed accelerators. A change
+ * that only reduces them is accepted also where they do not pack at present,
+ * since it is the remedy.
+ */
+export function createGuaranteeCheck(
+  vms: VmController,
+): ConfigurationValidator {
+  return (wouldBe, current) => {
+    for (const zone of guaranteedZones(wouldBe)) {
+      const before = guaranteedAccelerators(current, zone);
+      if (guaranteedAccelerators(wouldBe, zone) <= before) continue;
+      const workers = vms.workers(zone).map(toPlannedWorker);
+      const shortfall = guaranteesFit(wouldBe.customers, workers, zone);
+      if (shortfall === undefined) continue;
+      return Result.err(
+        new RefusedError(
+          `the guarantees of zone ${zone} do not fit its ` +
+            `${workers.length} workers: ${shortfall.missingAccelerators} accelerators ` +
+            `in cells of ${shortfall.cellSize} or more are missing`,
+          'reduce the guarantees, name another zone or add workers',
+        ),
+      );
+    }
+    return Result.ok(undefined);
+  };
+}
+
+function guaranteedZones(
+  configuration: Configuration,
+): ReadonlySet<AvailabilityZone> {
+  return new Set(
+    configuration.customers.flatMap((customer) =>
+      customer.guarantees.map((guarantee) => guarantee.availabilityZone),
+    ),
+  );
+}
+
+function guaranteedAccelerators(
+  configuration: Configuration,
+  zone: AvailabilityZone,
+): number {
+  return configuration.customers
+    .flatMap((customer) => customer.guarantees)
+    .filter((guarantee) => guarantee.availabilityZone === zone)
+    .reduce((sum, {cellSize, cells}) => sum + cellSize * cells, 0);
+}
+
+function toPlannedWorker(vm: WorkerVm): PlannedWorker {
+  return {
+    workerId: vm.vmId,
+    rackId: vm.rackId,
+    rackPosition: vm.rackPosition,
+    accelerators: vm.accelerators,
+    acceptsTasks: vm.state === 'live',
+  };
+}
--- /dev/null
+++ b/src/daemon/json_server.ts
@@ -0,0 +1,177 @@
+/**
+ * An HTTP server for JSON calls with bounded bodies and a graceful close. The
+ * callers' and the operators' interface are built on it.
+ */
+
+import {createServer} from 'node:http';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import polka from 'polka';
+import type {Polka} from 'polka';
+import {
+  NotFoundError,
+  UnavailableError,
+  UnknownEffectError,
+} from '../model/errors.js';
+import {sendError} from './caller_answers.js';
+import {BodyReader} from './request_body.js';
+
+/** A client that needs longer for its body is disconnected. */
+const BODY_TIMEOUT_MS = 30_000;
+
+/** Connections still open this long after the last answer are closed. */
+const CLOSE_GRACE_MS = 1_000;
+
+export type HttpMethod = 'GET' | 'POST' | 'DELETE';
+
+/** One call of a client. */
+export interface Call {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly parameters: Readonly<Record<string, string>>;
+  readonly query: Readonly<Record<string, string | string[]>>;
+  /** Aborted when the client disconnects before the answer. */
+  readonly signal: AbortSignal;
+}
+
+export type Handler = (call: Call) => Promise<void>;
+
+export interface JsonServerOptions {
+  /** Document that describes the calls. */
+  readonly documentation: string;
+  /** Called for every call before it is routed. */
+  readonly prepare?: (response: ServerResponse) => void;
+}
+
+export class JsonServer {
+  private readonly server: Server;
+  private readonly router: Polka;
+  private readonly bodies = new BodyReader();
+  private readonly inProgress = new Set<Promise<void>>();
+  private isClosing = false;
+
+  constructor(private readonly options: JsonServerOptions) {
+    this.server = createServer({requestTimeout: BODY_TIMEOUT_MS});
+    this.router = polka({
+      onNoMatch: (_request, response) => this.answerNotFound(response),
+    });
+    this.server.on('request', (request: IncomingMessage, response) => {
+      // The client's next connection goes to another entry VM.
+      if (this.isClosing) response.setHeader('Connection', 'close');
+      this.options.prepare?.(response);
+      this.router.handler(request as Parameters<Polka['handler']>[0], response);
+    });
+  }
+
+  get closing(): boolean {
+    return this.isClosing;
+  }
+
+  on(method: HttpMethod, path: string, handler: Handler): void {
+    this.router.add(method, path, (request, response) => {
+      this.track(handler, {
+        request,
+        response,
+        parameters: request.params as Call['parameters'],
+        query: request.query as Call['query'],
+        signal: disconnectSignal(response),
+      });
+    });
+  }
+
+  /** Listens and returns the port; 0 lets the system choose one. */
+  async listen(host: string, port: number): Promise<number> {
+    await new Promise<void>((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, host, () => {
+        this.server.off('error', reject);
+        resolve();
+      });
+    });
+    return (this.server.address() as AddressInfo).port;
+  }
+
+  /** Stops accepting and finishes the calls in progress. */
+  async close(): Promise<void> {
+    this.isClosing = true;
+    const closed = new Promise<void>((resolve) => {
+      this.server.close(() => resolve());
+    });
+    while (this.inProgress.size > 0) await Promise.all(this.inProgress);
+    const timer = setTimeout(
+      () => this.server.closeAllConnections(),
+      CLOSE_GRACE_MS,
+    );
+    this.server.closeIdleConnections();
+    await closed;
+    clearTimeout(timer);
+  }
+
+  /** Answers and returns undefined if the body cannot be taken. */
+  async readBody(
+    call: Call,
+    maximumBytes: number,
+  ): Promise<string | undefined> {
+    if (this.isClosing) {
+      const error = new UnavailableError(
+        'the daemon is stopping',
+        'send the request again; it was not run',
+      );
+      sendError(call.response, error);
+      return undefined;
+    }
+    const body = await this.bodies.read(call.request, maximumBytes);
+    if (body.isOk) return body.value;
+    // The rest of the body is still on the connection.
+    call.response.setHeader('Connection', 'close');
+    const tooLarge = body.error.kind === 'refused';
+    sendError(call.response, body.error, tooLarge ? 413 : undefined);
+    return undefined;
+  }
+
+  private track(handler: Handler, call: Call): void {
+    const handled = this.handle(handler, call).finally(() => {
+      this.inProgress.delete(handled);
+    });
+    this.inProgress.add(handled);
+  }
+
+  private async handle(handler: Handler, call: Call): Promise<void> {
+    try {
+      await handler(call);
+    } catch (error) {
+      const detail = error instanceof Error ? error.message : String(error);
+      const effect = new UnknownEffectError(
+        `fault in the daemon: ${detail}`,
+        'report it with the request id',
+      );
+      sendError(call.response, effect, 500);
+    }
+    await finished(call.response);
+  }
+
+  private answerNotFound(response: ServerResponse): void {
+    const error = new NotFoundError(
+      'there is no such method and path',
+      `see ${this.options.documentation} for the calls`,
+    );
+    sendError(response, error);
+  }
+}
+
+function disconnectSignal(response: ServerResponse): AbortSignal {
+  const controller = new AbortController();
+  response.once('close', () => {
+    if (!response.writableFinished) controller.abort();
+  });
+  return controller.signal;
+}
+
+/** Resolves when the answer was sent or the client is gone. */
+async function finished(response: ServerResponse): Promise<void> {
+  if (response.writableFinished || response.destroyed) return;
+  await new Promise<void>((resolve) => {
+    response.once('finish', resolve);
+    response.once('close', resolve);
+  });
+}
--- a/src/daemon/log.ts
+++ b/src/daemon/log.ts
@@ -54,12 +54,17 @@
   }
 }
 
-/** Creates the logs of one daemon; lines go to standard output. */
+/** Creates the logs of one daemon; lines go to standard error. */
 export class DaemonLog {
   private readonly logger: bunyan;
 
   constructor(vmId: string, level: bunyan.LogLevelString) {
-    this.logger = bunyan.createLogger({name: 'bramleystepd', vmId, level});
+    this.logger = bunyan.createLogger({
+      name: 'bramleystepd',
+      vmId,
+      level,
+      stream: process.stderr,
+    });
   }
 
   part(part: LogPart): PartLog {
--- /dev/null
+++ b/src/daemon/operator_api.ts
@@ -0,0 +1,154 @@
+/**
+ * The HTTP interface for operators and for the scraping of metrics. It has no
+ * authentication and belongs on a private network.
+ */
+
+import type {Result} from 'true-myth';
+import {z} from 'zod';
+import type {Configuration} from '../model/configuration.js';
+import type {SystemError} from '../model/errors.js';
+import {jobIdSchema} from '../model/ids.js';
+import type {JobId} from '../model/ids.js';
+import {validate, validateJson} from '../model/validation.js';
+import type {JobReport} from '../platform/peer_client.js';
+import {sendError, sendJson} from './caller_answers.js';
+import {JsonServer} from './json_server.js';
+import type {Call} from './json_server.js';
+import type {DaemonMetrics} from './metrics.js';
+import {
+  powerSubmissionSchema,
+  questionnaireSubmissionSchema,
+} from './operator_messages.js';
+import type {
+  Audit,
+  EditResult,
+  History,
+  JobList,
+  PowerSubmission,
+  QuestionnaireSubmission,
+  Status,
+} from './operator_messages.js';
+
+/** A questionnaire becomes one change of the configuration. */
+const MAXIMUM_BODY_BYTES = 1_048_576;
+
+const jobPathSchema = z.object({id: jobIdSchema});
+
+type Answer<T> = Promise<Result<T, SystemError>>;
+
+/** What operators can ask of a daemon. */
+export abstract class OperatorService {
+  abstract status(): Status;
+  abstract configuration(): Configuration;
+  abstract history(): Answer<History>;
+  abstract submitQuestionnaire(
+    submission: QuestionnaireSubmission,
+  ): Answer<EditResult>;
+  abstract setPower(submission: PowerSubmission): Answer<EditResult>;
+  abstract jobs(): Promise<JobList>;
+  abstract job(jobId: JobId): Answer<JobReport>;
+  abstract cancelJob(jobId: JobId): Answer<JobReport>;
+  abstract audit(): Answer<Audit>;
+  /** Starts a planned stop and returns at once. */
+  abstract drain(): Status;
+}
+
+export class OperatorApi {
+  private readonly server = new JsonServer({
+    documentation: 'docs/operations.md',
+  });
+
+  constructor(
+    private readonly service: OperatorService,
+    private readonly metrics: DaemonMetrics,
+  ) {
+    this.addConfigurationRoutes();
+    this.addJobRoutes();
+    this.addDaemonRoutes();
+  }
+
+  /** Listens and returns the port; 0 lets the system choose one. */
+  listen(host: string, port: number): Promise<number> {
+    return this.server.listen(host, port);
+  }
+
+  close(): Promise<void> {
+    return this.server.close();
+  }
+
+  private addConfigurationRoutes(): void {
+    const {server, service} = this;
+    server.on('GET', '/operator/configuration', async (call) => {
+      sendJson(call.response, 200, service.configuration());
+    });
+    server.on('GET', '/operator/configuration/history', async (call) => {
+      send(call, await service.history());
+    });
+    server.on('POST', '/operator/questionnaires', async (call) => {
+      const submission = await this.read(call, questionnaireSubmissionSchema);
+      if (submission) send(call, await service.submitQuestionnaire(submission));
+    });
+    server.on('POST', '/operator/power', async (call) => {
+      const submission = await this.read(call, powerSubmissionSchema);
+      if (submission) send(call, await service.setPower(submission));
+    });
+  }
+
+  private addJobRoutes(): void {
+    const {server, service} = this;
+    server.on('GET', '/operator/jobs', async (call) => {
+      sendJson(call.response, 200, await service.jobs());
+    });
+    server.on('GET', '/operator/jobs/:id', async (call) => {
+      const path = validate(jobPathSchema, call.parameters, 'path');
+      if (path.isErr) sendError(call.response, path.error);
+      else send(call, await service.job(path.value.id));
+    });
+    server.on('DELETE', '/operator/jobs/:id', async (call) => {
+      const path = validate(jobPathSchema, call.parameters, 'path');
+      if (path.isErr) sendError(call.response, path.error);
+      else send(call, await service.cancelJob(path.value.id));
+    });
+  }
+
+  private addDaemonRoutes(): void {
+    const {server, service} = this;
+    server.on('GET', '/operator/status', async (call) => {
+      sendJson(call.response, 200, service.status());
+    });
+    server.on('POST', '/operator/drain', async (call) => {
+      sendJson(call.response, 200, service.drain());
+    });
+    server.on('GET', '/operator/audit', async (call) => {
+      send(call, await service.audit());
+    });
+    server.on('GET', '/metrics', async ({response}) => {
+      const {contentType, text} = await this.metrics.render();
+      response.setHeader('Content-Type', contentType);
+      response.end(text);
+    });
+  }
+
+  /** Returns the checked body, or answers and returns undefined. */
+  private async read<T>(
+    call: Call,
+    schema: z.ZodType<T>,
+  ): Promise<T | undefined> {
+    const body = await this.server.readBody(call, MAXIMUM_BODY_BYTES);
+    if (body === undefined) return undefined;
+    const parsed = validateJson(schema, body, 'body');
+    if (parsed.isOk) return parsed.value;
+    sendError(call.response, parsed.error);
+    return undefined;
+  }
+}
+
+function send<T extends object>(
+  call: Call,
+  result: Result<T, SystemError>,
+): void {
+  result.match({
+    Ok: (value) => sendJson(call.response, 200, value),
+    Err: (error) => sendError(call.response, error),
+  });
+}
--- /dev/null
+++ b/src/daemon/peer_service.ts
@@ -0,0 +1,91 @@
+/**
+ * Answers the calls of peers from the controllers of this daemon.
+ */
+
+import {Result} from 'true-myth';
+import type {ConfigurationController} from '../controllers/configuration_controller.js';
+import type {JobKeeper} from '../controllers/job_keeper.js';
+import type {MembershipController} from '../controllers/membership_controller.js';
+import type {ZoneController} from '../controllers/zone_controller.js';
+import {RefusedError} from '../model/errors.js';
+import type {CallError} from '../model/errors.js';
+import type {AvailabilityZone, JobId, RequestId} from '../model/ids.js';
+import type {JobRecord} from '../model/jobs.js';
+import type {Outcome} from '../model/requests.js';
+import {PeerHandler} from '../platform/peer_client.js';
+import type {
+  ConfigurationUpdate,
+  Dispatch,
+  Heartbeat,
+  JobReport,
+} from '../platform/peer_client.js';
+import type {RequestService} from '../requests/request_service.js';
+
+export interface PeerServiceParts {
+  readonly availabilityZone: AvailabilityZone;
+  readonly membership: () => MembershipController;
+  readonly configuration: ConfigurationController;
+  readonly zone: () => ZoneController;
+  readonly keeper: () => JobKeeper;
+  readonly requests: () => RequestService;
+}
+
+export class PeerService extends PeerHandler {
+  constructor(private readonly parts: PeerServiceParts) {
+    super();
+  }
+
+  override heartbeat(heartbeat: Heartbeat): Heartbeat {
+    return this.parts.membership().receiveHeartbeat(heartbeat);
+  }
+
+  override configurationSince(version: number): ConfigurationUpdate {
+    return this.parts.configuration.configurationSince(version);
+  }
+
+  override dispatch(dispatch: Dispatch): Promise<Outcome> {
+    return this.parts.requests().dispatch(dispatch);
+  }
+
+  /** Schedules the job, or holds it for the scheduler of its zone. */
+  override async submitJob(
+    record: JobRecord,
+  ): Promise<Result<void, CallError>> {
+    const own = this.parts.availabilityZone;
+    if (record.availabilityZone !== own) {
+      return Result.err(
+        new RefusedError(
+          `job ${record.jobId} belongs to zone ${record.availabilityZone}`,
+          `send it to a daemon of that zone; this one serves ${own}`,
+        ),
+      );
+    }
+    const zone = this.parts.zone();
+    if (zone.active) return zone.submitJob(record);
+    if (this.parts.keeper().hold(record)) return Result.ok(undefined);
+    return Result.err(
+      new RefusedError(
+        'this daemon holds as many jobs as it may',
+        'submit the job again when the store is back',
+      ),
+    );
+  }
+
+  override async cancelJob(
+    jobId: JobId,
+  ): Promise<Result<JobReport, CallError>> {
+    return this.parts.zone().cancelJob(jobId);
+  }
+
+  override async job(jobId: JobId): Promise<Result<JobReport, CallError>> {
+    return this.parts.zone().job(jobId);
+  }
+
+  override jobs(): readonly JobReport[] {
+    return this.parts.zone().jobs();
+  }
+
+  override async claimOutcome(requestId: RequestId): Promise<Outcome> {
+    return this.parts.requests().claimOutcome(requestId);
+  }
+}
--- /dev/null
+++ b/src/harness/caller.ts
@@ -0,0 +1,190 @@
+/**
+ * A caller of one zone: sends requests and jobs to the zone's entry VMs and
+ * keeps a record of what it was told.
+ */
+
+import {createHash} from 'node:crypto';
+import {Pool} from 'undici';
+import {z} from 'zod';
+import type {CleanupScope} from '../lifecycle/cleanup_scope.js';
+import {jobIdSchema} from '../model/ids.js';
+import type {JobId} from '../model/ids.js';
+import type {JobRecord} from '../model/jobs.js';
+import {outcomeSchema} from '../model/requests.js';
+import type {Outcome} from '../model/requests.js';
+import {jobReportSchema} from '../platform/peer_client.js';
+
+/** Longer than every deadline, so that the daemon answers first. */
+const CALL_TIMEOUT_MS = 90_000;
+const JOB_WAIT_MS = 2_000;
+
+/** The answer of a minion stand-in. */
+const minionAnswerSchema = z.object({
+  requestId: z.string(),
+  sha256: z.string(),
+});
+
+const jobAcceptedSchema = z.object({
+  jobId: jobIdSchema,
+  durability: z.enum(['store', 'memory']),
+});
+
+/** What a caller sends. */
+export interface RequestToSend {
+  readonly customerId: string;
+  readonly workClassId: string;
+  readonly payload: string;
+  readonly key?: string;
+}
+
+/** One request and what its caller was told. */
+export interface RequestRecord extends RequestToSend {
+  /** Undefined if the connection broke before an answer. */
+  readonly outcome: Outcome | undefined;
+}
+
+export interface JobToSend {
+  readonly customerId: string;
+  readonly workClassId: string;
+  readonly payload: string;
+  readonly key?: string;
+  readonly availabilityZone?: string;
+}
+
+export interface AcceptedJob {
+  readonly jobId: JobId;
+  readonly durability: 'store' | 'memory';
+}
+
+export class Caller {
+  readonly requests: RequestRecord[] = [];
+  readonly jobs: AcceptedJob[] = [];
+  private readonly pools = new Map<string, Pool>();
+  private nextAddress = 0;
+
+  /** `addresses` are the callers' addresses of the entry VMs to use. */
+  constructor(
+    private readonly scope: CleanupScope,
+    private addresses: readonly string[],
+  ) {}
+
+  /** Uses other entry VMs from now on, as a load balancer does. */
+  useAddresses(addresses: readonly string[]): void {
+    this.addresses = addresses;
+  }
+
+  /** Sends a request once, to the next entry VM, and records the outcome. */
+  async send(request: RequestToSend, address?: string): Promise<RequestRecord> {
+    const body = await this.post(address, '/v1/requests', request);
+    const parsed = outcomeSchema.safeParse(body);
+    const outcome = parsed.success ? parsed.data : undefined;
+    const record = {...request, outcome};
+    this.requests.push(record);
+    return record;
+  }
+
+  /** Submits a job once; undefined if it was not accepted. */
+  async submitJob(
+    job: JobToSend,
+    address?: string,
+  ): Promise<AcceptedJob | undefined> {
+    const body = await this.post(address, '/v1/jobs', job);
+    const parsed = jobAcceptedSchema.safeParse(body);
+    if (!parsed.success) return undefined;
+    this.jobs.push(parsed.data);
+    return parsed.data;
+  }
+
+  /** Reads a job; undefined if no entry VM answers with it. */
+  async job(jobId: JobId, waitMs = 0): Promise<JobRecord | undefined> {
+    const path = `/v1/jobs/${jobId}?waitMs=${waitMs}`;
+    const body = await this.call(undefined, 'GET', path);
+    const parsed = jobReportSchema.safeParse(body);
+    return parsed.success ? parsed.data.record : undefined;
+  }
+
+  /** Polls a job until `done` holds; throws after `limitMs`. */
+  async waitForJob(
+    jobId: JobId,
+    done: (record: JobRecord) => boolean,
+    limitMs: number,
+  ): Promise<JobRecord> {
+    const limit = performance.now() + limitMs;
+    for (;;) {
+      const record = await this.job(jobId, JOB_WAIT_MS);
+      if (record && done(record)) return record;
+      if (performance.now() > limit) {
+        const state = record ? `${record.state}: ${record.reason}` : 'unknown';
+        throw new Error(`job ${jobId} is ${state} after ${limitMs} ms`);
+      }
+      await this.scope.sleep(100);
+    }
+  }
+
+  private post(
+    address: string | undefined,
+    path: string,
+    body: object,
+  ): Promise<unknown> {
+    return this.call(address, 'POST', path, JSON.stringify(body));
+  }
+
+  /** Returns the answer's JSON, or undefined if there was none. */
+  private async call(
+    address: string | undefined,
+    method: 'GET' | 'POST',
+    path: string,
+    body?: string,
+  ): Promise<unknown> {
+    const pool = this.pool(address ?? this.chooseAddress());
+    try {
+      const response = await pool.request({
+        method,
+        path,
+        ...(body === undefined ? {} : {body}),
+      });
+      return await response.body.json();
+    } catch {
+      return undefined;
+    }
+  }
+
+  private chooseAddress(): string {
+    const address = this.addresses[this.nextAddress % this.addresses.length];
+    this.nextAddress += 1;
+    if (address === undefined) throw new Error('no entry VM is known');
+    return address;
+  }
+
+  private pool(address: string): Pool {
+    let pool = this.pools.get(address);
+    if (!pool) {
+      const opened = new Pool(`http://${address}`, {
+        headersTimeout: CALL_TIMEOUT_MS,
+        bodyTimeout: CALL_TIMEOUT_MS,
+      });
+      this.scope.add(() => opened.destroy());
+      this.pools.set(address, opened);
+      pool = opened;
+    }
+    return pool;
+  }
+}
+
+/** True if the answer is the whole answer to this payload. */
+export function isRightAnswer(record: RequestRecord): boolean {
+  const {outcome, payload} = record;
+  if (outcome?.outcome !== 'answered') return false;
+  const answer = minionAnswerSchema.safeParse(parseJson(outcome.answer));
+  if (!answer.success) return false;
+  const digest = createHash('sha256').update(payload).digest('hex');
+  return answer.data.sha256 === digest;
+}
+
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
--- a/src/harness/managed_process.ts
+++ b/src/harness/managed_process.ts
@@ -62,6 +62,11 @@
     return this.exit === undefined;
   }
 
+  /** Resolves when the process has ended. */
+  get ended(): Promise<ProcessExit> {
+    return this.exited;
+  }
+
   /** The end of standard error, for failure messages. */
   get errors(): string {
     return this.errorLines.join('\n');
--- /dev/null
+++ b/src/harness/site_fixture.ts
@@ -0,0 +1,311 @@
+/**
+ * A whole site as processes on this machine: the stand-ins of the platform,
+ * the workers and the minions, and the daemons, for integration tests and the
+ * demonstration.
+ */
+
+import {mkdtemp, rm, writeFile} from 'node:fs/promises';
+import {createServer} from 'node:net';
+import type {AddressInfo} from 'node:net';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {fileURLToPath} from 'node:url';
+import PQueue from 'p-queue';
+import {z} from 'zod';
+import type {Settings} from '../daemon/settings.js';
+import type {CleanupScope} from '../lifecycle/cleanup_scope.js';
+import {availabilityZoneSchema, trustedId} from '../model/ids.js';
+import type {AvailabilityZone, RackId, VmId} from '../model/ids.js';
+import type {MinionVm, Vm, WorkerVm} from '../platform/vm_list.js';
+import {
+  FaultProxyAdmin,
+  MinionAdmin,
+  PlatformAdmin,
+  WorkerAdmin,
+} from '../standins/admin_client.js';
+import {StandinProcess} from '../standins/launcher.js';
+import {ManagedProcess} from './managed_process.js';
+
+/** Processes that start at once; more only compete for the processors. */
+const START_CONCURRENCY = 10;
+const DAEMON_PROGRAM = '../daemon/main.js';
+const ANY_PORT = '127.0.0.1:0';
+
+export const fleetSchema = z.object({
+  site: z.string(),
+  zones: z.array(
+    z.object({
+      name: availabilityZoneSchema,
+      entryVms: z.int().min(1),
+      /** Workers of each rack. */
+      racks: z.array(z.int().min(1).max(8)),
+      minions: z.int().min(0),
+    }),
+  ),
+  acceleratorsPerWorker: z.int().min(1).max(8),
+  slotsPerMinion: z.int().min(1),
+  connectionsPerMinion: z.int().min(1),
+});
+/** What a site consists of. */
+export type Fleet = z.infer<typeof fleetSchema>;
+type FleetZone = Fleet['zones'][number];
+
+export interface SiteOptions {
+  /** Timings of all daemons that differ from the defaults. */
+  readonly timings?: Partial<Settings['timings']>;
+  /** Puts a fault proxy between each daemon and its platform and peers. */
+  readonly proxied?: boolean;
+  /** Time until a change of the VM list becomes visible. */
+  readonly vmListLagMs?: number;
+}
+
+export interface WorkerStandin {
+  readonly vm: WorkerVm;
+  readonly process: StandinProcess;
+  readonly admin: WorkerAdmin;
+}
+
+export interface MinionStandin {
+  readonly vm: MinionVm;
+  readonly process: StandinProcess;
+  readonly admin: MinionAdmin;
+}
+
+const daemonFirstLineSchema = z.object({
+  listening: z.object({
+    callers: z.string(),
+    operators: z.string(),
+    peers: z.string(),
+  }),
+});
+
+/** One running daemon with the addresses that it listens on. */
+export interface DaemonProcess {
+  readonly vmId: VmId;
+  readonly availabilityZone: AvailabilityZone;
+  readonly process: ManagedProcess;
+  readonly callers: string;
+  readonly operators: string;
+  /** The address that peers use. */
+  readonly peers: string;
+}
+
+export class SiteFixture {
+  readonly workers: WorkerStandin[] = [];
+  readonly minions: MinionStandin[] = [];
+  readonly daemons: DaemonProcess[] = [];
+  private readonly queue = new PQueue({concurrency: START_CONCURRENCY});
+
+  private constructor(
+    private readonly scope: CleanupScope,
+    readonly fleet: Fleet,
+    private readonly options: SiteOptions,
+    readonly platform: StandinProcess,
+    readonly platformAdmin: PlatformAdmin,
+    private readonly directory: string,
+    private readonly proxy: FaultProxyAdmin | undefined,
+  ) {}
+
+  /** Starts everything; it ends when the scope closes. */
+  static async start(
+    scope: CleanupScope,
+    fleet: Fleet,
+    options: SiteOptions = {},
+  ): Promise<SiteFixture> {
+    const directory = await mkdtemp(join(tmpdir(), 'bramleystep-'));
+    scope.add(() => rm(directory, {recursive: true, force: true}));
+    const {vmListLagMs = 0} = options;
+    const platform = await StandinProcess.start(scope, 'platform', {
+      vmListLagMs,
+    });
+    const admin = new PlatformAdmin(scope, platform.adminAddress);
+    const proxy = options.proxied ? await startProxy(scope) : undefined;
+    const site = new SiteFixture(
+      scope,
+      fleet,
+      options,
+      platform,
+      admin,
+      directory,
+      proxy,
+    );
+    scope.add(() => site.stopProcesses());
+    await site.startZones();
+    return site;
+  }
+
+  /** Controls the links `platform-<vmId>` and `peers-<vmId>`. */
+  get faults(): FaultProxyAdmin {
+    if (!this.proxy) throw new Error('the site was started without proxies');
+    return this.proxy;
+  }
+
+  daemon(vmId: string): DaemonProcess {
+    const found = this.daemons.find((daemon) => daemon.vmId === vmId);
+    if (!found) throw new Error(`no daemon ${vmId} was started`);
+    return found;
+  }
+
+  daemonsOf(zone: string): DaemonProcess[] {
+    return this.daemons.filter((daemon) => daemon.availabilityZone === zone);
+  }
+
+  /** Starts one more daemon, or one again on the same VM. */
+  async startDaemon(vmId: string, zone: string): Promise<DaemonProcess> {
+    const settings = await this.daemonSettings(vmId, zone);
+    const path = join(this.directory, `${vmId}.json`);
+    await writeFile(path, JSON.stringify(settings));
+    const program = fileURLToPath(new URL(DAEMON_PROGRAM, import.meta.url));
+    const {process, firstLine} = await ManagedProcess.start(vmId, program, [
+      '--settings',
+      path,
+    ]);
+    const {listening} = daemonFirstLineSchema.parse(firstLine);
+    const daemon: DaemonProcess = {
+      vmId: trustedId(vmId),
+      availabilityZone: trustedId(zone),
+      process,
+      ...listening,
+      peers: settings.peers.advertise ?? listening.peers,
+    };
+    const before = this.daemons.findIndex((other) => other.vmId === vmId);
+    if (before >= 0) this.daemons.splice(before, 1);
+    this.daemons.push(daemon);
+    await this.platformAdmin.setVm({
+      role: 'entry',
+      vmId: daemon.vmId,
+      availabilityZone: daemon.availabilityZone,
+      address: daemon.peers,
+      state: 'live',
+    });
+    return daemon;
+  }
+
+  /** Changes the state of a VM in the platform's list. */
+  async setVmState(vm: Vm, state: Vm['state']): Promise<void> {
+    await this.platformAdmin.setVm({...vm, state});
+  }
+
+  /** Stops all daemons at once, then the workers and minions. */
+  private async stopProcesses(): Promise<void> {
+    await Promise.all(this.daemons.map(({process}) => process.stop()));
+    const standins = [...this.workers, ...this.minions];
+    await Promise.all(standins.map(({process}) => process.stop()));
+  }
+
+  private async startZones(): Promise<void> {
+    const tasks = this.fleet.zones.flatMap((zone) => [
+      ...this.workerStarts(zone),
+      ...this.minionStarts(zone),
+    ]);
+    await this.queue.addAll(tasks);
+    for (const {vm} of [...this.workers, ...this.minions]) {
+      await this.platformAdmin.setVm(vm);
+    }
+    const daemons = this.fleet.zones.flatMap((zone) =>
+      numbers(zone.entryVms).map(
+        (number) => () =>
+          this.startDaemon(`${zone.name}-entry-${number}`, zone.name),
+      ),
+    );
+    // The first one is a seed for the others.
+    await daemons.shift()?.();
+    await this.queue.addAll(daemons);
+  }
+
+  private workerStarts(zone: FleetZone): Array<() => Promise<void>> {
+    return zone.racks.flatMap((workers, rack) =>
+      numbers(workers).map((number) => async () => {
+        const rackId = trustedId<RackId>(`${zone.name}-rack-${rack + 1}`);
+        const workerId = trustedId<VmId>(`${rackId}-worker-${number}`);
+        const process = await StandinProcess.start(this.scope, 'worker', {
+          workerId,
+        });
+        const admin = new WorkerAdmin(this.scope, process.adminAddress);
+        const vm: WorkerVm = {
+          role: 'worker',
+          vmId: workerId,
+          availabilityZone: zone.name,
+          address: process.address,
+          state: 'live',
+          rackId,
+          rackPosition: number - 1,
+          accelerators: this.fleet.acceleratorsPerWorker,
+        };
+        this.workers.push({vm, process, admin});
+      }),
+    );
+  }
+
+  private minionStarts(zone: FleetZone): Array<() => Promise<void>> {
+    return numbers(zone.minions).map((number) => async () => {
+      const minionId = trustedId<VmId>(`${zone.name}-minion-${number}`);
+      const process = await StandinProcess.start(this.scope, 'minion', {
+        minionId,
+        slots: this.fleet.slotsPerMinion,
+        connections: this.fleet.connectionsPerMinion,
+      });
+      const admin = new MinionAdmin(this.scope, process.adminAddress);
+      const vm: MinionVm = {
+        role: 'minion',
+        vmId: minionId,
+        availabilityZone: zone.name,
+        address: process.address,
+        state: 'live',
+        slots: this.fleet.slotsPerMinion,
+        connections: this.fleet.connectionsPerMinion,
+      };
+      this.minions.push({vm, process, admin});
+    });
+  }
+
+  private async daemonSettings(vmId: string, zone: string) {
+    const seeds = this.daemons.map((daemon) => daemon.peers).slice(0, 3);
+    const {timings = {}} = this.options;
+    const common = {
+      vmId,
+      availabilityZone: zone,
+      callers: {listen: ANY_PORT},
+      operators: {listen: ANY_PORT},
+      timings,
+    };
+    if (!this.proxy) {
+      return {
+        ...common,
+        peers: {listen: ANY_PORT, advertise: undefined, seeds},
+        platform: {address: this.platform.address},
+      };
+    }
+    const listen = await freeAddress();
+    const advertise = await this.proxy.addLink(`peers-${vmId}`, listen);
+    const address = await this.proxy.addLink(
+      `platform-${vmId}`,
+      this.platform.address,
+    );
+    return {
+      ...common,
+      peers: {listen, advertise, seeds},
+      platform: {address},
+    };
+  }
+}
+
+function numbers(count: number): number[] {
+  return Array.from({length: count}, (_, index) => index + 1);
+}
+
+async function startProxy(scope: CleanupScope): Promise<FaultProxyAdmin> {
+  const process = await StandinProcess.start(scope, 'faultProxy', {});
+  return new FaultProxyAdmin(scope, process.adminAddress);
+}
+
+/** A proxy needs the daemon's address before the daemon has started. */
+async function freeAddress(): Promise<string> {
+  const server = createServer();
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const {port} = server.address() as AddressInfo;
+  await new Promise<void>((resolve) => server.close(() => resolve()));
+  return `127.0.0.1:${port}`;
+}
