Add process tests of the request path

Cause: at most once, a true "not run" and the own whole answer have to be shown with real processes and the minions' run logs. Ruled out: checks on what daemons say of themselves. Conclusion: one small site per file, faults by admin calls and signals.

--- /dev/null
+++ b/test/process_requests.test.ts
@@ -0,0 +1,238 @@
+/**
+ * Requests through real daemon processes under faults: a non-idempotent
+ * request runs at most once, "not run" is true, and every answer is the whole
+ * answer to its own request. The minions' run logs are the truth.
+ */
+
+import assert from 'node:assert/strict';
+import {after, afterEach, before, describe, it} from 'node:test';
+import {Caller} from '../src/harness/caller.js';
+import type {RequestRecord} from '../src/harness/caller.js';
+import {
+  OWNER,
+  ZONE_A,
+  ZONE_B,
+  isRepeatable,
+  startSmallSite,
+  waitUntil,
+} from '../src/harness/example_site.js';
+import {reconcileRequests} from '../src/harness/reconciler.js';
+import type {SiteFixture} from '../src/harness/site_fixture.js';
+import {CleanupScope} from '../src/lifecycle/cleanup_scope.js';
+
+const scope = new CleanupScope();
+let site: SiteFixture;
+
+before(async () => {
+  site = await startSmallSite(scope, {proxied: true});
+});
+after(() => scope.close());
+
+function newCaller(): Caller {
+  return new Caller(
+    scope,
+    site.daemons
+      .filter((daemon) => daemon.process.running)
+      .map((daemon) => daemon.callers),
+  );
+}
+
+function scan(key: string, serviceTimeMs = 20) {
+  const payload = JSON.stringify({serviceTimeMs, key});
+  return {customerId: OWNER, workClassId: 'scan', payload, key};
+}
+
+function check(name: string, serviceTimeMs = 20) {
+  const payload = JSON.stringify({serviceTimeMs, name});
+  return {customerId: OWNER, workClassId: 'check', payload};
+}
+
+async function reconcile(callers: readonly Caller[]) {
+  await waitUntil('all minions are idle', async () => {
+    const states = await Promise.all(
+      site.minions.map(({admin}) => admin.status()),
+    );
+    return states.every((state) => state.running === 0 && state.waiting === 0);
+  });
+  return reconcileRequests(
+    callers.flatMap((caller) => caller.requests),
+    site.minions.flatMap(({process}) => process.events),
+    isRepeatable,
+  );
+}
+
+/** Sends the same key through two daemons at once, `count` times. */
+async function sendPairs(prefix: string, count: number, caller: Caller) {
+  const [first, second] = site.daemons.filter(({process}) => process.running);
+  assert.ok(first && second);
+  const sent: Array<Promise<RequestRecord>> = [];
+  for (let index = 0; index < count; index += 1) {
+    const request = scan(`${prefix}-${index}`);
+    sent.push(caller.send(request, first.callers));
+    sent.push(caller.send(request, second.callers));
+  }
+  return Promise.all(sent);
+}
+
+describe('a billed scan', () => {
+  it('runs once when its key reaches two entry VMs at once', async () => {
+    const caller = newCaller();
+    await sendPairs('twice', 30, caller);
+    const result = await reconcile([caller]);
+    assert.deepEqual(result.violations, []);
+    assert.ok(result.answered >= 30, JSON.stringify(result));
+  });
+
+  it('runs at most once when the store loses answers to writes', async () => {
+    const caller = newCaller();
+    await site.platformAdmin.setStoreFaults({loseWriteAnswers: 6});
+    await sendPairs('lost', 30, caller);
+    await site.platformAdmin.setStoreFaults({});
+    const result = await reconcile([caller]);
+    assert.deepEqual(result.violations, []);
+    assert.ok(result.answered >= 30, JSON.stringify(result));
+  });
+
+  it('is refused and not run while the store is away', async () => {
+    const caller = newCaller();
+    await site.platformAdmin.setStoreFaults({down: true});
+    const records = await sendPairs('away', 5, caller);
+    await site.platformAdmin.setStoreFaults({});
+    for (const {outcome} of records) {
+      assert.equal(outcome?.outcome, 'notRun', JSON.stringify(outcome));
+    }
+    assert.deepEqual((await reconcile([caller])).violations, []);
+  });
+
+  it('runs once when it is sent again after the store is back', async () => {
+    const caller = newCaller();
+    await waitUntil('a scan is answered again', async () => {
+      const {outcome} = await caller.send(scan('back'));
+      return outcome?.outcome === 'answered';
+    });
+    assert.deepEqual((await reconcile([caller])).violations, []);
+  });
+});
+
+describe('an answer of a minion that misbehaves', () => {
+  afterEach(async () => {
+    await Promise.all(site.minions.map(({admin}) => admin.setFaults({})));
+  });
+
+  for (const answers of ['truncated', 'foreign', 'wrong-digest'] as const) {
+    it(`does not reach a caller when it is ${answers}`, async () => {
+      const caller = newCaller();
+      await Promise.all(
+        site.minions.map(({admin}) => admin.setFaults({answers})),
+      );
+      await Promise.all(
+        [1, 2, 3, 4].map((n) => caller.send(scan(`${answers}-${n}`))),
+      );
+      const result = await reconcile([caller]);
+      assert.deepEqual(result.violations, []);
+      assert.equal(result.answered, 0);
+      assert.equal(result.unknown, 4);
+    });
+  }
+
+  it('does not harm requests at healthy minions', async () => {
+    const caller = newCaller();
+    const [bad] = site.minions.filter(({vm}) => vm.availabilityZone === ZONE_A);
+    await bad?.admin.setFaults({answers: 'never-ending'});
+    await Promise.all(
+      Array.from({length: 40}, (_, n) => caller.send(check(`healthy-${n}`))),
+    );
+    const result = await reconcile([caller]);
+    assert.deepEqual(result.violations, []);
+    assert.ok(result.answered >= 30, JSON.stringify(result));
+  });
+
+  it('is unknown for a scan whose minion runs it and stays silent', async () => {
+    const caller = newCaller();
+    await Promise.all(
+      site.minions.map(({admin}) =>
+        admin.setFaults({answers: 'silent-after-run'}),
+      ),
+    );
+    const first = await caller.send(scan('silent'));
+    assert.equal(first.outcome?.outcome, 'unknown');
+    await Promise.all(site.minions.map(({admin}) => admin.setFaults({})));
+    // The retry must not run it again, although the minions are healthy now.
+    const second = await caller.send(scan('silent'));
+    assert.equal(second.outcome?.outcome, 'unknown');
+    const result = await reconcile([caller]);
+    assert.deepEqual(result.violations, []);
+  });
+});
+
+describe('a connection between daemons that goes silent', () => {
+  it('is replaced without a second run or a false "not run"', async () => {
+    const caller = newCaller();
+    const [first, second] = site.daemonsOf(ZONE_A);
+    assert.ok(first && second);
+    const load = Array.from({length: 60}, async (_, n) => {
+      await scope.sleep(n * 20);
+      return caller.send(scan(`frozen-${n}`), first.callers);
+    });
+    await scope.sleep(200);
+    await site.faults.setFaults(`peers-${second.vmId}`, {freeze: 'both'});
+    await scope.sleep(300);
+    await site.faults.heal(`peers-${second.vmId}`);
+    await Promise.all(load);
+    const result = await reconcile([caller]);
+    assert.deepEqual(result.violations, []);
+    await waitUntil('scans are answered again', async () => {
+      const {outcome} = await caller.send(scan(`after-${Math.random()}`));
+      return outcome?.outcome === 'answered';
+    });
+  });
+});
+
+describe('an entry VM that is killed under load', () => {
+  it('leaves every key run at most once and every "not run" true', async () => {
+    const caller = newCaller();
+    const victim = site.daemonsOf(ZONE_B)[0];
+    const other = site.daemonsOf(ZONE_B)[1];
+    assert.ok(victim && other);
+    const load = Array.from({length: 80}, async (_, n) => {
+      await scope.sleep(n * 10);
+      const request = scan(`killed-${n}`, 50);
+      const {outcome} = await caller.send(request, victim.callers);
+      if (outcome?.outcome === 'answered') return;
+      // The caller does not know what became of it and sends it elsewhere.
+      await caller.send(request, other.callers);
+    });
+    await scope.sleep(400);
+    await victim.process.kill();
+    await Promise.all(load);
+    const result = await reconcile([caller]);
+    assert.deepEqual(result.violations, []);
+    assert.ok(result.unanswered > 0, 'the kill came too late');
+  });
+});
+
+describe('a planned stop under load', () => {
+  it('answers every request in progress', async () => {
+    const caller = newCaller();
+    const leaving = site.daemonsOf(ZONE_A)[0];
+    assert.ok(leaving);
+    const load = Array.from({length: 30}, (_, n) =>
+      caller.send(scan(`stop-${n}`, 400), leaving.callers),
+    );
+    await waitUntil('requests are running', () =>
+      site.minions.some(({process}) =>
+        process.events.some(
+          (event) => event.event === 'runStarted' && event.at > 0,
+        ),
+      ),
+    );
+    leaving.process.signal('SIGTERM');
+    const records = await Promise.all(load);
+    const exit = await leaving.process.ended;
+    assert.equal(exit.code, 0);
+    for (const {outcome} of records) {
+      assert.ok(outcome, 'a request was interrupted');
+    }
+    assert.deepEqual((await reconcile([caller])).violations, []);
+  });
+});
