--- a/src/standins/fault_link.ts
+++ b/src/standins/fault_link.ts
@@ -236,7 +236,7 @@
 
   private dial(): Socket {
     const separator = this.target.lastIndexOf(':');
-    const host = this.target.slice(0, separator);
+    const host = this.target.slice(0, separator).replace(/[[\]]/g, '');
     const port = Number(this.target.slice(separator + 1));
     const socket = connect({host, port, allowHalfOpen: true, noDelay: true});
     socket.on('error', () => undefined);
--- a/src/standins/worker_tasks.ts
+++ b/src/standins/worker_tasks.ts
@@ -26,6 +26,9 @@
   fail: z.boolean().default(false),
 });
 
+/** Timers of Node.js fire at once if their time is longer. */
+const LONGEST_TIMER_MS = 2 ** 31 - 1;
+
 const CHECKPOINT_PATTERN = /^checkpoint:[^:]+:(\d+(?:\.\d+)?)$/;
 
 /** What a worker does to all of its tasks. */
@@ -203,10 +206,12 @@
   private resume(task: WorkerTask): void {
     task.resumedAt = performance.now();
     if (task.share === 0) return;
+    const endsInMs = task.remainingMs / task.share;
+    if (endsInMs > LONGEST_TIMER_MS) return;
     task.timer = setTimeout(() => {
       if (task.fails) this.end(task, 'failed', 'the payload fails');
       else this.end(task, 'finished', undefined);
-    }, task.remainingMs / task.share);
+    }, endsInMs);
   }
 
   private pause(task: WorkerTask): void {
--- a/src/transport/http_connections.ts
+++ b/src/transport/http_connections.ts
@@ -7,11 +7,15 @@
  * itself, also through a network that is still faulty.
  */
 
+import {setMaxListeners} from 'node:events';
 import {Result} from 'true-myth';
 import {Client} from 'undici';
 import type {Dispatcher} from 'undici';
 import type {CleanupScope} from '../lifecycle/cleanup_scope.js';
 
+/** Timers of Node.js fire at once if their time is longer. */
+const LONGEST_TIMER_MS = 2 ** 31 - 1;
+
 const FIRST_FINAL_STATUS = 200;
 
 /** A party that does not accept a connection in this time is down. */
@@ -83,8 +87,11 @@
 
   /** Sends the call once and returns the whole answer, whatever its status. */
   async exchange(call: HttpCall): Promise<Result<HttpAnswer, ExchangeFailure>> {
-    const end = performance.now() + call.timeoutMs;
-    const client = await this.acquire(call);
+    // Many calls may wait on the signal of one owner.
+    if (call.signal !== undefined) setMaxListeners(0, call.signal);
+    const limitMs = Math.min(call.timeoutMs, LONGEST_TIMER_MS);
+    const end = performance.now() + limitMs;
+    const client = await this.acquire({...call, timeoutMs: limitMs});
     const timeoutMs = end - performance.now();
     if (client === undefined || timeoutMs <= 0 || call.signal?.aborted) {
       if (client !== undefined) this.release(client);
@@ -240,6 +247,7 @@
   private declaredBytes: number | undefined;
   private status = 0;
   private headers: HttpAnswer['headers'] = {};
+  private whole: HttpAnswer | undefined;
   private settled = false;
 
   constructor(
@@ -297,7 +305,7 @@
   onResponseEnd(): void {
     if (this.settled) return;
     if (this.declaredBytes === undefined) this.checkWhole();
-    this.settle(Result.ok(this.answer()));
+    this.settle(Result.ok(this.whole ?? this.answer()));
   }
 
   onResponseError(
@@ -323,7 +331,9 @@
 
   /** Checks the answer while its connection can still be destroyed. */
   private checkWhole(): void {
-    const problem = this.call.check?.(this.answer());
+    this.whole = this.answer();
+    this.chunks.length = 0;
+    const problem = this.call.check?.(this.whole);
     if (problem !== undefined) this.fail('malformed', problem);
   }
 
--- a/test/transport_minion.test.ts
+++ b/test/transport_minion.test.ts
@@ -4,6 +4,9 @@
  */
 
 import assert from 'node:assert/strict';
+import {once} from 'node:events';
+import {createServer} from 'node:net';
+import type {AddressInfo} from 'node:net';
 import {afterEach, beforeEach, describe, it} from 'node:test';
 import {CleanupScope} from '../src/lifecycle/cleanup_scope.js';
 import type {MinionResult} from '../src/platform/minion_client.js';
@@ -12,6 +15,7 @@
 import {StandinProcess} from '../src/standins/launcher.js';
 import {expectedAnswer} from '../src/standins/minion_service.js';
 import {HttpMinionClient} from '../src/transport/http_minion_client.js';
+import {contentDigest} from '../src/transport/http_protocol.js';
 import {
   LONG_MS,
   SHORT_MS,
@@ -134,6 +138,47 @@
   });
 });
 
+describe('a backend that closes connections', () => {
+  it('gets each request once, also on a connection that was used before', async () => {
+    const received: string[] = [];
+    const server = createServer((socket) => {
+      scope.add(() => void socket.destroy());
+      socket.on('error', () => undefined);
+      socket.on('data', (chunk) => {
+        const id = /x-request-id: (\S+)/.exec(chunk.toString())?.[1] ?? '';
+        received.push(id);
+        if (id !== 'r-1') socket.destroy();
+        else socket.write(wholeAnswer(id));
+      });
+    });
+    server.listen(0, '127.0.0.1');
+    await once(server, 'listening');
+    scope.add(() => void server.close());
+    const {port} = server.address() as AddressInfo;
+    const vm = minionVm(`127.0.0.1:${port}`);
+    const results: string[] = [];
+    for (const id of ['r-1', 'r-2', 'r-3']) {
+      results.push(reasonOf(await client.run(vm, serviceRequest(id), LONG_MS)));
+    }
+    assert.deepEqual(results, [
+      'answered',
+      'unknown connection-lost',
+      'unknown connection-lost',
+    ]);
+    assert.deepEqual(received, ['r-1', 'r-2', 'r-3']);
+  });
+});
+
+function wholeAnswer(requestId: string): string {
+  return [
+    'HTTP/1.1 200 OK',
+    'content-length: 0',
+    `x-request-id: ${requestId}`,
+    `content-digest: ${contentDigest('')}`,
+    '\r\n',
+  ].join('\r\n');
+}
+
 describe('not run', () => {
   it('a refusal for this request is trusted and shows that the VM leaves', async () => {
     await admin.setFaults({leaving: true});
--- a/test/transport_store.test.ts
+++ b/test/transport_store.test.ts
@@ -4,6 +4,9 @@
  */
 
 import assert from 'node:assert/strict';
+import {once} from 'node:events';
+import {createServer} from 'node:http';
+import type {AddressInfo} from 'node:net';
 import {afterEach, beforeEach, describe, it} from 'node:test';
 import {CleanupScope} from '../src/lifecycle/cleanup_scope.js';
 import {trustedId} from '../src/model/ids.js';
@@ -116,6 +119,44 @@
   });
 });
 
+describe('answers without a valid report', () => {
+  const cases: ReadonlyArray<{
+    readonly status: number;
+    readonly body: string;
+    readonly write: string;
+    readonly read: string;
+  }> = [
+    // An intermediary may send these after the service did the write.
+    {status: 502, body: 'x', write: 'unknown-effect', read: 'protocol'},
+    {status: 503, body: '{}', write: 'unknown-effect', read: 'protocol'},
+    {status: 200, body: '{"re', write: 'unknown-effect', read: 'protocol'},
+    {status: 200, body: '[]', write: 'unknown-effect', read: 'protocol'},
+    {
+      status: 200,
+      body: '{"entry":{"key":"b","value":"1","revision":1}}',
+      write: 'unknown-effect',
+      read: 'protocol',
+    },
+    // This status says by itself that the call was not processed.
+    {status: 429, body: '', write: 'refused', read: 'refused'},
+  ];
+  for (const {status, body, write: writeKind, read: readKind} of cases) {
+    it(`status ${status} with body ${body}`, async () => {
+      const server = createServer((_request, response) => {
+        response.writeHead(status).end(body);
+      });
+      server.listen(0, '127.0.0.1');
+      await once(server, 'listening');
+      scope.add(() => void server.close());
+      const {port} = server.address() as AddressInfo;
+      const address = `127.0.0.1:${port}`;
+      const other = new HttpKeyValueStore(scope, {address});
+      assert.equal(errorKind(await other.put('a', '1', 0)), writeKind);
+      assert.equal(errorKind(await other.get('a')), readKind);
+    });
+  }
+});
+
 describe('limits', () => {
   it('calls above the rate are refused and write nothing', async () => {
     await admin.setLimits({writesPerSecond: 0.001, readsPerSecond: 0.001});
