Replace guaranteed cells that lost a worker and avoid chains of preemptions

Cause: the property test on lost workers found that a bound cell with a lost worker counted as sound, so that the packing of guarantees broke only when its last job finished (submit in a rack of 64, lose one of its workers, finish). Such a cell now counts as unbound. If there is room to bind another one, it is given up and its jobs go on as borrowers; otherwise the customer keeps what is left of it.

A second finding: a preempted borrower whose customer has unused guaranteed cells restarts there and can preempt the next borrower; one sequence reached five rounds. The placement score now adds two accelerator hours for such a borrower. Chains remain possible and end, because each one uses up a guaranteed cell and no job is preempted twice in a chain.

--- a/src/scheduling/guarantees.ts
+++ b/src/scheduling/guarantees.ts
@@ -65,6 +65,8 @@
   private readonly boundAt: Array<BoundCell | undefined> = [];
   /** The guaranteed job whose part of a bound cell includes a number. */
   private readonly heldBy: Array<PlannedJob | undefined> = [];
+  /** Bound cells with accelerators that are lost or take no new task. */
+  private readonly damaged = new Set<BoundCell>();
   /** Number of unbound guaranteed cells of all customers, by level. */
   private readonly totals = new Array<number>(CELL_LEVELS).fill(0);
 
@@ -111,9 +113,28 @@
     return this.totals;
   }
 
-  /** True if all unbound guaranteed cells pack into what is free. */
+  /**
+   * True if all unbound guaranteed cells pack into what is free. Bound cells
+   * with lost accelerators count as unbound, because they have to be replaced.
+   */
   invariantHolds(): boolean {
-    return packs(this.totals, this.free.counts());
+    const wanted = [...this.totals];
+    for (const {cell} of this.damaged) {
+      wanted[levelOf(cell.size)] = (wanted[levelOf(cell.size)] ?? 0) + 1;
+    }
+    return packs(wanted, this.free.counts());
+  }
+
+  /**
+   * Unbinds the cells that lost accelerators if there is room to bind others,
+   * and returns the jobs in them; they go on as borrowers. Without room the
+   * customer keeps what is left of its cell.
+   */
+  giveUpDamaged(): readonly PlannedJob[] {
+    if (this.damaged.size === 0 || !this.invariantHolds()) return [];
+    const jobs = [...this.damaged].flatMap((bound) => [...bound.parts.keys()]);
+    for (const job of jobs) this.unassign(job);
+    return jobs;
   }
 
   /**
@@ -204,6 +225,7 @@
     }
     for (const bound of bounds) {
       this.refreshShare(bound, overlap(bound.cell, place));
+      this.noteDamage(bound);
     }
   }
 
@@ -238,6 +260,7 @@
     const {cell, share} = bound;
     share.free.takeFreeParts(cell);
     share.bound.delete(cellKey(cell));
+    this.damaged.delete(bound);
     this.countBound(bound, -1);
     this.mark(cell, undefined);
     this.refresh(cell);
@@ -291,6 +314,17 @@
     }
   }
 
+  private noteDamage(bound: BoundCell): void {
+    const {cell} = bound;
+    this.visits.visited += cell.size;
+    const usable = partsWhere(cell, (at) => this.racks.isUsable(at));
+    if (usable.length === 1 && usable[0]?.size === cell.size) {
+      this.damaged.delete(bound);
+    } else {
+      this.damaged.add(bound);
+    }
+  }
+
   /** Works out again which of a bound cell's accelerators are unused. */
   private refreshShare(bound: BoundCell, cell: Cell): void {
     const {share} = bound;
--- a/src/scheduling/placement.ts
+++ b/src/scheduling/placement.ts
@@ -35,6 +35,11 @@
 const LENT_FROM_BOUND_HOURS = 0.25;
 /** Score in accelerator hours of taking a starved job's reservation. */
 const RESERVATION_TAKEN_HOURS = 4;
+/**
+ * Score in accelerator hours of preempting a borrower whose customer has
+ * unused guaranteed cells; it would restart there and could preempt others.
+ */
+const CASCADE_HOURS = 2;
 /** Score in accelerator hours of a worker that failed this job before. */
 const AVOIDED_WORKER_HOURS = 8;
 /** Wait added to a reservation in which other customers' cells are bound. */
@@ -228,7 +233,7 @@
     const evicted = this.full.gangsInTheWay(job, proposal.cell);
     for (const gang of evicted) {
       if (gang.guaranteed) return undefined;
-      delayHours += preemptionCost(gang, now);
+      delayHours += preemptionCost(gang, now) + this.cascadeHours(gang);
     }
     for (const keeper of this.full.keepersInTheWay(job, proposal.cell)) {
       if (keeper.stage !== 'reserving') return undefined;
@@ -237,6 +242,12 @@
     return {...proposal, evicted, delayHours};
   }
 
+  private cascadeHours(gang: PlannedJob): number {
+    const {customerId} = gang.record;
+    const fits = this.guarantees.fits(customerId, gang.cellSize);
+    return fits.length > 0 ? CASCADE_HOURS : 0;
+  }
+
   private avoidanceHours(job: PlannedJob, cell: Cell): number {
     const {avoid} = job.history;
     if (avoid.size === 0) return 0;
--- a/src/scheduling/planning_pass.ts
+++ b/src/scheduling/planning_pass.ts
@@ -29,6 +29,7 @@
   ) {}
 
   run(): readonly PlanAction[] {
+    this.state.replaceDamagedCells();
     this.promoteBorrowers();
     this.startKept();
     for (const customerId of this.state.queue.customers()) {
--- a/src/scheduling/zone_state.ts
+++ b/src/scheduling/zone_state.ts
@@ -91,10 +91,12 @@
       configuration.customers,
       this.availabilityZone,
     );
-    for (const job of demoted) {
-      if (job.stage === 'reclaiming') this.putBack(job);
-      else this.use.update(job);
-    }
+    this.demote(demoted);
+  }
+
+  /** Looks for other cells in place of guaranteed ones that lost workers. */
+  replaceDamagedCells(): void {
+    this.demote(this.guarantees.giveUpDamaged());
   }
 
   setWorker(worker: PlannedWorker): void {
@@ -277,6 +279,15 @@
     this.changedShares.add(job.record.customerId);
   }
 
+  /** Lets jobs go on without the guaranteed cells that they had. */
+  private demote(jobs: readonly PlannedJob[]): void {
+    for (const job of jobs) {
+      this.changedShares.add(job.record.customerId);
+      if (job.stage === 'reclaiming') this.putBack(job);
+      else this.use.update(job);
+    }
+  }
+
   private refresh(place: Cell): void {
     this.full.refresh(place);
     this.guarantees.refresh(place);
