Plan for the generator's fuel

The budget is the measured fuel less what was drawn since the measurement and ten minutes of the present draw. Everything is first booked as checkpointed; jobs are then booked to run to their end in order of priority while the budget allows it. The checkpoint of such a job stays booked for the case that it does not end in time.

Ruled out: throttling jobs that run to their end. With draw in proportion to speed it saves nothing on the job and costs the draw of the rest of the site. Throttling keeps the state of jobs that cannot checkpoint.

--- /dev/null
+++ b/src/scheduling/power_plan.ts
@@ -0,0 +1,227 @@
+/**
+ * What becomes of running jobs while the generator's fuel lasts. Each job
+ * either ends before the fuel is used up or is set aside in time. Remaining
+ * run times get a margin and some fuel stays unused.
+ *
+ * Throttling saves no energy on a job that runs to its end: at a share of the
+ * speed it takes as much longer, and the rest of the site draws power
+ * meanwhile. It is used for jobs that can neither end in time nor checkpoint:
+ * throttled, they keep their state with little fuel in case the grid returns.
+ */
+
+import type {PowerState} from '../model/configuration.js';
+import type {Instant, JobId} from '../model/ids.js';
+import {after} from '../model/ids.js';
+
+/** Added to remaining run times, because estimates are often too low. */
+const RUN_TIME_MARGIN = 0.25;
+/** Fuel for this time at the present draw is kept in reserve. */
+const RESERVE_MS = 600_000;
+/** A guaranteed job that needs less than this is near its end. */
+const NEAR_END_MS = 1_800_000;
+/** Share of full speed, and of full draw, of a throttled job. */
+export const THROTTLED_SHARE = 0.1;
+const WATT_MILLISECONDS_PER_KILOWATT_HOUR = 3_600_000_000;
+
+/** A running job as the power plan sees it. */
+export interface PoweredJob {
+  readonly jobId: JobId;
+  /** True if it runs in a guaranteed cell of its customer. */
+  readonly guaranteed: boolean;
+  /** Estimate without margin, at full speed. */
+  readonly remainingRunTimeMs: number;
+  /** Draw of the job's tasks at full speed, above that of idle workers. */
+  readonly drawWatts: number;
+  /** Longest time of a checkpoint; undefined if the job cannot checkpoint. */
+  readonly checkpointMs: number | undefined;
+  /** Accelerator milliseconds since the last checkpoint. */
+  readonly workSinceCheckpoint: number;
+}
+
+export type FuelLevel = Pick<
+  Extract<PowerState, {supply: 'generator'}>,
+  'fuelKilowattHours' | 'measuredAt'
+>;
+
+export type PowerStep =
+  /** Stopped at once; it can neither end in time nor checkpoint. */
+  | {readonly kind: 'stop'; readonly jobId: JobId}
+  | {
+      /** Throttled to `share` and stopped at `until`, unless replanned. */
+      readonly kind: 'throttle';
+      readonly jobId: JobId;
+      readonly share: number;
+      readonly until: Instant;
+    }
+  | {
+      /** Checkpointed at once and then stopped. */
+      readonly kind: 'checkpoint';
+      readonly jobId: JobId;
+      readonly doneBy: Instant;
+    }
+  | {
+      /** Runs on at full speed until it ends. */
+      readonly kind: 'finish';
+      readonly jobId: JobId;
+      /** Latest end, margin included; set aside if it runs longer. */
+      readonly endsBy: Instant;
+    };
+
+export interface PowerPlan {
+  /** In the order in which they are to be carried out. */
+  readonly steps: readonly PowerStep[];
+  /** When the fuel is used up except for the reserve, if all goes to plan. */
+  readonly fuelLastsUntil: Instant;
+  /** False if not even the checkpoints fit without the reserve. */
+  readonly isSafe: boolean;
+}
+
+/**
+ * Plans for the fuel that is left. `drawWatts` is the draw of everything that
+ * the generator feeds, the jobs included. Call it again when the fuel or the
+ * draw was measured again and when jobs end.
+ */
+export function planForFuel(
+  jobs: readonly PoweredJob[],
+  fuel: FuelLevel,
+  drawWatts: number,
+  now: Instant,
+): PowerPlan {
+  const budget = new FuelBudget(jobs, fuel, drawWatts, now);
+  const byPriority = [...jobs].sort(comparePriority);
+  const finishing = byPriority.filter((job) => budget.tryToFinish(job));
+  const others = byPriority.filter((job) => !finishing.includes(job));
+  const toCheckpoint = others
+    .filter((job) => job.checkpointMs !== undefined)
+    .sort(compareRisk);
+  const unsafe = others.filter((job) => job.checkpointMs === undefined);
+  const throttled = unsafe.filter((job) => budget.tryToThrottle(job));
+  const stopped = unsafe.filter((job) => !throttled.includes(job));
+  const until = budget.lastsUntil();
+  const steps: PowerStep[] = [
+    ...stopped.map(({jobId}) => ({kind: 'stop' as const, jobId})),
+    ...throttled.map(({jobId}) => ({
+      kind: 'throttle' as const,
+      jobId,
+      share: THROTTLED_SHARE,
+      until,
+    })),
+    ...toCheckpoint.map(({jobId, checkpointMs}) => ({
+      kind: 'checkpoint' as const,
+      jobId,
+      doneBy: after(now, checkpointMs ?? 0),
+    })),
+    ...finishing.map((job) => ({
+      kind: 'finish' as const,
+      jobId: job.jobId,
+      endsBy: after(now, withMargin(job)),
+    })),
+  ];
+  return {steps, fuelLastsUntil: until, isSafe: budget.isSafe()};
+}
+
+/** Energy in watt milliseconds that the plan may use and has used. */
+class FuelBudget {
+  private readonly usable: number;
+  /** Draw of everything but the jobs, which lasts as long as the plan. */
+  private readonly baseWatts: number;
+  /** Time until the last job has ended or is set aside. */
+  private lengthMs: number;
+  /** Energy of jobs that end or are checkpointed. */
+  private jobEnergy: number;
+  private throttledWatts = 0;
+
+  constructor(
+    jobs: readonly PoweredJob[],
+    fuel: FuelLevel,
+    drawWatts: number,
+    private readonly now: Instant,
+  ) {
+    const sinceMeasured = Math.max(0, now - fuel.measuredAt);
+    const measured =
+      fuel.fuelKilowattHours * WATT_MILLISECONDS_PER_KILOWATT_HOUR;
+    this.usable = measured - drawWatts * (sinceMeasured + RESERVE_MS);
+    const jobWatts = sumOf(jobs, (job) => job.drawWatts);
+    this.baseWatts = Math.max(0, drawWatts - jobWatts);
+    this.jobEnergy = sumOf(jobs, checkpointEnergy);
+    this.lengthMs = Math.max(0, ...jobs.map((job) => job.checkpointMs ?? 0));
+  }
+
+  isSafe(): boolean {
+    return this.energyFor(this.lengthMs, this.jobEnergy) <= this.usable;
+  }
+
+  /**
+   * Books the job's run to its end. Its checkpoint stays booked, for the case
+   * that it does not end in time.
+   */
+  tryToFinish(job: PoweredJob): boolean {
+    const ownLengthMs = withMargin(job) + (job.checkpointMs ?? 0);
+    const lengthMs = Math.max(this.lengthMs, ownLengthMs);
+    const jobEnergy = this.jobEnergy + job.drawWatts * withMargin(job);
+    if (this.energyFor(lengthMs, jobEnergy) > this.usable) return false;
+    this.lengthMs = lengthMs;
+    this.jobEnergy = jobEnergy;
+    return true;
+  }
+
+  /** Books the throttled job until the last other job has ended. */
+  tryToThrottle(job: PoweredJob): boolean {
+    const watts = job.drawWatts * THROTTLED_SHARE;
+    this.throttledWatts += watts;
+    if (this.isSafe()) return true;
+    this.throttledWatts -= watts;
+    return false;
+  }
+
+  lastsUntil(): Instant {
+    const left = this.usable - this.energyFor(this.lengthMs, this.jobEnergy);
+    const watts = this.baseWatts + this.throttledWatts;
+    if (left <= 0) return after(this.now, this.lengthMs);
+    if (watts === 0) return after(this.now, Number.MAX_SAFE_INTEGER - this.now);
+    return after(this.now, this.lengthMs + left / watts);
+  }
+
+  private energyFor(lengthMs: number, jobEnergy: number): number {
+    return (this.baseWatts + this.throttledWatts) * lengthMs + jobEnergy;
+  }
+}
+
+function withMargin(job: PoweredJob): number {
+  return job.remainingRunTimeMs * (1 + RUN_TIME_MARGIN);
+}
+
+function checkpointEnergy(job: PoweredJob): number {
+  return job.drawWatts * (job.checkpointMs ?? 0);
+}
+
+/** Guaranteed jobs near their end, other guaranteed jobs, then the rest. */
+function priorityClass(job: PoweredJob): number {
+  if (!job.guaranteed) return 2;
+  return job.remainingRunTimeMs <= NEAR_END_MS ? 0 : 1;
+}
+
+/** Within a class, jobs that need the least energy go first. */
+function comparePriority(one: PoweredJob, other: PoweredJob): number {
+  const byClass = priorityClass(one) - priorityClass(other);
+  if (byClass !== 0) return byClass;
+  const byEnergy =
+    one.drawWatts * one.remainingRunTimeMs -
+    other.drawWatts * other.remainingRunTimeMs;
+  return byEnergy !== 0 ? byEnergy : compareIds(one, other);
+}
+
+/** Order of checkpoints: guaranteed jobs and much unsaved work first. */
+function compareRisk(one: PoweredJob, other: PoweredJob): number {
+  if (one.guaranteed !== other.guaranteed) return one.guaranteed ? -1 : 1;
+  const byWork = other.workSinceCheckpoint - one.workSinceCheckpoint;
+  return byWork !== 0 ? byWork : compareIds(one, other);
+}
+
+function compareIds(one: PoweredJob, other: PoweredJob): number {
+  return one.jobId < other.jobId ? -1 : one.jobId > other.jobId ? 1 : 0;
+}
+
+function sumOf<T>(items: readonly T[], value: (item: T) => number): number {
+  return items.reduce((sum, item) => sum + value(item), 0);
+}
