--- /dev/null
+++ b/test/configuration_audit.test.ts
@@ -0,0 +1,140 @@
+/**
+ * Guards against decisions of schedulers that vanish from the audit trail
+ * without a statement, and against a trail that grows without bound.
+ */
+
+import assert from 'node:assert/strict';
+import {afterEach, beforeEach, describe, it} from 'node:test';
+import type {DecisionHistory} from '../src/controllers/audit_trail.js';
+import {
+  AuditReader,
+  DECISION_SLOTS,
+  DecisionLog,
+  MAXIMUM_WAITING_DECISIONS,
+} from '../src/controllers/audit_trail.js';
+import {CleanupScope} from '../src/lifecycle/cleanup_scope.js';
+import {trustedId} from '../src/model/ids.js';
+import type {AvailabilityZone} from '../src/model/ids.js';
+import {ManualClock, MemoryStore, ZeroRandom} from './control_fakes.js';
+
+const ZONE = trustedId<AvailabilityZone>('fv-1');
+
+describe('the audit trail of decisions', {timeout: 20_000}, () => {
+  let scope: CleanupScope;
+  let store: MemoryStore;
+
+  beforeEach(() => {
+    scope = new CleanupScope();
+    store = new MemoryStore();
+  });
+  afterEach(() => scope.close());
+
+  function newLog(daemon: string): DecisionLog {
+    return new DecisionLog({
+      store,
+      scope,
+      clock: new ManualClock(),
+      random: new ZeroRandom(),
+      log: () => {},
+      daemonId: trustedId(daemon),
+      availabilityZone: ZONE,
+    });
+  }
+
+  async function read(): Promise<DecisionHistory> {
+    const history = await new AuditReader(store).decisions(ZONE);
+    assert.ok(history.isOk);
+    return history.value;
+  }
+
+  function subjects(history: DecisionHistory): string[] {
+    return history.batches.flatMap(({decisions}) =>
+      decisions.map(({subject}) => subject),
+    );
+  }
+
+  it('writes many decisions in one batch, in order', async () => {
+    const log = newLog('daemon-1');
+    for (let i = 0; i < 50; i += 1) log.record('start', `job-${i}`, 'fits');
+    await log.flush();
+    const history = await read();
+    assert.equal(history.batches.length, 1);
+    assert.equal(subjects(history)[49], 'job-49');
+  });
+
+  it('counts what an outage did not let it keep', async () => {
+    const log = newLog('daemon-1');
+    store.fault = () => 'down';
+    const recorded = MAXIMUM_WAITING_DECISIONS + 50;
+    for (let i = 0; i < recorded; i += 1) log.record('start', `j-${i}`, '');
+    await log.flush();
+    assert.equal(log.notKeptCount, 50);
+    store.fault = () => 'none';
+    await log.flush();
+    const history = await read();
+    const stated = history.batches.reduce((sum, b) => sum + b.notKept, 0);
+    assert.equal(stated, 50);
+    assert.equal(subjects(history).length + stated, recorded);
+    assert.equal(log.notKeptCount, 0);
+  });
+
+  it('writes each decision once if answers or writes are lost', async () => {
+    const log = newLog('daemon-1');
+    let puts = 0;
+    store.fault = (operation) => {
+      if (operation !== 'put') return 'none';
+      puts += 1;
+      if (puts % 3 === 1) return 'lost-answer';
+      return puts % 3 === 2 ? 'lost-write' : 'none';
+    };
+    for (let i = 0; i < 30; i += 1) {
+      log.record('start', `job-${i}`, '');
+      await log.flush();
+    }
+    store.fault = () => 'none';
+    await log.flush();
+    const history = await read();
+    assert.deepEqual(history.missingSequences, []);
+    assert.deepEqual(
+      subjects(history),
+      Array.from({length: 30}, (_, i) => `job-${i}`),
+    );
+  });
+
+  it('keeps a bounded ring that two daemons share', async () => {
+    const logs = [newLog('daemon-1'), newLog('daemon-2')];
+    for (let i = 0; i < DECISION_SLOTS + 20; i += 1) {
+      for (const log of logs) log.record('start', `job-${i}`, '');
+      await Promise.all(logs.map((log) => log.flush()));
+    }
+    const keys = store.keys('audit/decisions/').length;
+    assert.equal(keys, DECISION_SLOTS + 1);
+    const history = await read();
+    assert.equal(history.batches.length, DECISION_SLOTS);
+    assert.equal(history.batches.at(-1)?.sequence, 2 * (DECISION_SLOTS + 20));
+  });
+
+  it('shows a batch that was claimed and never written', async () => {
+    const dying = newLog('daemon-1');
+    store.fault = (operation, key) =>
+      operation === 'put' && !key.endsWith('/head') ? 'down' : 'none';
+    dying.record('start', 'job-1', '');
+    await dying.flush();
+    store.fault = () => 'none';
+    const next = newLog('daemon-2');
+    next.record('start', 'job-2', '');
+    await next.flush();
+    const history = await read();
+    assert.deepEqual(history.missingSequences, [1]);
+    assert.deepEqual(subjects(history), ['job-2']);
+  });
+
+  it('writes what waits when the daemon stops', async () => {
+    const log = newLog('daemon-1');
+    log.start();
+    await log.flush();
+    log.record('stop', 'job-1', '');
+    await scope.close();
+    assert.deepEqual(subjects(await read()), ['job-1']);
+  });
+});
--- /dev/null
+++ b/test/configuration_follower.test.ts
@@ -0,0 +1,307 @@
+/**
+ * Guards against a configuration that goes back, skips a change, or does not
+ * reach a daemon while the store is down.
+ */
+
+import assert from 'node:assert/strict';
+import {afterEach, beforeEach, describe, it} from 'node:test';
+import fc from 'fast-check';
+import {AuditReader} from '../src/controllers/audit_trail.js';
+import type {ConfigurationController} from '../src/controllers/configuration_controller.js';
+import {HEAD_KEY} from '../src/controllers/configuration_store.js';
+import {CleanupScope} from '../src/lifecycle/cleanup_scope.js';
+import type {StoreFault} from './control_fakes.js';
+import {
+  Gate,
+  MemoryStore,
+  customerEdit,
+  newController,
+  proposal,
+  until,
+} from './control_fakes.js';
+
+/** Records the versions that a controller announces. */
+function recordVersions(controller: ConfigurationController): number[] {
+  const versions: number[] = [];
+  controller.onApplied(({configuration}) => {
+    versions.push(configuration.version);
+  });
+  return versions;
+}
+
+describe('the configuration follower', {timeout: 30_000}, () => {
+  let scope: CleanupScope;
+  let store: MemoryStore;
+  let writer: ConfigurationController;
+
+  beforeEach(() => {
+    scope = new CleanupScope();
+    store = new MemoryStore();
+    writer = newController(store, scope);
+  });
+  afterEach(() => scope.close());
+
+  async function write(count: number): Promise<void> {
+    for (let i = 0; i < count; i += 1) {
+      const edit = customerEdit(`customer-${writer.version % 10}`, i + 1);
+      assert.ok((await writer.propose(proposal(edit, writer.version))).isOk);
+    }
+  }
+
+  it('applies every change in order and without gaps', async () => {
+    const follower = newController(store, scope);
+    const versions = recordVersions(follower);
+    follower.start();
+    await follower.whenKnown();
+    await write(5);
+    await until(() => follower.version === 5);
+    assert.deepEqual(versions, [1, 2, 3, 4, 5]);
+    assert.deepEqual(follower.current, writer.current);
+  });
+
+  it('reads head and snapshot at the start (late daemon)', async () => {
+    await write(37);
+    const follower = newController(store, scope);
+    follower.start();
+    await until(() => follower.version === 37);
+    assert.deepEqual(follower.current, writer.current);
+  });
+
+  it('never goes back after a pause with an old watch', async () => {
+    const follower = newController(store, scope);
+    const versions = recordVersions(follower);
+    follower.start();
+    await follower.whenKnown();
+    await write(3);
+    await until(() => follower.version === 3);
+    const oldHead = store.entries.get(HEAD_KEY);
+    assert.ok(oldHead);
+    await write(30);
+    await until(() => follower.version === 33);
+    // The old batch arrives late, as after a pause of the process.
+    const watch = store.watch.bind(store);
+    let delivered = 0;
+    store.watch = async (...args) => {
+      const batch = await watch(...args);
+      if (batch.isErr || delivered > 0) return batch;
+      delivered += 1;
+      return batch.map((value) => ({...value, changed: [oldHead]}));
+    };
+    await until(() => delivered === 1);
+    follower.receive({
+      kind: 'snapshot',
+      configuration: {...writer.current, version: 2},
+    });
+    await write(1);
+    await until(() => follower.version === 34);
+    assert.deepEqual(
+      versions,
+      [...versions].sort((a, b) => a - b),
+    );
+    assert.equal(new Set(versions).size, versions.length);
+  });
+
+  it('gets the configuration from a peer while the store is down', async () => {
+    await write(20);
+    store.fault = () => 'down';
+    const late = newController(store, scope);
+    late.start();
+    const snapshot = writer.configurationSince(late.version);
+    assert.ok(late.receive(snapshot).isOk);
+    await late.whenKnown();
+    assert.deepEqual(late.current, writer.current);
+    store.fault = () => 'none';
+    await write(1);
+    await until(() => late.version === 21);
+  });
+
+  it('takes a newer version from a peer while the store is slow', async () => {
+    const gate = new Gate();
+    await write(2);
+    store.delay = async (operation) => {
+      if (operation === 'list' || operation === 'watch') await gate.opened;
+    };
+    const slow = newController(store, scope);
+    slow.start();
+    assert.ok(slow.receive(writer.configurationSince(0)).isOk);
+    assert.equal(slow.version, 2);
+    gate.open();
+    await write(1);
+    await until(() => slow.version === 3);
+  });
+
+  it('refuses changes with a gap as a whole', async () => {
+    await write(4);
+    const update = writer.configurationSince(0);
+    assert.ok(update.kind === 'changes');
+    const follower = newController(store, scope);
+    const gap = update.changes.filter(({version}) => version !== 2);
+    assert.ok(follower.receive({kind: 'changes', changes: gap}).isErr);
+    assert.equal(follower.version, 0);
+    assert.equal(follower.receive(update).unwrapOr(0), 4);
+  });
+
+  it('tells all listeners in order if one causes a newer version', async () => {
+    await write(2);
+    const update = writer.configurationSince(0);
+    assert.ok(update.kind === 'changes');
+    const [one, two] = update.changes;
+    assert.ok(one && two);
+    const follower = newController(store, scope);
+    follower.onApplied(() => {
+      follower.receive({kind: 'changes', changes: [two]});
+    });
+    const versions = recordVersions(follower);
+    follower.receive({kind: 'changes', changes: [one]});
+    assert.deepEqual(versions, [1, 2]);
+  });
+});
+
+type Step =
+  | {kind: 'propose'; writer: number; customer: number; stale: boolean}
+  | {kind: 'tell'; from: number; to: number}
+  | {kind: 'freeze'; daemon: number}
+  | {kind: 'wake'; daemon: number};
+
+const DAEMONS = 3;
+const daemonIndex = fc.nat(DAEMONS - 1);
+const stepArbitrary: fc.Arbitrary<Step> = fc.oneof(
+  {
+    weight: 4,
+    arbitrary: fc.record({
+      kind: fc.constant('propose' as const),
+      writer: daemonIndex,
+      customer: fc.nat(3),
+      stale: fc.boolean(),
+    }),
+  },
+  fc.record({
+    kind: fc.constant('tell' as const),
+    from: daemonIndex,
+    to: daemonIndex,
+  }),
+  fc.record({kind: fc.constant('freeze' as const), daemon: daemonIndex}),
+  fc.record({kind: fc.constant('wake' as const), daemon: daemonIndex}),
+);
+const faultArbitrary = fc.constantFrom<StoreFault>(
+  'none',
+  'none',
+  'none',
+  'down',
+  'lost-write',
+  'lost-answer',
+);
+
+/** A daemon whose watch a test can hold back. */
+interface Daemon {
+  readonly controller: ConfigurationController;
+  readonly versions: number[];
+  gate: Gate | undefined;
+}
+
+function startDaemon(store: MemoryStore, scope: CleanupScope): Daemon {
+  const view = Object.create(store) as MemoryStore;
+  const controller = newController(view, scope, {watchWaitMs: 2});
+  const versions = recordVersions(controller);
+  view.put = (...args) => store.put(...args);
+  const daemon: Daemon = {controller, versions, gate: undefined};
+  view.watch = async (...args) => {
+    const batch = await store.watch(...args);
+    await daemon.gate?.opened;
+    return batch;
+  };
+  controller.start();
+  return daemon;
+}
+
+async function checkInterleaving(
+  steps: readonly Step[],
+  faults: readonly StoreFault[],
+): Promise<void> {
+  const scope = new CleanupScope();
+  const store = new MemoryStore();
+  const written: number[] = [];
+  store.onWrite = ({key, value}) => {
+    if (key === HEAD_KEY) {
+      written.push((JSON.parse(value) as {version: number}).version);
+    }
+  };
+  let operations = 0;
+  store.fault = (operation) =>
+    operation === 'watch' || operation === 'list'
+      ? 'none'
+      : (faults[(operations += 1) % faults.length] ?? 'none');
+  const daemons = Array.from({length: DAEMONS}, () =>
+    startDaemon(store, scope),
+  );
+  const at = (index: number) => daemons[index] as Daemon;
+  const accepted: string[] = [];
+  const refused: string[] = [];
+  const running: Array<Promise<void>> = [];
+  for (const step of steps) {
+    if (step.kind === 'propose') {
+      const {controller} = at(step.writer);
+      const base = step.stale ? 0 : controller.version;
+      const change = proposal(customerEdit(`c-${step.customer}`), base);
+      running.push(
+        controller.propose(change).then((result) => {
+          if (result.isOk) accepted.push(change.id);
+          else if (result.error.kind !== 'unknown-effect') {
+            refused.push(change.id);
+          }
+        }),
+      );
+    } else if (step.kind === 'tell') {
+      const to = at(step.to).controller;
+      to.receive(at(step.from).controller.configurationSince(to.version));
+    } else if (step.kind === 'freeze') {
+      at(step.daemon).gate ??= new Gate();
+    } else {
+      at(step.daemon).gate?.open();
+      at(step.daemon).gate = undefined;
+    }
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+  await Promise.all(running);
+  store.fault = () => 'none';
+  for (const daemon of daemons) daemon.gate?.open();
+  const last = written.at(-1) ?? 0;
+  await until(() => daemons.every((d) => d.controller.version === last));
+  await scope.close();
+
+  assert.deepEqual(
+    written,
+    written.map((_, i) => i + 1),
+    'the head rises by one with each write',
+  );
+  for (const {versions, controller} of daemons) {
+    assert.ok(
+      versions.every((version, i) => version > (versions[i - 1] ?? 0)),
+      `a daemon went back: ${versions.join(' ')}`,
+    );
+    assert.deepEqual(controller.current, daemons[0]?.controller.current);
+  }
+  const audit = await new AuditReader(store).configurationChanges();
+  assert.ok(audit.isOk);
+  assert.deepEqual(audit.value.missingVersions, []);
+  const ids: string[] = audit.value.changes.map(({id}) => id);
+  assert.equal(ids.length, last);
+  assert.equal(new Set(ids).size, ids.length);
+  for (const id of accepted) assert.ok(ids.includes(id), `lost ${id}`);
+  for (const id of refused) assert.ok(!ids.includes(id), `refused ${id}`);
+}
+
+it(
+  'keeps order and audit under interleaved writers, followers and faults',
+  {timeout: 120_000},
+  async () => {
+    await fc.assert(
+      fc.asyncProperty(
+        fc.array(stepArbitrary, {minLength: 10, maxLength: 60}),
+        fc.array(faultArbitrary, {minLength: 1, maxLength: 24}),
+        checkInterleaving,
+      ),
+      {seed: 20_261_204, numRuns: 60},
+    );
+  },
+);
--- /dev/null
+++ b/test/membership_heartbeats.test.ts
@@ -0,0 +1,347 @@
+/**
+ * Guards against zones with two owners or none for longer than the peer
+ * timeout, and against configuration that waits for the store. Time is
+ * simulated: timers are mocked and each daemon has its own clock.
+ */
+
+import assert from 'node:assert/strict';
+import {afterEach, beforeEach, describe, it, mock} from 'node:test';
+import {Result} from 'true-myth';
+import type {ConfigurationController} from '../src/controllers/configuration_controller.js';
+import {MembershipController} from '../src/controllers/membership_controller.js';
+import {CleanupScope} from '../src/lifecycle/cleanup_scope.js';
+import {UnavailableError} from '../src/model/errors.js';
+import {instant, trustedId} from '../src/model/ids.js';
+import type {AvailabilityZone, VmId} from '../src/model/ids.js';
+import type {Heartbeat, QueueLength} from '../src/platform/peer_client.js';
+import type {EntryVm} from '../src/platform/vm_list.js';
+import {
+  ManualClock,
+  MemoryStore,
+  customerEdit,
+  newController,
+} from './control_fakes.js';
+
+const STEP_MS = 100;
+const PEER_TIMEOUT_MS = 2_000;
+const NORTH = trustedId<AvailabilityZone>('north');
+const SOUTH = trustedId<AvailabilityZone>('south');
+const MINION = trustedId<VmId>('minion-1');
+
+interface Daemon {
+  readonly address: string;
+  readonly entryVm: EntryVm;
+  readonly clock: ManualClock;
+  readonly scope: CleanupScope;
+  readonly membership: MembershipController;
+  readonly configuration: ConfigurationController;
+  /** Neither sends nor answers; its clock stands still if `frozen`. */
+  silent: boolean;
+  frozen: boolean;
+  queueLengths: QueueLength[];
+  readonly received: Array<{from: string; heartbeat: Heartbeat}>;
+}
+
+class Site {
+  readonly daemons: Daemon[] = [];
+  listed = true;
+  private readonly store = new MemoryStore();
+
+  constructor() {
+    this.store.fault = () => 'down';
+  }
+
+  start(
+    name: string,
+    zone: AvailabilityZone,
+    seeds: string[] = [],
+    address = `10.0.0.${this.daemons.length + 1}:7000`,
+  ): Daemon {
+    const scope = new CleanupScope();
+    const clock = new ManualClock();
+    const configuration = newController(this.store, scope);
+    const daemon: Daemon = {
+      address,
+      entryVm: {
+        role: 'entry',
+        vmId: trustedId(name),
+        availabilityZone: zone,
+        address,
+        state: 'live',
+      },
+      clock,
+      scope,
+      configuration,
+      silent: false,
+      frozen: false,
+      queueLengths: [],
+      received: [],
+      membership: new MembershipController({
+        daemonId: trustedId(`${name}-run-${this.daemons.length}`),
+        vmId: trustedId(name),
+        availabilityZone: zone,
+        address,
+        seeds,
+        peerTimeoutMs: PEER_TIMEOUT_MS,
+        peers: {
+          heartbeat: (to, heartbeat) => this.deliver(daemon, to, heartbeat),
+          configurationSince: async (to, version) => {
+            const peer = this.reach(daemon, to);
+            if (!peer) return Result.err(unreachable());
+            return Result.ok(peer.configuration.configurationSince(version));
+          },
+        },
+        vms: {
+          loaded: true,
+          entryVms: () => (this.listed ? this.entryVms() : []),
+          vm: () => undefined,
+          onChange: () => () => {},
+        },
+        configuration,
+        queueLengths: () => daemon.queueLengths,
+        clock,
+        scope,
+        log: () => {},
+      }),
+    };
+    this.daemons.push(daemon);
+    daemon.membership.start();
+    return daemon;
+  }
+
+  /** Lets time pass for all daemons that are not frozen. */
+  async pass(milliseconds: number): Promise<void> {
+    for (let passed = 0; passed < milliseconds; passed += STEP_MS) {
+      for (const {clock, frozen} of this.daemons) {
+        if (!frozen) clock.advance(STEP_MS);
+      }
+      mock.timers.tick(STEP_MS);
+      await this.settle();
+    }
+  }
+
+  /** Lets all messages on the way arrive. */
+  async settle(): Promise<void> {
+    for (let i = 0; i < 5; i += 1) {
+      await new Promise((resolve) => setImmediate(resolve));
+    }
+  }
+
+  scheduler(zone: AvailabilityZone): Daemon {
+    const owners = this.daemons.filter(
+      (daemon) => !daemon.silent && daemon.membership.isScheduler(),
+    );
+    const own = owners.filter(
+      ({membership}) => membership.schedulerOf(zone)?.self,
+    );
+    assert.equal(own.length, 1, `${own.length} schedulers of ${zone}`);
+    return own[0] as Daemon;
+  }
+
+  private reach(from: Daemon, to: string): Daemon | undefined {
+    if (from.silent) return undefined;
+    return this.daemons.findLast((d) => d.address === to && !d.silent);
+  }
+
+  private async deliver(from: Daemon, to: string, heartbeat: Heartbeat) {
+    const peer = this.reach(from, to);
+    if (!peer) return Result.err(unreachable());
+    peer.received.push({from: from.address, heartbeat});
+    return Result.ok(peer.membership.receiveHeartbeat(heartbeat));
+  }
+
+  private entryVms(): EntryVm[] {
+    return this.daemons.map(({entryVm}) => entryVm);
+  }
+}
+
+function unreachable(): UnavailableError {
+  return new UnavailableError('not reachable', 'wait');
+}
+
+describe('membership', {timeout: 30_000}, () => {
+  let site: Site;
+
+  beforeEach(() => {
+    mock.timers.enable({apis: ['setInterval', 'setTimeout']});
+    site = new Site();
+  });
+  afterEach(async () => {
+    for (const {scope} of site.daemons) await scope.close();
+    mock.timers.reset();
+  });
+
+  async function startZone(count: number, zone = NORTH): Promise<void> {
+    for (let i = 0; i < count; i += 1) site.start(`${zone}-${i}`, zone);
+    await site.pass(1_000);
+  }
+
+  it('agrees on one owner per zone and per minion', async () => {
+    await startZone(5);
+    site.scheduler(NORTH);
+    const homes = site.daemons.map(
+      ({membership}) => membership.homeDaemonOf(NORTH, MINION)?.vmId,
+    );
+    assert.equal(new Set(homes).size, 1);
+    const own = site.daemons.filter((d) => d.membership.isHomeOf(MINION));
+    assert.equal(own.length, 1);
+  });
+
+  it('replaces a dead scheduler within the peer timeout', async () => {
+    await startZone(4);
+    const dead = site.scheduler(NORTH);
+    const events: number[] = [];
+    for (const {membership} of site.daemons) {
+      membership.onChange(({owners}) => events.push(owners.length));
+    }
+    dead.silent = true;
+    await site.pass(PEER_TIMEOUT_MS + 2 * STEP_MS);
+    assert.notEqual(site.scheduler(NORTH), dead);
+    // Each of the other three daemons tells its listeners once.
+    assert.equal(events.filter((owners) => owners === 3).length, 3);
+  });
+
+  it('ends ownership of a leaving daemon with its next heartbeat', async () => {
+    await startZone(3);
+    const leaving = site.scheduler(NORTH);
+    leaving.membership.leave();
+    await site.settle();
+    assert.notEqual(site.scheduler(NORTH), leaving);
+    assert.equal(leaving.membership.isHomeOf(MINION), false);
+    for (const {membership} of site.daemons) {
+      assert.equal(membership.owners(NORTH).length, 2);
+      assert.equal(membership.liveDaemons(NORTH).length, 3);
+    }
+  });
+
+  it('owns nothing after a pause until peers are heard again', async () => {
+    await startZone(3);
+    const paused = site.scheduler(NORTH);
+    paused.silent = true;
+    paused.frozen = true;
+    await site.pass(10_000);
+    const next = site.scheduler(NORTH);
+    paused.clock.advance(10_000);
+    assert.equal(paused.membership.isScheduler(), false);
+    assert.equal(next.membership.isScheduler(), true);
+    paused.frozen = false;
+    paused.silent = false;
+    await site.pass(600);
+    assert.equal(paused.membership.settled, true);
+    assert.equal(site.scheduler(NORTH), paused);
+  });
+
+  it('works alone after a pause if it hears no peer in time', async () => {
+    await startZone(2);
+    const [alone] = site.daemons;
+    assert.ok(alone);
+    alone.silent = true;
+    alone.clock.advance(PEER_TIMEOUT_MS + 1);
+    assert.equal(alone.membership.isScheduler(), false);
+    await site.pass(PEER_TIMEOUT_MS + 2 * STEP_MS);
+    assert.equal(alone.membership.isScheduler(), true);
+  });
+
+  it('brings a new configuration to all zones without the store', async () => {
+    await startZone(4);
+    await startZone(4, SOUTH);
+    await site.pass(6_000);
+    site.daemons[0]?.configuration.receive({
+      kind: 'changes',
+      changes: [
+        {
+          id: trustedId('change-a'),
+          version: 1,
+          baseVersion: 0,
+          author: 'operator',
+          acceptedAt: instant(1),
+          edit: customerEdit('guild'),
+        },
+      ],
+    });
+    // No time passes: only announcements carry it, no regular heartbeat.
+    await site.settle();
+    await site.settle();
+    for (const {configuration} of site.daemons) {
+      assert.equal(configuration.version, 1);
+    }
+  });
+
+  it('keeps links to at most two daemons of another zone', async () => {
+    await startZone(1);
+    await startZone(6, SOUTH);
+    const [north] = site.daemons;
+    assert.ok(north);
+    await site.pass(12_000);
+    const linked = () =>
+      site.daemons.filter(({received}) =>
+        received.some(({from}) => from === north.address),
+      );
+    assert.equal(linked().length, 2);
+    // Two silent ones are replaced by two others.
+    for (const daemon of linked()) daemon.silent = true;
+    await site.pass(20_000);
+    assert.equal(linked().length, 4);
+  });
+
+  it('reports queue lengths on change, and again to a new run', async () => {
+    await startZone(2);
+    const home = site.daemons.find((d) => d.membership.isHomeOf(MINION));
+    const other = site.daemons.find((d) => d !== home);
+    assert.ok(home && other);
+    const length = () => other.membership.queueLength(NORTH, MINION);
+    home.queueLengths = [{minionId: MINION, queued: 7}];
+    await site.pass(600);
+    assert.equal(length()?.queued, 7);
+    other.received.length = 0;
+    await site.pass(2_000);
+    for (const {heartbeat} of other.received) {
+      assert.deepEqual(heartbeat.queueLengths, []);
+    }
+    assert.ok((length()?.ageMs ?? Infinity) <= 600);
+    other.silent = true;
+    const again = site.start('again', NORTH, [], other.address);
+    await site.pass(1_200);
+    const seen = again.received.flatMap((r) => r.heartbeat.queueLengths);
+    assert.deepEqual(seen[0], {minionId: MINION, queued: 7});
+  });
+
+  it('sends queue lengths again if a heartbeat was lost', async () => {
+    await startZone(2);
+    const home = site.daemons.find((d) => d.membership.isHomeOf(MINION));
+    const other = site.daemons.find((d) => d !== home);
+    assert.ok(home && other);
+    home.queueLengths = [{minionId: MINION, queued: 3}];
+    other.silent = true;
+    await site.pass(1_000);
+    other.silent = false;
+    await site.pass(600);
+    assert.equal(other.membership.queueLength(NORTH, MINION)?.queued, 3);
+  });
+
+  it('finds all peers from one seed while the VM list is down', async () => {
+    site.listed = false;
+    const first = site.start('north-a', NORTH);
+    await site.pass(3_000);
+    site.start('north-b', NORTH, [first.address]);
+    site.start('north-c', NORTH, [first.address]);
+    await site.pass(1_500);
+    for (const {membership} of site.daemons) {
+      assert.equal(membership.owners(NORTH).length, 3);
+    }
+  });
+
+  it('ignores late heartbeats of an earlier run', async () => {
+    await startZone(2);
+    const [first, second] = site.daemons;
+    assert.ok(first && second);
+    const late = first.received.at(-1)?.heartbeat;
+    assert.ok(late);
+    second.silent = true;
+    site.start('north-1', NORTH, [], second.address);
+    await site.pass(1_200);
+    first.membership.receiveHeartbeat(late);
+    const ids = first.membership.liveDaemons(NORTH).map((m) => m.daemonId);
+    assert.deepEqual(ids.sort(), ['north-0-run-0', 'north-1-run-2']);
+  });
+});
