Test the links between daemons on loopback sockets

Cause: errors of calls have to say exactly whether there was an effect. Ruled out: waiting a fixed time for the new link; the test asks until a heartbeat is answered. Conclusion: silent, malformed, oversized, dying and absent peers are covered.

--- /dev/null
+++ b/test/peers_links.test.ts
@@ -0,0 +1,418 @@
+/**
+ * Guards against calls whose effect is reported wrongly, links that stay
+ * silent, answers that reach another call, and reconnect storms. All sockets
+ * are real and on loopback, with ports that the system chooses.
+ */
+
+import assert from 'node:assert/strict';
+import {once} from 'node:events';
+import {connect, createServer} from 'node:net';
+import type {AddressInfo, Socket} from 'node:net';
+import {afterEach, beforeEach, describe, it} from 'node:test';
+import {Result} from 'true-myth';
+import {WebSocket, WebSocketServer} from 'ws';
+import {CleanupScope} from '../src/lifecycle/cleanup_scope.js';
+import {EMPTY_CONFIGURATION} from '../src/model/configuration.js';
+import {
+  ConflictError,
+  InvalidInputError,
+  NotFoundError,
+  ProtocolError,
+  RefusedError,
+  TimeoutError,
+  UnavailableError,
+  UnknownEffectError,
+  hadNoEffect,
+} from '../src/model/errors.js';
+import type {CallError} from '../src/model/errors.js';
+import {instant, trustedId} from '../src/model/ids.js';
+import type {JobId, RequestId} from '../src/model/ids.js';
+import type {JobRecord} from '../src/model/jobs.js';
+import type {Outcome} from '../src/model/requests.js';
+import {PeerHandler} from '../src/platform/peer_client.js';
+import type {
+  ConfigurationUpdate,
+  Dispatch,
+  Heartbeat,
+  JobReport,
+} from '../src/platform/peer_client.js';
+import {MAXIMUM_MESSAGE_BYTES} from '../src/transport/peer_protocol.js';
+import {TrpcPeerClient} from '../src/transport/trpc_peer_client.js';
+import {TrpcPeerServer} from '../src/transport/trpc_peer_server.js';
+import {Gate, ZeroRandom, until} from './control_fakes.js';
+
+const LONG_MS = 20_000;
+
+function heartbeat(daemonId: string): Heartbeat {
+  return {
+    daemonId: trustedId(daemonId),
+    vmId: trustedId('entry-1'),
+    availabilityZone: trustedId('north'),
+    address: '127.0.0.1:7000',
+    leaving: false,
+    configurationVersion: 3,
+    queueLengths: [],
+  };
+}
+
+function dispatchOf(requestId: string): Dispatch {
+  return {
+    minionId: trustedId('minion-1'),
+    request: {
+      requestId: trustedId(requestId),
+      customerId: trustedId('guild'),
+      workClassId: trustedId('check'),
+      repeatable: false,
+      receivedAt: instant(1),
+      deadline: instant(2),
+      payload: 'pack',
+    },
+  };
+}
+
+const RECORD: JobRecord = {
+  jobId: trustedId('job-1'),
+  customerId: trustedId('guild'),
+  workClassId: trustedId('bake'),
+  availabilityZone: trustedId('north'),
+  shape: {tasks: 2, acceleratorsPerTask: 1},
+  urgency: 'normal',
+  declaredRunTimeMs: 1,
+  payload: '',
+  submittedAt: instant(1),
+  state: 'queued',
+  reason: '',
+  sequence: 0,
+  attempts: 0,
+};
+
+/** Answers each call; a test replaces what it needs. */
+class TestHandler extends PeerHandler {
+  error: CallError = new NotFoundError('no such job', 'list the jobs');
+  reports: JobReport[] = [];
+  answer: (requestId: string) => Promise<string> = async (id) => id;
+
+  override heartbeat(received: Heartbeat): Heartbeat {
+    return {...received, daemonId: trustedId('answering')};
+  }
+  override configurationSince(): ConfigurationUpdate {
+    return {kind: 'snapshot', configuration: EMPTY_CONFIGURATION};
+  }
+  override async dispatch({request}: Dispatch): Promise<Outcome> {
+    const answer = await this.answer(request.requestId);
+    return {outcome: 'answered', requestId: request.requestId, answer};
+  }
+  override async submitJob(): Promise<Result<void, CallError>> {
+    return Result.ok(undefined);
+  }
+  override async cancelJob(): Promise<Result<JobReport, CallError>> {
+    return Result.err(this.error);
+  }
+  override async job(): Promise<Result<JobReport, CallError>> {
+    return Result.ok({record: RECORD, inStore: true});
+  }
+  override jobs(): readonly JobReport[] {
+    return this.reports;
+  }
+  override async claimOutcome(requestId: RequestId): Promise<Outcome> {
+    return {outcome: 'answered', requestId, answer: 'claimed'};
+  }
+}
+
+/** Forwards TCP; connections that are open when it goes silent stay silent. */
+class SilencingProxy {
+  private readonly pairs = new Set<[Socket, Socket]>();
+  private readonly server = createServer((near) => {
+    const far = connect(this.target, '127.0.0.1');
+    this.pairs.add([near, far]);
+    near.on('error', () => far.destroy()).pipe(far);
+    far.on('error', () => near.destroy()).pipe(near);
+  });
+
+  constructor(private readonly target: number) {}
+
+  async listen(): Promise<string> {
+    this.server.listen(0, '127.0.0.1');
+    await once(this.server, 'listening');
+    return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+  }
+
+  silence(): void {
+    for (const [near, far] of this.pairs) {
+      near.unpipe(far);
+      far.unpipe(near);
+      near.pause();
+      far.pause();
+    }
+  }
+
+  async close(): Promise<void> {
+    for (const pair of this.pairs) for (const socket of pair) socket.destroy();
+    await new Promise((resolve) => this.server.close(resolve));
+  }
+}
+
+describe('links between daemons', {timeout: 60_000}, () => {
+  let scope: CleanupScope;
+  let handler: TestHandler;
+  let server: TrpcPeerServer;
+  let client: TrpcPeerClient;
+  let address: string;
+
+  beforeEach(async () => {
+    scope = new CleanupScope();
+    handler = new TestHandler();
+    server = await startServer(scope);
+    client = newClient();
+    address = `127.0.0.1:${server.port}`;
+  });
+  afterEach(() => scope.close());
+
+  async function startServer(owner: CleanupScope): Promise<TrpcPeerServer> {
+    const started = await TrpcPeerServer.listen({
+      handler,
+      host: '127.0.0.1',
+      port: 0,
+      scope: owner,
+      log: () => {},
+    });
+    assert.ok(started.isOk);
+    return started.value;
+  }
+
+  function newClient(heartbeatMs = LONG_MS): TrpcPeerClient {
+    return new TrpcPeerClient({
+      random: new ZeroRandom(),
+      scope,
+      log: () => {},
+      timeLimits: {heartbeatMs, jobMs: LONG_MS, jobsMs: LONG_MS},
+    });
+  }
+
+  /** A peer that answers each message with what `reply` gives. */
+  async function rawPeer(
+    reply: (socket: WebSocket, id: number) => void,
+  ): Promise<string> {
+    const raw = new WebSocketServer({host: '127.0.0.1', port: 0});
+    await once(raw, 'listening');
+    raw.on('connection', (socket) =>
+      socket.on('message', (data) => {
+        const {id} = JSON.parse(String(data)) as {id: number};
+        reply(socket, id);
+      }),
+    );
+    scope.add(async () => {
+      for (const socket of raw.clients) socket.terminate();
+      await new Promise((resolve) => raw.close(resolve));
+    });
+    return `127.0.0.1:${(raw.address() as AddressInfo).port}`;
+  }
+
+  it('carries every call over one connection', async () => {
+    const jobId = trustedId<JobId>('job-1');
+    const answers = [
+      await client.heartbeat(address, heartbeat('asking')),
+      await client.configurationSince(address, 0),
+      await client.dispatch(address, dispatchOf('request-1'), LONG_MS),
+      await client.submitJob(address, RECORD),
+      await client.job(address, jobId),
+      await client.jobs(address),
+      await client.claimOutcome(address, trustedId('request-1')),
+    ];
+    for (const answer of answers) assert.ok(answer.isOk, answer.toString());
+    assert.equal(client.linkCounters()[0]?.attempts, 1);
+    assert.equal(server.links().length, 1);
+  });
+
+  it('brings errors of the peer over as they are', async () => {
+    const errors = [
+      new InvalidInputError('job.id', 'is: malformed', 'correct it'),
+      new NotFoundError('a', 'b'),
+      new ConflictError('a', 'b'),
+      new RefusedError('a', 'b'),
+      new UnavailableError('a', 'b'),
+      new TimeoutError('a', 'b'),
+      new UnknownEffectError('a', 'b'),
+      new ProtocolError('a', 'b'),
+    ];
+    for (const error of errors) {
+      handler.error = error;
+      const answer = await client.cancelJob(address, trustedId('job-1'));
+      assert.ok(answer.isErr);
+      assert.equal(answer.error.constructor, error.constructor);
+      assert.deepEqual(answer.error.report(), error.report());
+      assert.equal(hadNoEffect(answer.error), hadNoEffect(error));
+    }
+  });
+
+  it('says that a handler that failed may have had an effect', async () => {
+    handler.answer = async () => {
+      throw new Error('out of memory');
+    };
+    const result = await client.dispatch(address, dispatchOf('r'), LONG_MS);
+    assert.ok(result.isErr && result.error.kind === 'unknown-effect');
+  });
+
+  it('has no effect if no peer listens, and does not storm', async () => {
+    const gone = new CleanupScope();
+    const port = (await startServer(gone)).port;
+    await gone.close();
+    for (let i = 0; i < 50; i += 1) {
+      const result = await client.dispatch(
+        `127.0.0.1:${port}`,
+        dispatchOf(`r-${i}`),
+        LONG_MS,
+      );
+      assert.ok(result.isErr && result.error.kind === 'unavailable');
+    }
+    const slow = new TrpcPeerClient({
+      random: {next: () => 1, nextBelow: () => 0},
+      scope,
+      log: () => {},
+    });
+    for (let i = 0; i < 50; i += 1) {
+      await slow.heartbeat(`127.0.0.1:${port}`, heartbeat('asking'));
+    }
+    assert.ok((slow.linkCounters()[0]?.attempts ?? 50) < 25);
+  });
+
+  it('does not know the effect of a call whose peer dies', async () => {
+    const dying = new CleanupScope();
+    const other = await startServer(dying);
+    const received = new Gate();
+    handler.answer = async () => {
+      received.open();
+      return new Promise(() => {});
+    };
+    const call = client.dispatch(
+      `127.0.0.1:${other.port}`,
+      dispatchOf('r'),
+      LONG_MS,
+    );
+    await received.opened;
+    await dying.close();
+    const result = await call;
+    assert.ok(result.isErr && result.error.kind === 'unknown-effect');
+  });
+
+  it('replaces a link that went silent', async () => {
+    const proxy = new SilencingProxy(server.port);
+    const proxied = await proxy.listen();
+    scope.add(() => proxy.close());
+    const quick = newClient(400);
+    const answers = async () => {
+      const result = await quick.heartbeat(proxied, heartbeat('asking'));
+      return result.isOk;
+    };
+    while (!(await answers()));
+    const before = quick.linkCounters()[0]?.silent ?? 0;
+    proxy.silence();
+    const request = quick.dispatch(proxied, dispatchOf('r'), LONG_MS);
+    const silent = await quick.heartbeat(proxied, heartbeat('asking'));
+    assert.ok(silent.isErr && silent.error.kind === 'timeout');
+    const lost = await request;
+    assert.ok(lost.isErr && lost.error.kind === 'unknown-effect');
+    while (!(await answers()));
+    assert.ok((quick.linkCounters()[0]?.silent ?? 0) > before);
+  });
+
+  it('drops a late answer instead of giving it to another call', async () => {
+    const gate = new Gate();
+    handler.answer = async (id) => {
+      if (id === 'late') await gate.opened;
+      return id;
+    };
+    // The link is open, so that the short limit cannot end the connecting.
+    assert.ok((await client.heartbeat(address, heartbeat('asking'))).isOk);
+    const late = await client.dispatch(address, dispatchOf('late'), 30);
+    assert.ok(late.isErr && late.error.kind === 'timeout');
+    gate.open();
+    for (let i = 0; i < 20; i += 1) {
+      const next = await client.dispatch(
+        address,
+        dispatchOf(`n-${i}`),
+        LONG_MS,
+      );
+      assert.ok(next.isOk && next.value.outcome === 'answered');
+      assert.equal(next.value.answer, `n-${i}`);
+    }
+  });
+
+  it('closes a link on which the peer sends nonsense', async () => {
+    const replies = ['{"id":1}', 'x', '{"id":null,"error":{}}', '[]'];
+    let next = 0;
+    const bad = await rawPeer((socket) =>
+      socket.send(replies[next++ % replies.length] ?? ''),
+    );
+    for (let i = 0; i < replies.length; i += 1) {
+      const result = await client.dispatch(bad, dispatchOf('r'), LONG_MS);
+      assert.ok(result.isErr && result.error.kind === 'protocol', `${i}`);
+    }
+    assert.equal(client.linkCounters()[0]?.attempts, replies.length);
+  });
+
+  it('refuses an answer that does not match its schema', async () => {
+    const bad = await rawPeer((socket, id) =>
+      socket.send(JSON.stringify({id, result: {type: 'data', data: {a: 1}}})),
+    );
+    const result = await client.heartbeat(bad, heartbeat('asking'));
+    assert.ok(result.isErr && result.error.kind === 'protocol');
+    assert.equal(hadNoEffect(result.error), false);
+  });
+
+  it('serves others while a peer sends malformed messages', async () => {
+    const raw = new WebSocket(`ws://${address}/peer`);
+    await once(raw, 'open');
+    const answers: string[] = [];
+    raw.on('message', (data) => answers.push(String(data)));
+    const broken = {...heartbeat('x'), leaving: 'yes', queueLengths: 4};
+    const params = {path: 'heartbeat', input: broken};
+    raw.send('{');
+    raw.send(JSON.stringify({id: 1, method: 'mutation', params}));
+    raw.send(JSON.stringify({id: 2, method: 'mutation', params: {path: 'x'}}));
+    raw.send(Buffer.from([1, 2, 3]));
+    await until(() => answers.length === 4);
+    assert.match(answers.join('\n'), /heartbeat.leaving/);
+    assert.match(answers.join('\n'), /does not know x/);
+    assert.ok((await client.heartbeat(address, heartbeat('asking'))).isOk);
+    raw.terminate();
+    const wrong = {...heartbeat('x'), configurationVersion: -1};
+    const refused = await client.heartbeat(address, wrong);
+    assert.ok(refused.isErr && refused.error.kind === 'invalid-input');
+    assert.equal(refused.error.field, 'heartbeat.configurationVersion');
+  });
+
+  it('bounds the size of messages in both directions', async () => {
+    const payload = 'x'.repeat(MAXIMUM_MESSAGE_BYTES);
+    const tooLarge = await client.submitJob(address, {...RECORD, payload});
+    assert.ok(tooLarge.isErr && tooLarge.error.kind === 'invalid-input');
+    const raw = new WebSocket(`ws://${address}/peer`);
+    await once(raw, 'open');
+    raw.send(payload + payload);
+    raw.on('error', () => {});
+    const [code] = (await once(raw, 'close')) as [number];
+    assert.equal(code, 1009);
+    const record = {...RECORD, payload: payload.slice(0, payload.length / 2)};
+    handler.reports = [1, 2].map(() => ({record, inStore: true}));
+    const answer = await client.jobs(address);
+    assert.ok(answer.isErr && answer.error.kind === 'unknown-effect');
+    assert.match(answer.error.problem, /over the limit/);
+    assert.ok((await client.heartbeat(address, heartbeat('asking'))).isOk);
+    assert.equal(client.linkCounters()[0]?.attempts, 1);
+  });
+
+  it('counts the bytes that really crossed the link', async () => {
+    await client.heartbeat(address, heartbeat('asking'));
+    await client.heartbeat(address, heartbeat('asking'));
+    const [near] = client.linkCounters();
+    const [far] = server.links();
+    assert.ok(near && far);
+    assert.ok(near.sentBytes > 2 * JSON.stringify(heartbeat('asking')).length);
+    assert.equal(near.sentBytes, far.receivedBytes);
+    assert.equal(near.receivedBytes, far.sentBytes);
+    assert.deepEqual(server.totals(), {
+      sentBytes: far.sentBytes,
+      receivedBytes: far.receivedBytes,
+    });
+  });
+});
