Accept a change while a newer version arrives

Cause: the writer compared the head that it had read with the version in force after the read. A change that another daemon wrote meanwhile made it refuse with the statement that the store was set back. Ruled out: dropping the comparison (a store restored from an old backup would give a version number twice). Conclusion: the version in force is taken before the head is read. The test of nested updates now also fails if a change is applied twice.

--- a/src/controllers/configuration_writer.ts
+++ b/src/controllers/configuration_writer.ts
@@ -161,6 +161,8 @@
 
   private async attempt(proposal: ConfigurationProposal): Promise<Attempt> {
     const {store} = this.options;
+    // Taken before the read: the store can never be behind this version.
+    const knownVersion = this.options.known().version;
     const stored = await store.readHead();
     if (stored.isErr) return readFailed(stored.error);
     this.options.onHead(stored.value.head);
@@ -180,6 +182,7 @@
       proposal,
       stored.value.head,
       earlier.value,
+      knownVersion,
     );
     if (conflict) return {kind: 'refused', error: conflict, readRevision};
     return this.writeChange(proposal, stored.value);
@@ -219,8 +222,8 @@
     proposal: ConfigurationProposal,
     head: ConfigurationHead,
     earlier: readonly ConfigurationChange[],
+    knownVersion: number,
   ): ConflictError | RefusedError | undefined {
-    const knownVersion = this.options.known().version;
     if (head.version < knownVersion) {
       return new RefusedError(
         `the store has version ${head.version}, but version ${knownVersion} is in force`,
--- a/test/configuration_follower.test.ts
+++ b/test/configuration_follower.test.ts
@@ -152,7 +152,7 @@
       follower.receive({kind: 'changes', changes: [two]});
     });
     const versions = recordVersions(follower);
-    follower.receive({kind: 'changes', changes: [one]});
+    follower.receive({kind: 'changes', changes: [one, two]});
     assert.deepEqual(versions, [1, 2]);
   });
 });
--- a/test/configuration_writer.test.ts
+++ b/test/configuration_writer.test.ts
@@ -22,6 +22,7 @@
   customerEdit,
   newController,
   proposal,
+  until,
 } from './control_fakes.js';
 
 describe('the configuration writer', {timeout: 20_000}, () => {
@@ -105,7 +106,7 @@
       const edit = customerEdit('guild');
       const written = second.propose(proposal(edit, 0, 'change-lost'));
       if (trimmed) {
-        while (lose) await new Promise((resolve) => setImmediate(resolve));
+        await until(() => !lose);
         store.delay = async () => {};
         await writeMany(30);
         gate.open();
@@ -178,6 +179,33 @@
     assert.equal((await history()).length, 17);
   });
 
+  it('goes on if a newer version arrives while it reads', async () => {
+    await writeMany(20);
+    const gate = new Gate();
+    let reading = false;
+    store.delay = async (operation, key) => {
+      if (operation !== 'get' || !key.startsWith('audit/')) return;
+      reading = true;
+      await gate.opened;
+    };
+    const written = second.propose(proposal(customerEdit('guild'), 0));
+    await until(() => reading);
+    assert.ok((await first.propose(proposal(customerEdit('x'), 20))).isOk);
+    second.receive(first.configurationSince(second.version));
+    gate.open();
+    const result = await written;
+    assert.ok(result.isOk, result.toString());
+    assert.equal(result.value.version, 22);
+  });
+
+  it('refuses to write to a store that was set back', async () => {
+    await writeMany(3);
+    store.entries.delete(HEAD_KEY);
+    const refused = await first.propose(proposal(customerEdit('guild'), 0));
+    assert.ok(refused.isErr && refused.error.kind === 'refused');
+    assert.equal(store.entries.has(HEAD_KEY), false);
+  });
+
   it('refuses a change that is too large with a typed error', async () => {
     const edit = customerEdit('guild');
     assert.ok(edit.kind === 'set-customer');
