--- /dev/null
+++ b/src/daemon/request_body.ts
@@ -0,0 +1,82 @@
+/**
+ * Reads the bodies of HTTP requests within bounds.
+ */
+
+import type {IncomingMessage} from 'node:http';
+import {Result} from 'true-myth';
+import {
+  InvalidInputError,
+  RefusedError,
+  UnavailableError,
+} from '../model/errors.js';
+
+/**
+ * Bytes of bodies that are being read at once, so that slow callers with
+ * large bodies cannot use up the memory of the daemon (256 MB).
+ */
+const MAXIMUM_BYTES_IN_FLIGHT = 67_108_864;
+
+/** `RefusedError`: the body is too large. */
+export type BodyError = InvalidInputError | RefusedError | UnavailableError;
+
+export class BodyReader {
+  private bytesInFlight = 0;
+
+  constructor(private readonly maximumInFlight = MAXIMUM_BYTES_IN_FLIGHT) {}
+
+  /** Returns the body as text; the rest of a refused body is not read. */
+  async read(
+    request: IncomingMessage,
+    maximumBytes: number,
+  ): Promise<Result<string, BodyError>> {
+    const declared = Number(request.headers['content-length'] ?? 0);
+    if (declared > maximumBytes) return Result.err(tooLarge(maximumBytes));
+    const chunks: Buffer[] = [];
+    let bytes = 0;
+    try {
+      // Destroying the stream would close the connection before the answer.
+      const stream = request.iterator({destroyOnReturn: false});
+      for await (const chunk of stream) {
+        const part = chunk as Buffer;
+        bytes += part.length;
+        this.bytesInFlight += part.length;
+        if (bytes > maximumBytes) return Result.err(tooLarge(maximumBytes));
+        if (this.bytesInFlight > this.maximumInFlight) {
+          return Result.err(tooBusy());
+        }
+        chunks.push(part);
+      }
+    } catch {
+      return Result.err(invalidBody('the connection ended within the body'));
+    } finally {
+      this.bytesInFlight -= bytes;
+    }
+    return decode(Buffer.concat(chunks));
+  }
+}
+
+function decode(bytes: Buffer): Result<string, BodyError> {
+  try {
+    return Result.ok(new TextDecoder('utf-8', {fatal: true}).decode(bytes));
+  } catch {
+    return Result.err(invalidBody('the body is not valid UTF-8'));
+  }
+}
+
+function invalidBody(problem: string): InvalidInputError {
+  return new InvalidInputError('body', problem, 'send JSON in UTF-8');
+}
+
+function tooLarge(maximumBytes: number): RefusedError {
+  return new RefusedError(
+    `the body is larger than ${maximumBytes} bytes`,
+    'send a smaller payload, or a reference to the data',
+  );
+}
+
+function tooBusy(): UnavailableError {
+  return new UnavailableError(
+    'the daemon is reading as many large bodies as it may',
+    'send the request again later; it was not run',
+  );
+}
--- a/test/requests_fakes.ts
+++ b/test/requests_fakes.ts
@@ -170,7 +170,7 @@
   readonly handedTo: VmId[] = [];
   handOvers = 0;
   /** Requests wait here before they end, if set. */
-  gate: Promise<void> | undefined;
+  gate: Promise<unknown> | undefined;
   pause = NO_PAUSE;
 
   runsOf(requestId: RequestId): number {
