Narrow the request path's view of peers and of the store

Cause: the path makes two of the peers' calls and two of the store's, and its fakes had to implement all of them. Ruled out: further abstract classes beside PeerClient and KeyValueStore. Conclusion: RequestPeers and ClaimStore are picks of the platform classes.

--- a/src/requests/claim_bucket.ts
+++ b/src/requests/claim_bucket.ts
@@ -20,7 +20,7 @@
   ABSENT_REVISION,
   MAXIMUM_VALUE_BYTES,
 } from '../platform/key_value_store.js';
-import type {KeyValueStore} from '../platform/key_value_store.js';
+import type {ClaimStore} from './directory.js';
 
 /** Leaves room below the store's limit for the value's own brackets. */
 export const MAXIMUM_BUCKET_BYTES = MAXIMUM_VALUE_BYTES - 65_536;
@@ -104,7 +104,7 @@
 
   constructor(
     private readonly storeKey: string,
-    private readonly store: KeyValueStore,
+    private readonly store: ClaimStore,
     private readonly clock: Clock,
   ) {}
 
--- a/src/requests/claims.ts
+++ b/src/requests/claims.ts
@@ -17,11 +17,9 @@
 import {after} from '../model/ids.js';
 import type {DaemonId} from '../model/ids.js';
 import type {NotRun, Outcome, ServiceRequest} from '../model/requests.js';
-import type {KeyValueStore} from '../platform/key_value_store.js';
-import type {PeerClient} from '../platform/peer_client.js';
 import {ClaimBucket} from './claim_bucket.js';
 import type {Claim, ClaimResult} from './claim_bucket.js';
-import type {RequestDirectory} from './directory.js';
+import type {ClaimStore, RequestDirectory, RequestPeers} from './directory.js';
 import {notRun, RequestFilter, unknown} from './exchange.js';
 import type {Exchange, Next} from './exchange.js';
 import type {RequestOutcomes} from './request_outcomes.js';
@@ -45,7 +43,7 @@
   private readonly unreleased = new Set<Claim>();
 
   constructor(
-    store: KeyValueStore,
+    store: ClaimStore,
     private readonly clock: Clock,
     private readonly daemonId: DaemonId,
     private readonly retentionMs: number,
@@ -118,7 +116,7 @@
     private readonly claims: ClaimRegistry,
     private readonly outcomes: RequestOutcomes,
     private readonly directory: RequestDirectory,
-    private readonly peers: PeerClient,
+    private readonly peers: RequestPeers,
   ) {
     super();
   }
--- a/src/requests/directory.ts
+++ b/src/requests/directory.ts
@@ -5,8 +5,16 @@
 
 import type {Configuration} from '../model/configuration.js';
 import type {AvailabilityZone, DaemonId, Instant, VmId} from '../model/ids.js';
+import type {KeyValueStore} from '../platform/key_value_store.js';
+import type {PeerClient} from '../platform/peer_client.js';
 import type {MinionVm} from '../platform/vm_list.js';
 
+/** The calls to peers that the path of a request makes. */
+export type RequestPeers = Pick<PeerClient, 'dispatch' | 'claimOutcome'>;
+
+/** The calls to the store that claims make. */
+export type ClaimStore = Pick<KeyValueStore, 'get' | 'put'>;
+
 /** The daemon that keeps the queue of a minion. */
 export interface HomeDaemon {
   readonly daemonId: DaemonId;
--- a/src/requests/dispatch_filter.ts
+++ b/src/requests/dispatch_filter.ts
@@ -6,8 +6,8 @@
 import type {CallError} from '../model/errors.js';
 import {hadNoEffect} from '../model/errors.js';
 import type {Outcome} from '../model/requests.js';
-import type {Dispatch, PeerClient} from '../platform/peer_client.js';
-import type {RequestDirectory} from './directory.js';
+import type {Dispatch} from '../platform/peer_client.js';
+import type {RequestDirectory, RequestPeers} from './directory.js';
 import {notRun, RequestFilter, unknown} from './exchange.js';
 import type {Exchange} from './exchange.js';
 import type {HomeDispatcher} from './home_dispatcher.js';
@@ -22,7 +22,7 @@
   constructor(
     private readonly directory: RequestDirectory,
     private readonly home: HomeDispatcher,
-    private readonly peers: PeerClient,
+    private readonly peers: RequestPeers,
   ) {
     super();
   }
--- a/src/requests/request_service.ts
+++ b/src/requests/request_service.ts
@@ -9,18 +9,13 @@
 import {randomId} from '../model/ids.js';
 import type {RequestId} from '../model/ids.js';
 import type {Outcome, RequestSubmission} from '../model/requests.js';
-import type {KeyValueStore} from '../platform/key_value_store.js';
 import type {MinionClient} from '../platform/minion_client.js';
-import type {
-  Dispatch,
-  PeerClient,
-  QueueLength,
-} from '../platform/peer_client.js';
+import type {Dispatch, QueueLength} from '../platform/peer_client.js';
 import {CheckFilter} from './check_filter.js';
 import {ClaimFilter, ClaimRegistry} from './claims.js';
 import {LimitFilter} from './customer_limits.js';
 import {DeadlineFilter} from './deadline_filter.js';
-import type {RequestDirectory} from './directory.js';
+import type {ClaimStore, RequestDirectory, RequestPeers} from './directory.js';
 import {DispatchFilter} from './dispatch_filter.js';
 import {Exchange, notRun, runFilters, unknown} from './exchange.js';
 import type {RequestFilter} from './exchange.js';
@@ -39,9 +34,9 @@
   readonly directory: RequestDirectory;
   readonly clock: Clock;
   readonly random: RandomSource;
-  readonly store: KeyValueStore;
+  readonly store: ClaimStore;
   readonly minions: MinionClient;
-  readonly peers: PeerClient;
+  readonly peers: RequestPeers;
   /** How long claims and outcomes of keyed requests are kept. */
   readonly claimRetentionMs: number;
 }
--- a/test/requests_fakes.ts
+++ b/test/requests_fakes.ts
@@ -29,15 +29,18 @@
   RequestSubmission,
   ServiceRequest,
 } from '../src/model/requests.js';
-import {KeyValueStore} from '../src/platform/key_value_store.js';
 import type {StoreEntry} from '../src/platform/key_value_store.js';
 import {MinionClient} from '../src/platform/minion_client.js';
 import type {MinionResult} from '../src/platform/minion_client.js';
-import {dispatchSchema, PeerClient} from '../src/platform/peer_client.js';
+import {dispatchSchema} from '../src/platform/peer_client.js';
 import type {Dispatch} from '../src/platform/peer_client.js';
 import type {MinionVm} from '../src/platform/vm_list.js';
 import {RequestDirectory} from '../src/requests/directory.js';
-import type {MinionCandidate} from '../src/requests/directory.js';
+import type {
+  ClaimStore,
+  MinionCandidate,
+  RequestPeers,
+} from '../src/requests/directory.js';
 import {RequestService} from '../src/requests/request_service.js';
 
 export const ZONE = trustedId<AvailabilityZone>('zone-a');
@@ -74,7 +77,7 @@
   /** Takes effect, if it still can, after the next successful read. */
   | 'late';
 
-export class FakeStore extends KeyValueStore {
+export class FakeStore implements ClaimStore {
   readonly entries = new Map<string, StoreEntry>();
   writeFaults: WriteFault[] = [];
   away = false;
@@ -87,7 +90,7 @@
   private revision = 0;
   private readonly lateWrites: Array<() => void> = [];
 
-  override async get(key: string) {
+  async get(key: string) {
     await this.pause('store get');
     if (this.away || this.failingReads > 0) {
       this.failingReads -= 1;
@@ -98,7 +101,7 @@
     return Result.ok<StoreEntry | undefined, UnavailableError>(entry);
   }
 
-  override async put(key: string, value: string, expected: number) {
+  async put(key: string, value: string, expected: number) {
     this.writes += 1;
     this.writesInFlight += 1;
     this.mostWritesInFlight = Math.max(
@@ -141,16 +144,6 @@
     this.entries.set(key, {key, value, revision: this.revision});
     return true;
   }
-
-  override list(): never {
-    throw new Error('not used');
-  }
-  override delete(): never {
-    throw new Error('not used');
-  }
-  override watch(): never {
-    throw new Error('not used');
-  }
 }
 
 export type MinionFault =
@@ -219,7 +212,7 @@
   | 'restarted'
   | 'answer-to-another';
 
-export class FakePeers extends PeerClient {
+export class FakePeers implements RequestPeers {
   faults: DispatchFault[] = [];
   readonly services = new Map<string, RequestService>();
   /** Creates a new run of a daemon at the address. */
@@ -229,7 +222,7 @@
   pause = NO_PAUSE;
   private readonly late: Array<() => Promise<Outcome>> = [];
 
-  override async dispatch(
+  async dispatch(
     address: string,
     sent: Dispatch,
   ): Promise<Result<Outcome, CallError>> {
@@ -262,7 +255,7 @@
     await Promise.all(this.late.splice(0).map((deliver) => deliver()));
   }
 
-  override async claimOutcome(
+  async claimOutcome(
     address: string,
     requestId: RequestId,
   ): Promise<Result<Outcome, CallError>> {
@@ -271,25 +264,6 @@
     if (!service) return Result.err(AWAY);
     return Result.ok(service.claimOutcome(requestId));
   }
-
-  override heartbeat(): never {
-    throw new Error('not used');
-  }
-  override configurationSince(): never {
-    throw new Error('not used');
-  }
-  override submitJob(): never {
-    throw new Error('not used');
-  }
-  override cancelJob(): never {
-    throw new Error('not used');
-  }
-  override job(): never {
-    throw new Error('not used');
-  }
-  override jobs(): never {
-    throw new Error('not used');
-  }
 }
 
 const AWAY = new UnavailableError('not reached', 'try again');
