Test claims: duplicates, lost answers, store away, bounds

Cause: the truth test shows that no key runs twice, but not that a key becomes free again, that lost answers are read back, or that the store is spared. Ruled out: nothing.

--- /dev/null
+++ b/test/requests_claims.test.ts
@@ -0,0 +1,154 @@
+/**
+ * Guards against keyed requests that run twice, that are refused for ever
+ * without reason, or that overload the store.
+ */
+
+import assert from 'node:assert/strict';
+import {beforeEach, describe, test} from 'node:test';
+import {after, trustedId} from '../src/model/ids.js';
+import type {Outcome} from '../src/model/requests.js';
+import {MAXIMUM_VALUE_BYTES} from '../src/platform/key_value_store.js';
+import {ClaimBucket} from '../src/requests/claim_bucket.js';
+import type {Claim} from '../src/requests/claim_bucket.js';
+import type {RequestService} from '../src/requests/request_service.js';
+import {answerTo, CLUB, FakeSite, submission} from './requests_fakes.js';
+
+const RETENTION_MS = 3_600_000;
+
+describe('claims', () => {
+  let site: FakeSite;
+  let one: RequestService;
+  let two: RequestService;
+
+  beforeEach(() => {
+    site = new FakeSite();
+    one = site.addDaemon('one', 2);
+    two = site.addDaemon('two', 2);
+  });
+
+  const send = (daemon: RequestService, payload = 'a'): Promise<Outcome> =>
+    daemon.submit(submission('scan', payload, 'key')).outcome;
+  const reasonOf = (outcome: Outcome) =>
+    outcome.outcome === 'answered' ? outcome.answer : outcome.reason;
+  const claims = (): number =>
+    [...site.store.entries.values()]
+      .map((entry) => JSON.parse(entry.value) as {claims: object[]})
+      .reduce((sum, bucket) => sum + bucket.claims.length, 0);
+  const claim = (name: string): Claim => ({
+    customerId: CLUB,
+    key: trustedId(name),
+    requestId: trustedId(`request-${name}`),
+    daemonId: trustedId('one'),
+    contentDigest: 'x'.repeat(22),
+    expiresAt: after(site.clock.now(), RETENTION_MS),
+  });
+
+  test('a duplicate gets the first answer, other content is refused', async () => {
+    await send(one);
+    assert.equal(reasonOf(await send(two)), answerTo('a'));
+    assert.equal(reasonOf(await send(one)), answerTo('a'));
+    assert.equal(reasonOf(await send(two, 'b')), 'key-reused');
+    assert.equal(site.minions.ran.length, 1);
+  });
+
+  test('of two requests at once one runs and one is in progress', async () => {
+    let open: (value?: unknown) => void = () => undefined;
+    site.minions.gate = new Promise((resolve) => (open = resolve));
+    const both = [send(one), send(two)];
+    assert.equal(reasonOf(await Promise.race(both)), 'in-progress');
+    open();
+    const reasons = (await Promise.all(both)).map(reasonOf).sort();
+    assert.deepEqual(reasons, [answerTo('a'), 'in-progress']);
+    assert.equal(site.minions.ran.length, 1);
+  });
+
+  test('a claim whose answer is lost is read back and the request runs', async () => {
+    for (const fault of ['lost-after', 'lost-before', 'late'] as const) {
+      site.store.writeFaults = [fault];
+      const {outcome} = one.submit(submission('scan', fault, fault));
+      assert.equal(reasonOf(await outcome), answerTo(fault));
+    }
+  });
+
+  test('without the store nothing is sent, and later the key is free', async () => {
+    site.store.away = true;
+    assert.equal(reasonOf(await send(one)), 'store-unavailable');
+    assert.equal(site.minions.handOvers, 0);
+    site.store.away = false;
+    assert.equal(reasonOf(await send(two)), answerTo('a'));
+  });
+
+  /** The claim is written, but neither that nor its release is seen. */
+  async function claimUnseen(fault: 'lost-after' | 'late') {
+    site.store.writeFaults = [fault];
+    site.store.writes = 0;
+    site.store.pause = async (label) => {
+      site.store.away = label === 'store get' && site.store.writes > 0;
+    };
+    assert.equal(reasonOf(await send(one)), 'store-unavailable');
+    site.store.pause = () => Promise.resolve();
+    assert.equal(site.minions.handOvers, 0);
+    site.store.away = false;
+  }
+
+  test('a claim that may be written is taken over on a retry', async () => {
+    await claimUnseen('lost-after');
+    assert.equal(claims(), 1);
+    assert.equal(reasonOf(await send(two)), answerTo('a'));
+  });
+
+  test('a claim that may be written is released, also before it arrives', async () => {
+    for (const fault of ['lost-after', 'late'] as const) {
+      await claimUnseen(fault);
+      await one.maintainClaims();
+      site.store.deliverLateWrites();
+      assert.equal(claims(), 0, fault);
+    }
+    site.peers.services.delete('one');
+    assert.equal(reasonOf(await send(two)), answerTo('a'));
+  });
+
+  test('with its daemon gone a key is unknown until the claim expires', async () => {
+    await send(one);
+    site.peers.services.delete('one');
+    site.candidates = site.candidates.filter((c) => c.home.address === 'two');
+    assert.equal(reasonOf(await send(two)), 'duplicate');
+    site.clock.advance(RETENTION_MS + 10_000);
+    assert.equal(reasonOf(await send(two)), answerTo('a'));
+  });
+
+  test('claims are written together with one write in flight', async () => {
+    const bucket = new ClaimBucket('claims/0', site.store, site.clock);
+    const results = await Promise.all(
+      Array.from({length: 500}, (_, index) =>
+        bucket.submit({kind: 'claim', claim: claim(`k${index}`)}),
+      ),
+    );
+    assert.ok(results.every((result) => result.kind === 'done'));
+    assert.equal(site.store.mostWritesInFlight, 1);
+    assert.equal(site.store.writes, 2);
+  });
+
+  test('a full bucket refuses before the limit of the store', async () => {
+    const bucket = new ClaimBucket('claims/0', site.store, site.clock);
+    const longId = 'x'.repeat(100);
+    const kinds = new Set<string>();
+    for (let batch = 0; batch < 8; batch += 1) {
+      const results = await Promise.all(
+        Array.from({length: 1_500}, (_, index) =>
+          bucket.submit({
+            kind: 'claim',
+            claim: claim(`${batch}.${index}${longId}`),
+          }),
+        ),
+      );
+      for (const result of results) kinds.add(result.kind);
+    }
+    assert.deepEqual(kinds, new Set(['done', 'full']));
+    const value = site.store.entries.get('claims/0')?.value ?? '';
+    assert.ok(Buffer.byteLength(value) < MAXIMUM_VALUE_BYTES);
+    site.clock.advance(RETENTION_MS);
+    const later = await bucket.submit({kind: 'claim', claim: claim('later')});
+    assert.equal(later.kind, 'done');
+  });
+});
