Serve callers and operators by one JSON server, start processes by one class

Cause: the callers' interface and the operators' interface each carried an HTTP server with the same routing, body limits and graceful close, and two classes started child processes for tests. Ruled out: a framework above polka (the shared part is 150 lines). Conclusion: JsonServer and ManagedProcess hold what stood twice.

--- a/src/daemon/json_server.ts
+++ b/src/daemon/json_server.ts
@@ -48,7 +48,7 @@
   private readonly router: Polka;
   private readonly bodies = new BodyReader();
   private readonly inProgress = new Set<Promise<void>>();
-  private isClosing = false;
+  private readonly closed = new AbortController();
 
   constructor(private readonly options: JsonServerOptions) {
     this.server = createServer({requestTimeout: BODY_TIMEOUT_MS});
@@ -57,14 +57,19 @@
     });
     this.server.on('request', (request: IncomingMessage, response) => {
       // The client's next connection goes to another entry VM.
-      if (this.isClosing) response.setHeader('Connection', 'close');
+      if (this.closing) response.setHeader('Connection', 'close');
       this.options.prepare?.(response);
       this.router.handler(request as Parameters<Polka['handler']>[0], response);
     });
   }
 
   get closing(): boolean {
-    return this.isClosing;
+    return this.closed.signal.aborted;
+  }
+
+  /** Aborted when the server closes; ends waits that are in progress. */
+  get closeSignal(): AbortSignal {
+    return this.closed.signal;
   }
 
   on(method: HttpMethod, path: string, handler: Handler): void {
@@ -93,8 +98,8 @@
 
   /** Stops accepting and finishes the calls in progress. */
   async close(): Promise<void> {
-    this.isClosing = true;
-    const closed = new Promise<void>((resolve) => {
+    this.closed.abort();
+    const ended = new Promise<void>((resolve) => {
       this.server.close(() => resolve());
     });
     while (this.inProgress.size > 0) await Promise.all(this.inProgress);
@@ -103,7 +108,7 @@
       CLOSE_GRACE_MS,
     );
     this.server.closeIdleConnections();
-    await closed;
+    await ended;
     clearTimeout(timer);
   }
 
@@ -112,7 +117,7 @@
     call: Call,
     maximumBytes: number,
   ): Promise<string | undefined> {
-    if (this.isClosing) {
+    if (this.closing) {
       const error = new UnavailableError(
         'the daemon is stopping',
         'send the request again; it was not run',
@@ -122,8 +127,9 @@
     }
     const body = await this.bodies.read(call.request, maximumBytes);
     if (body.isOk) return body.value;
-    // The rest of the body is still on the connection.
-    call.response.setHeader('Connection', 'close');
+    // The rest is read and dropped, for at most the body's time limit: closing
+    // a connection with unread data can take the answer away from the caller.
+    call.request.resume();
     const tooLarge = body.error.kind === 'refused';
     sendError(call.response, body.error, tooLarge ? 413 : undefined);
     return undefined;
--- a/src/harness/site_fixture.ts
+++ b/src/harness/site_fixture.ts
@@ -24,7 +24,7 @@
   WorkerAdmin,
 } from '../standins/admin_client.js';
 import {StandinProcess} from '../standins/launcher.js';
-import {ManagedProcess} from './managed_process.js';
+import {ManagedProcess} from '../standins/managed_process.js';
 
 /** Processes that start at once; more only compete for the processors. */
 const START_CONCURRENCY = 10;
--- a/src/standins/launcher.ts
+++ b/src/standins/launcher.ts
@@ -3,11 +3,6 @@
  * tests and the demonstration.
  */
 
-import type {ChildProcessByStdio} from 'node:child_process';
-import {spawn} from 'node:child_process';
-import {once} from 'node:events';
-import {createInterface} from 'node:readline';
-import type {Readable, Writable} from 'node:stream';
 import {fileURLToPath} from 'node:url';
 import type {z} from 'zod';
 import type {CleanupScope} from '../lifecycle/cleanup_scope.js';
@@ -16,6 +11,7 @@
 import type {platformOptionsSchema} from './platform_service.js';
 import type {RunEvent} from './run_log.js';
 import {runEventSchema} from './run_log.js';
+import {ManagedProcess} from './managed_process.js';
 import type {FirstLine} from './standin_process.js';
 import {firstLineSchema} from './standin_process.js';
 import type {workerOptionsSchema} from './worker_service.js';
@@ -41,16 +37,10 @@
   /** All events so far, in order. */
   readonly events: RunEvent[] = [];
   private readonly listeners = new Set<() => void>();
-  private readonly exited: Promise<number | null>;
-
-  private constructor(
-    private readonly child: ChildProcessByStdio<Writable, Readable, null>,
-    private readonly firstLine: FirstLine,
-    lines: AsyncIterable<string>,
-  ) {
-    this.exited = once(child, 'exit').then(([code]) => code as number | null);
-    void this.follow(lines);
-  }
+  private process: ManagedProcess | undefined;
+  private firstLine: FirstLine | undefined;
+
+  private constructor() {}
 
   /** Starts the program; it ends when the scope closes. */
   static async start<P extends keyof StandinOptions>(
@@ -63,17 +53,12 @@
     );
     // The stand-in ends with its input, also if this process is killed.
     const text = JSON.stringify({...options, endWithInput: true});
-    const child = spawn(process.execPath, [path, text], {
-      stdio: ['pipe', 'pipe', 'inherit'],
-    });
-    const lines = createInterface({input: child.stdout})[
-      Symbol.asyncIterator
-    ]();
-    const first = await lines.next();
-    if (first.done) throw new Error(`the stand-in ${program} did not start`);
-    const firstLine = firstLineSchema.parse(JSON.parse(first.value));
-    const rest = {[Symbol.asyncIterator]: () => lines};
-    const standin = new StandinProcess(child, firstLine, rest);
+    const standin = new StandinProcess();
+    const started = await ManagedProcess.start(program, path, [text], (line) =>
+      standin.take(line),
+    );
+    standin.process = started.process;
+    standin.firstLine = firstLineSchema.parse(started.firstLine);
     scope.add(async () => {
       await standin.stop();
     });
@@ -81,16 +66,16 @@
   }
 
   get address(): string {
-    return this.firstLine.listening;
+    return this.addresses.listening;
   }
 
   get adminAddress(): string {
-    return this.firstLine.admin;
+    return this.addresses.admin;
   }
 
   /** Address of a fault proxy's link. */
   link(name: string): string {
-    const address = this.firstLine.links?.[name];
+    const address = this.addresses.links?.[name];
     if (address === undefined) throw new Error(`no link is named ${name}`);
     return address;
   }
@@ -121,32 +106,37 @@
   }
 
   /** Ends the process with SIGTERM and returns its exit code. */
-  stop(): Promise<number | null> {
-    this.child.kill('SIGTERM');
-    // A paused process takes the signal only when it runs again.
-    this.child.kill('SIGCONT');
-    return this.exited;
+  async stop(): Promise<number | null> {
+    const exit = await this.managed.stop();
+    return exit.code;
   }
 
   /** Kills the process without notice. */
-  async kill(): Promise<void> {
-    this.child.kill('SIGKILL');
-    await this.exited;
+  kill(): Promise<void> {
+    return this.managed.kill();
   }
 
   /** Stops the process from running, as a frozen VM does. */
   pause(): void {
-    this.child.kill('SIGSTOP');
+    this.managed.pause();
   }
 
   resume(): void {
-    this.child.kill('SIGCONT');
+    this.managed.resume();
+  }
+
+  private get managed(): ManagedProcess {
+    if (!this.process) throw new Error('the stand-in has not started');
+    return this.process;
+  }
+
+  private get addresses(): FirstLine {
+    if (!this.firstLine) throw new Error('the stand-in has not started');
+    return this.firstLine;
   }
 
-  private async follow(lines: AsyncIterable<string>): Promise<void> {
-    for await (const line of lines) {
-      this.events.push(runEventSchema.parse(JSON.parse(line)));
-      for (const look of [...this.listeners]) look();
-    }
+  private take(line: string): void {
+    this.events.push(runEventSchema.parse(JSON.parse(line)));
+    for (const look of [...this.listeners]) look();
   }
 }
--- a/src/harness/managed_process.ts
+++ b/src/standins/managed_process.ts
@@ -5,8 +5,9 @@
  */
 
 import {spawn} from 'node:child_process';
-import type {ChildProcess} from 'node:child_process';
+import type {ChildProcessByStdio} from 'node:child_process';
 import {createInterface} from 'node:readline';
+import type {Readable, Writable} from 'node:stream';
 
 const START_TIMEOUT_MS = 30_000;
 const STOP_TIMEOUT_MS = 40_000;
@@ -18,16 +19,16 @@
   readonly signal: NodeJS.Signals | null;
 }
 
+export type LineListener = (line: string) => void;
+
 export class ManagedProcess {
-  /** Parsed run log, in order. */
-  readonly lines: unknown[] = [];
   private readonly errorLines: string[] = [];
   private readonly exited: Promise<ProcessExit>;
   private exit: ProcessExit | undefined;
 
   private constructor(
     readonly name: string,
-    private readonly child: ChildProcess,
+    private readonly child: ChildProcessByStdio<Writable, Readable, Readable>,
   ) {
     this.exited = new Promise((resolve) => {
       child.once('exit', (code, signal) => {
@@ -38,19 +39,21 @@
   }
 
   /**
-   * Starts a program and returns it with its parsed first line. Throws with
-   * the end of its standard error if it ends before that.
+   * Starts a program and returns it with its parsed first line; `onLine`
+   * receives the lines after it. Throws with the end of the program's
+   * standard error if it ends before that.
    */
   static async start(
     name: string,
     script: string,
     parameters: readonly string[],
+    onLine: LineListener = () => undefined,
   ): Promise<{process: ManagedProcess; firstLine: unknown}> {
     const child = spawn(process.execPath, [script, ...parameters], {
-      stdio: ['ignore', 'pipe', 'pipe'],
+      stdio: ['pipe', 'pipe', 'pipe'],
     });
     const managed = new ManagedProcess(name, child);
-    const firstLine = await managed.readFirstLine();
+    const firstLine = await managed.readFirstLine(onLine);
     return {process: managed, firstLine};
   }
 
@@ -83,19 +86,28 @@
     await this.exited;
   }
 
+  /** Stops the process from running, as a frozen VM does. */
+  pause(): void {
+    this.signal('SIGSTOP');
+  }
+
+  resume(): void {
+    this.signal('SIGCONT');
+  }
+
   /** Asks the process to stop and waits; kills it if it does not. */
   async stop(): Promise<ProcessExit> {
-    this.signal('SIGCONT');
     this.signal('SIGTERM');
+    // A paused process takes the signal only when it runs again.
+    this.resume();
     const timer = setTimeout(() => this.signal('SIGKILL'), STOP_TIMEOUT_MS);
     const exit = await this.exited;
     clearTimeout(timer);
     return exit;
   }
 
-  private async readFirstLine(): Promise<unknown> {
+  private async readFirstLine(onLine: LineListener): Promise<unknown> {
     const {stdout, stderr} = this.child;
-    if (!stdout || !stderr) throw new Error(`${this.name} has no output`);
     createInterface({input: stderr}).on('line', (line) => {
       this.errorLines.push(line);
       if (this.errorLines.length > KEPT_ERROR_LINES) this.errorLines.shift();
@@ -106,28 +118,19 @@
         reject(new Error(`${this.name} did not start: ${this.errors}`));
       }, START_TIMEOUT_MS);
       createInterface({input: stdout}).on('line', (line) => {
-        const value = parseLine(line);
-        if (first) {
-          first = false;
-          clearTimeout(timer);
-          resolve(value);
-        } else {
-          this.lines.push(value);
+        if (!first) {
+          onLine(line);
+          return;
         }
+        first = false;
+        clearTimeout(timer);
+        resolve(JSON.parse(line));
       });
       void this.exited.then((exit) => {
         clearTimeout(timer);
-        const code = exit.code ?? exit.signal;
-        reject(new Error(`${this.name} ended (${code}): ${this.errors}`));
+        const cause = exit.code ?? exit.signal;
+        reject(new Error(`${this.name} ended (${cause}): ${this.errors}`));
       });
     });
   }
 }
-
-function parseLine(line: string): unknown {
-  try {
-    return JSON.parse(line);
-  } catch {
-    return line;
-  }
-}
