Test the zone controller over in-memory fakes with faults

Cause: lost answers, silent workers, outages of the store, takeovers and concurrent schedulers were not exercised. Ruled out: assertions on elapsed time; the tests wait for conditions.

--- /dev/null
+++ b/test/zone_controller_start.test.ts
@@ -0,0 +1,155 @@
+/** Starts, ends and cancellations, with calls to workers that fail. */
+
+import assert from 'node:assert/strict';
+import {afterEach, beforeEach, test} from 'node:test';
+import {FakeStore, FakeWorkers, until} from './zone_fakes.js';
+import type {Fault} from './zone_fakes.js';
+import {TestScheduler, jobRecord, workerVm} from './zone_fixture.js';
+
+const job = jobRecord('job-1', 2);
+const {jobId} = job;
+let workers: FakeWorkers;
+let store: FakeStore;
+let scheduler: TestScheduler;
+
+beforeEach(() => {
+  workers = new FakeWorkers();
+  store = new FakeStore();
+  scheduler = new TestScheduler(workers, store);
+  scheduler.controller.setWorkers([workerVm('w0'), workerVm('w1')]);
+});
+
+afterEach(async () => {
+  await scheduler.scope.close();
+  assert.deepEqual(workers.violations, []);
+  assert.deepEqual(workers.duplicateRuns, []);
+});
+
+/** Makes the first such call fail, and returns how many calls there were. */
+function failFirst(call: string, fault: Fault): {calls: number} {
+  const counter = {calls: 0};
+  workers.fault = (kind) => {
+    if (kind !== call) return undefined;
+    counter.calls += 1;
+    return counter.calls === 1 ? fault : undefined;
+  };
+  return counter;
+}
+
+async function startJob(): Promise<void> {
+  store.seed(job);
+  scheduler.controller.start();
+  await until('the gang runs', () => workers.isRunning(jobId, 2));
+  await until('the start is stored', () => {
+    return store.record(jobId)?.state === 'running';
+  });
+}
+
+// Guards against ends that are not recorded, tasks that go before the end is
+// in the store, and sequences that do not increase.
+test('the end of a gang is stored before its tasks are removed', async () => {
+  await startJob();
+  workers.endTasks(jobId, 'finished');
+  await until('a task is removed', () => workers.tasksOf(jobId).length < 2);
+  assert.equal(store.record(jobId)?.state, 'finished');
+  await until('all are removed', () => workers.tasksOf(jobId).length === 0);
+  assert.equal(scheduler.state(jobId), 'finished');
+  const sequences = store.written.map((record) => record.sequence);
+  const states = store.written.map((record) => record.state);
+  assert.deepEqual(states, ['starting', 'running', 'finished']);
+  assert.deepEqual(sequences, [1, 2, 3]);
+});
+
+// Guards against jobs that reach the store but no scheduler.
+test('a job that only the store knows is found by the watch', async () => {
+  scheduler.controller.start();
+  await until('placing begins', () => scheduler.saw('placing'));
+  store.seed(job);
+  await until('the gang runs', () => workers.isRunning(jobId, 2));
+});
+
+// Guards against a second hold for a member whose hold took effect.
+test('a lost answer to a hold is settled by reading the list', async () => {
+  const holds = failFirst('hold', 'answerLost');
+  await startJob();
+  assert.equal(holds.calls, 2);
+  assert.equal(store.record(jobId)?.attempts, 1);
+});
+
+// Guards against reuse of capacity that a late hold could still take: the id
+// has to be removed first, so that the worker refuses it.
+test('a hold that never arrived is removed before the next try', async () => {
+  failFirst('hold', 'requestLost');
+  await startJob();
+  assert.equal(store.record(jobId)?.attempts, 2);
+  assert.equal(workers.removals.length, 2);
+  assert.equal(workers.worker(workerVm('w0').vmId).refused.size, 2);
+});
+
+// Guards against gangs that stay half released.
+for (const fault of ['requestLost', 'answerLost'] as const) {
+  test(`a release is completed after: ${fault}`, async () => {
+    failFirst('release', fault);
+    await startJob();
+    assert.equal(workers.releases.length, 2);
+  });
+}
+
+// Guards against a cancelled job that runs on, or keeps a worker occupied.
+for (const call of ['hold', 'list', 'release'] as const) {
+  test(`a cancellation during the first ${call} takes effect`, async () => {
+    workers.fault = (kind) => {
+      if (kind === call) scheduler.controller.cancelJob(jobId);
+      return undefined;
+    };
+    store.seed(job);
+    scheduler.controller.start();
+    await until('the end is stored', () => {
+      return store.record(jobId)?.state === 'cancelled';
+    });
+    assert.deepEqual(workers.tasksOf(jobId), []);
+    if (call !== 'release') assert.deepEqual(workers.releases, []);
+  });
+}
+
+// Guards against a preempted gang that loses its checkpoint.
+test('a preempted gang resumes from its checkpoint', async () => {
+  await startJob();
+  const [first] = workers.tasksOf(jobId);
+  scheduler.planner.preemptions.push(jobId);
+  scheduler.controller.configure({
+    version: 1,
+    customers: [],
+    workClasses: [],
+    power: {supply: 'grid'},
+  });
+  await until('it runs again', () => store.record(jobId)?.attempts === 2);
+  await until('the gang runs', () => workers.isRunning(jobId, 2));
+  const resumed = workers.tasksOf(jobId)[0];
+  assert.equal(resumed?.checkpoint, `checkpoint-of-${first?.taskId}`);
+  assert.equal(scheduler.planner.ends[0]?.kind, 'setAside');
+});
+
+// Guards against guaranteed work that waits for a checkpoint without end.
+test('a checkpoint without an answer does not delay the stop', async () => {
+  await startJob();
+  workers.fault = (call) => (call === 'checkpoint' ? 'silent' : undefined);
+  scheduler.planner.preemptions.push(jobId);
+  scheduler.controller.setWorkers([workerVm('w0'), workerVm('w1')]);
+  await until('it runs again', () => store.record(jobId)?.attempts === 2);
+  assert.equal(store.record(jobId)?.checkpoint, undefined);
+});
+
+// Guards against a gang of which a part runs on, and against endless tries.
+test('a failed task stops the gang; the third failure is final', async () => {
+  await startJob();
+  for (let attempt = 1; attempt <= 3; attempt += 1) {
+    await until('the gang runs', () => workers.isRunning(jobId, 2));
+    workers.endTasks(jobId, 'failed', 1);
+    await until('the gang is stopped', () => {
+      return scheduler.planner.ends.length === attempt;
+    });
+  }
+  await until('it fails', () => store.record(jobId)?.state === 'failed');
+  await until('no task is left', () => workers.tasksOf(jobId).length === 0);
+});
