--- a/src/controllers/audit_trail.ts
+++ b/src/controllers/audit_trail.ts
@@ -290,18 +290,11 @@
     const key = slotKey(availabilityZone, batch.sequence);
     const entry = await store.get(key);
     if (entry.isErr) return Result.err(entry.error);
-    if (entry.value) {
-      const other = decodeBatch(entry.value.key, entry.value.value);
-      if (other.isOk && other.value.batchId === batch.batchId) {
-        return Result.ok(undefined);
-      }
-      if (other.isOk && other.value.sequence > batch.sequence) {
-        log(
-          `[audit] batch ${batch.sequence} was overtaken and is written anew`,
-        );
-        this.unwritten = undefined;
-        return Result.err(raceLost(availabilityZone));
-      }
+    const other = entry.value && decodeBatch(key, entry.value.value);
+    if (other?.isOk && other.value.sequence > batch.sequence) {
+      log(`[audit] batch ${batch.sequence} was overtaken and is written anew`);
+      this.unwritten = undefined;
+      return Result.err(raceLost(availabilityZone));
     }
     const put = await store.put(
       key,
--- a/test/configuration_audit.test.ts
+++ b/test/configuration_audit.test.ts
@@ -129,6 +129,25 @@
     assert.deepEqual(subjects(history), ['job-2']);
   });
 
+  it('does not write a late batch over a newer one', async () => {
+    const late = newLog('daemon-1');
+    store.fault = (operation, key) =>
+      operation === 'put' && !key.endsWith('/head') ? 'down' : 'none';
+    late.record('start', 'late', '');
+    await late.flush();
+    store.fault = () => 'none';
+    const next = newLog('daemon-2');
+    for (let i = 0; i < DECISION_SLOTS; i += 1) {
+      next.record('start', `job-${i}`, '');
+      await next.flush();
+    }
+    await late.flush();
+    await late.flush();
+    const history = await read();
+    assert.deepEqual(history.missingSequences, []);
+    assert.deepEqual(subjects(history).slice(-2), ['job-63', 'late']);
+  });
+
   it('writes what waits when the daemon stops', async () => {
     const log = newLog('daemon-1');
     log.start();
--- a/test/peers_links.test.ts
+++ b/test/peers_links.test.ts
@@ -358,9 +358,14 @@
       assert.ok(result.isErr && result.error.kind === 'protocol', `${i}`);
     }
     assert.equal(client.linkCounters()[0]?.attempts, replies.length);
-    const answer = await client.heartbeat(bad, heartbeat('asking'));
-    assert.ok(answer.isErr && answer.error.kind === 'protocol');
-    assert.equal(hadNoEffect(answer.error), false);
+    const answers = [
+      await client.dispatch(bad, dispatchOf('r'), LONG_MS),
+      await client.heartbeat(bad, heartbeat('asking')),
+    ];
+    for (const answer of answers) {
+      assert.ok(answer.isErr && answer.error.kind === 'protocol');
+      assert.equal(hadNoEffect(answer.error), false);
+    }
   });
 
   it('serves others while a peer sends malformed messages', async () => {
