--- a/src/requests/minion_queue.ts
+++ b/src/requests/minion_queue.ts
@@ -225,7 +225,7 @@
   /** Expected wait of the customer's next request; 0 if a slot is free. */
   private predictedWaitMs(customerId: CustomerId): number {
     const slots = this.currentMinion.slots;
-    if (this.running < slots || this.meanServiceMs === undefined) return 0;
+    if (this.length < slots || this.meanServiceMs === undefined) return 0;
     const counts = this.waitingPerCustomer();
     const own = counts.get(customerId) ?? 0;
     counts.delete(customerId);
--- a/src/requests/retry_filter.ts
+++ b/src/requests/retry_filter.ts
@@ -9,14 +9,14 @@
 import {RequestFilter} from './exchange.js';
 import type {Exchange, Next} from './exchange.js';
 
-/** Further attempts allowed for each answered request. */
-const BUDGET_PER_SUCCESS = 0.1;
+/** Answered requests that pay for one further attempt: 10% of successes. */
+const SUCCESSES_PER_RETRY = 10;
 
-/** Budget of a daemon that has just started. */
-const INITIAL_BUDGET = 5;
+/** Budget of a daemon that has just started, in successes. */
+const INITIAL_BUDGET = 5 * SUCCESSES_PER_RETRY;
 
 /** Bounds the burst of retries after a long time without failures. */
-const MAXIMUM_BUDGET = 100;
+const MAXIMUM_BUDGET = 100 * SUCCESSES_PER_RETRY;
 
 /** A repeatable request without an answer gets one further attempt. */
 const MAXIMUM_PAID_RETRIES = 1;
@@ -31,16 +31,13 @@
   private available = INITIAL_BUDGET;
 
   recordSuccess(): void {
-    this.available = Math.min(
-      MAXIMUM_BUDGET,
-      this.available + BUDGET_PER_SUCCESS,
-    );
+    this.available = Math.min(MAXIMUM_BUDGET, this.available + 1);
   }
 
   /** Takes the price of one attempt if it is there. */
   take(): boolean {
-    if (this.available < 1) return false;
-    this.available -= 1;
+    if (this.available < SUCCESSES_PER_RETRY) return false;
+    this.available -= SUCCESSES_PER_RETRY;
     return true;
   }
 }
--- /dev/null
+++ b/test/requests_routing.test.ts
@@ -0,0 +1,133 @@
+/**
+ * Guards against traffic to minions that are leaving, suspect, failing or
+ * full, and against retries that multiply the load of an outage.
+ */
+
+import assert from 'node:assert/strict';
+import {beforeEach, describe, test} from 'node:test';
+import {trustedId} from '../src/model/ids.js';
+import type {AvailabilityZone} from '../src/model/ids.js';
+import type {MinionCandidate} from '../src/requests/directory.js';
+import type {RequestService} from '../src/requests/request_service.js';
+import {candidate, FakeSite, submission} from './requests_fakes.js';
+
+const OTHER_ZONE = trustedId<AvailabilityZone>('zone-b');
+
+describe('routing', () => {
+  let site: FakeSite;
+  let entry: RequestService;
+
+  beforeEach(() => {
+    site = new FakeSite();
+    entry = site.addDaemon('one');
+  });
+
+  /** Sends requests one after the other and counts them per minion. */
+  async function send(count: number, workClass: 'check' | 'scan' = 'check') {
+    const before = site.minions.handedTo.length;
+    const outcomes: string[] = [];
+    for (let index = 0; index < count; index += 1) {
+      const {outcome} = entry.submit(submission(workClass, `${index}`));
+      outcomes.push((await outcome).outcome);
+    }
+    const handedTo = site.minions.handedTo.slice(before);
+    const share = (name: string) => handedTo.filter((id) => id === name).length;
+    return {outcomes, handedTo, share};
+  }
+
+  function add(name: string, change: Partial<MinionCandidate> = {}): void {
+    const added = candidate(name, 'one', 1);
+    site.candidates.push({...added, ...change});
+  }
+
+  const reported = (queued: number, ageMs: number) => ({
+    home: {daemonId: trustedId<never>('two'), address: 'two'},
+    reported: {queued, at: trustedAge(ageMs)},
+  });
+  const trustedAge = (ageMs: number) => (site.clock.now() - ageMs) as never;
+
+  test('leaves out minions that are leaving or suspect', async () => {
+    add('good');
+    add('suspect', {suspect: true});
+    const {minion} = candidate('leaving', 'one', 1);
+    add('leaving', {minion: {...minion, state: 'leaving'}});
+    assert.equal((await send(50)).share('good'), 50);
+  });
+
+  test('spills to another zone only when its own has no room', async () => {
+    site.addDaemon('two');
+    const far = candidate('far', 'two', 1, OTHER_ZONE);
+    add('near', reported(0, 0));
+    add('far', {...far, ...reported(0, 0)});
+    assert.equal((await send(20)).share('near'), 20);
+    site.candidates = [];
+    add('near', reported(100, 0));
+    add('far', {...far, ...reported(0, 0)});
+    assert.equal((await send(20)).share('far'), 20);
+    site.candidates.pop();
+    const full = await send(1);
+    assert.deepEqual([full.outcomes, full.handedTo], [['notRun'], []]);
+  });
+
+  test('prefers the shorter queue as far as its report is recent', async () => {
+    site.addDaemon('two');
+    add('long', reported(4, 0));
+    add('short', reported(0, 0));
+    assert.equal((await send(50)).share('short'), 50);
+    site.candidates = [];
+    // An old report of an empty queue against recent reports of 2 and 4.
+    add('old', reported(0, 60_000));
+    add('long', reported(4, 0));
+    add('short', reported(1, 0));
+    const {share} = await send(100);
+    assert.ok(share('short') > share('old') && share('old') > share('long'));
+  });
+
+  test('sends little to a minion that failed until it answers', async () => {
+    add('good');
+    add('bad');
+    site.minions.faults = Array(40).fill('none');
+    const firstBad = (await send(40)).handedTo.indexOf(trustedId('bad'));
+    assert.ok(firstBad >= 0);
+    site.minions.run = failing(site, 'bad');
+    await send(40);
+    const {share} = await send(200);
+    assert.ok(share('bad') < 30, `${share('bad')} of 200`);
+    delete (site.minions as Partial<typeof site.minions>).run;
+    site.clock.advance(60_000);
+    assert.ok((await send(200)).share('bad') > 60);
+  });
+
+  test('retries cannot multiply the load of a total outage', async () => {
+    add('bad-1');
+    add('bad-2');
+    site.minions.faults = Array(1_000).fill('unreachable');
+    assert.equal((await send(200)).handedTo.length, 205);
+    site.minions.faults = [];
+    await send(100);
+    site.minions.faults = Array(1_000).fill('lost-answer');
+    assert.equal((await send(200)).handedTo.length, 210);
+  });
+
+  test('a failed attempt is repeated on another minion if repeatable', async () => {
+    add('a');
+    add('b');
+    site.minions.faults = ['lost-answer'];
+    const check = await send(1);
+    assert.deepEqual(check.outcomes, ['answered']);
+    assert.equal(new Set(check.handedTo).size, 2);
+    site.minions.faults = ['lost-answer'];
+    const scan = await send(1, 'scan');
+    assert.deepEqual(scan.outcomes, ['unknown']);
+    assert.equal(scan.handedTo.length, 1);
+  });
+});
+
+/** Minions of which one is unreachable. */
+function failing(site: FakeSite, name: string): FakeSite['minions']['run'] {
+  const run = site.minions.run.bind(site.minions);
+  return (minion, request) => {
+    if (minion.vmId === name) site.minions.faults = ['unreachable'];
+    return run(minion, request);
+  };
+}
