Prefer untried minions on probation over one that has just failed

Cause: when all untried minions were on probation, a retry could go back to the minion of the failed attempt, because the fallback was any usable minion. Found by the tightened test of repeated attempts. Ruled out: ending probation early. Conclusion: the order is preferred, untried, then any usable minion.

--- a/src/requests/routing.ts
+++ b/src/requests/routing.ts
@@ -51,10 +51,13 @@
     if (usable.every((candidates) => candidates.length === 0)) {
       return {kind: 'no-minion'};
     }
-    const preferred = usable.map((candidates) =>
-      candidates.filter((c) => this.isPreferred(c, tried, now)),
+    const untried = usable.map((candidates) =>
+      candidates.filter((c) => !tried.has(c.minion.vmId)),
     );
-    for (const candidates of [...preferred, ...usable]) {
+    const preferred = untried.map((candidates) =>
+      candidates.filter((c) => this.isPreferred(c.minion.vmId, now)),
+    );
+    for (const candidates of [...preferred, ...untried, ...usable]) {
       const candidate = this.betterOfTwo(candidates, now);
       if (candidate) return {kind: 'chosen', candidate};
     }
@@ -97,14 +100,8 @@
       );
   }
 
-  private isPreferred(
-    candidate: MinionCandidate,
-    tried: ReadonlySet<VmId>,
-    now: Instant,
-  ): boolean {
-    const {vmId} = candidate.minion;
-    if (tried.has(vmId)) return false;
-    if (this.health.standing(vmId, now) === 'good') return true;
+  private isPreferred(minionId: VmId, now: Instant): boolean {
+    if (this.health.standing(minionId, now) === 'good') return true;
     return this.random.next() < PROBATION_SHARE;
   }
 
--- a/test/requests_fakes.ts
+++ b/test/requests_fakes.ts
@@ -153,6 +153,8 @@
   /** Ran, and the answer is lost. */
   | 'lost-answer'
   | 'lost-request'
+  /** Ran, and the answer did not come in time. */
+  | 'no-answer'
   | 'throws'
   | 'leaving';
 
@@ -186,6 +188,9 @@
     await this.gate;
     await this.pause(`answer ${request.payload}`);
     if (fault === 'throws') throw new Error('the client failed');
+    if (fault === 'no-answer') {
+      return {kind: 'unknown', reason: 'no-answer-in-time', message};
+    }
     if (fault === 'lost-answer' || fault === 'lost-request') {
       return {kind: 'unknown', reason: 'connection-lost', message};
     }
