Route anew what a home daemon refused; guard the claim writer

Cause: a home daemon whose VM list lags, or whose queue is longer than its last report, refused requests that other minions could have run. A fault thrown by the store's client would have stopped a claim bucket for ever. The router looked at all zones for each request although its own usually has room. Ruled out: free reroutes for these reasons (they could go round in an overload; they are paid from the retry budget). A request for which the router itself found no minion is not repeated and takes nothing from the budget. Conclusion: refusals by home daemons cost a caller an answer only when the budget is used up.

--- a/src/requests/claim_bucket.ts
+++ b/src/requests/claim_bucket.ts
@@ -125,7 +125,7 @@
     while (this.waiting.length > 0) {
       const batch = this.waiting;
       this.waiting = [];
-      const results = await this.write(batch.map((entry) => entry.change));
+      const results = await this.writeSafely(batch.map((b) => b.change));
       batch.forEach((entry, index) => {
         entry.settle(results[index] ?? unavailable('no result', true));
       });
@@ -133,6 +133,19 @@
     this.writing = false;
   }
 
+  /** A fault in the store's client must not stop the bucket for ever. */
+  private async writeSafely(
+    changes: readonly ClaimChange[],
+  ): Promise<readonly ClaimResult[]> {
+    try {
+      return await this.write(changes);
+    } catch (error) {
+      this.cached = undefined;
+      const detail = error instanceof Error ? error.message : String(error);
+      return changes.map(() => unavailable(detail, true));
+    }
+  }
+
   /** Returns one result for each change. */
   private async write(
     changes: readonly ClaimChange[],
--- a/src/requests/exchange.ts
+++ b/src/requests/exchange.ts
@@ -59,6 +59,11 @@
     this.chosenTarget = target;
   }
 
+  /** Dispatches that were started so far. */
+  get attempts(): number {
+    return this.attemptCount;
+  }
+
   /** Number of the attempt that starts now, from 1. */
   startAttempt(): number {
     this.attemptCount += 1;
--- a/src/requests/retry_filter.ts
+++ b/src/requests/retry_filter.ts
@@ -53,14 +53,17 @@
     /** An attempt that may have run; the request is then not `notRun`. */
     let uncertain: Outcome | undefined;
     for (;;) {
+      const attemptsBefore = exchange.attempts;
       const outcome = await next();
       if (outcome.outcome === 'answered') {
         this.budget.recordSuccess();
         return outcome;
       }
       if (outcome.outcome === 'unknown') uncertain ??= outcome;
-      const stop = exchange.reasonToStop();
-      const kind = stop ? 'none' : retryKind(exchange.request, outcome);
+      // Without a dispatch it was the router that found no minion.
+      const ended =
+        exchange.attempts === attemptsBefore || exchange.reasonToStop();
+      const kind = ended ? 'none' : retryKind(exchange.request, outcome);
       if (kind === 'free' && freeReroutes > 0) {
         freeReroutes -= 1;
       } else if (kind !== 'none' && paidRetries > 0 && this.budget.take()) {
@@ -82,11 +85,12 @@
   switch (outcome.reason) {
     case 'shutting-down':
       return 'free';
+    // The home daemon knows its queue and its minions better than the router.
+    case 'overloaded':
+    case 'no-minion':
     case 'minion-refused':
     case 'minion-unreachable':
       return 'paid';
-    // Another minion was already preferred by its queue length, or another
-    // attempt cannot change the result.
     default:
       return 'none';
   }
--- a/src/requests/routing.ts
+++ b/src/requests/routing.ts
@@ -43,21 +43,23 @@
   ) {}
 
   choose(tried: ReadonlySet<VmId>, now: Instant): RouteChoice {
-    const zones = [
-      this.directory.availabilityZone,
-      ...this.directory.otherZones(),
-    ];
-    const usable = zones.map((zone) => this.usable(zone, now));
+    const own = this.usable(this.directory.availabilityZone, now);
+    // Other zones are looked at only if the own zone has no room.
+    const near = this.betterOfTwo(this.preferred(own, tried, now), now);
+    if (near) return {kind: 'chosen', candidate: near};
+    const others = this.directory
+      .otherZones()
+      .map((zone) => this.usable(zone, now));
+    const usable = [own, ...others];
     if (usable.every((candidates) => candidates.length === 0)) {
       return {kind: 'no-minion'};
     }
-    const untried = usable.map((candidates) =>
-      candidates.filter((c) => !tried.has(c.minion.vmId)),
-    );
-    const preferred = untried.map((candidates) =>
-      candidates.filter((c) => this.isPreferred(c.minion.vmId, now)),
-    );
-    for (const candidates of [...preferred, ...untried, ...usable]) {
+    const ranked = [
+      ...others.map((candidates) => this.preferred(candidates, tried, now)),
+      ...usable.map((candidates) => without(candidates, tried)),
+      ...usable,
+    ];
+    for (const candidates of ranked) {
       const candidate = this.betterOfTwo(candidates, now);
       if (candidate) return {kind: 'chosen', candidate};
     }
@@ -100,9 +102,17 @@
       );
   }
 
-  private isPreferred(minionId: VmId, now: Instant): boolean {
-    if (this.health.standing(minionId, now) === 'good') return true;
-    return this.random.next() < PROBATION_SHARE;
+  /** Untried minions; of those on probation only a small share. */
+  private preferred(
+    candidates: readonly MinionCandidate[],
+    tried: ReadonlySet<VmId>,
+    now: Instant,
+  ): MinionCandidate[] {
+    return without(candidates, tried).filter(
+      ({minion}) =>
+        this.health.standing(minion.vmId, now) === 'good' ||
+        this.random.next() < PROBATION_SHARE,
+    );
   }
 
   /** Undefined if no candidate is below its limit. */
@@ -159,6 +169,13 @@
   }
 }
 
+function without(
+  candidates: readonly MinionCandidate[],
+  tried: ReadonlySet<VmId>,
+): readonly MinionCandidate[] {
+  return candidates.filter(({minion}) => !tried.has(minion.vmId));
+}
+
 /** Queue length in relation to the minion's slots. */
 function fullness(rated: Rated): number {
   return rated.length / rated.candidate.minion.slots;
--- a/test/requests_claims.test.ts
+++ b/test/requests_claims.test.ts
@@ -11,7 +11,7 @@
 import {ClaimBucket} from '../src/requests/claim_bucket.js';
 import type {Claim} from '../src/requests/claim_bucket.js';
 import type {RequestService} from '../src/requests/request_service.js';
-import {answerTo, CLUB, FakeSite, submission} from './requests_fakes.js';
+import {answerTo, CLUB, FakeSite, submission, until} from './requests_fakes.js';
 
 const RETENTION_MS = 3_600_000;
 
@@ -108,6 +108,20 @@
     assert.equal(reasonOf(await send(two)), answerTo('a'));
   });
 
+  test('a claim that is written after the deadline is released', async () => {
+    let open: (value?: unknown) => void = () => undefined;
+    const gate = new Promise((resolve) => (open = resolve));
+    site.store.pause = async (label) => {
+      if (label === 'store put') await gate;
+    };
+    const late = {...submission('scan', 'a', 'key'), deadlineMs: 1};
+    const {outcome} = one.submit(late);
+    assert.equal(reasonOf(await outcome), 'store-unavailable');
+    open();
+    await until(() => site.store.writes === 2 && claims() === 0);
+    assert.equal(site.minions.handOvers, 0);
+  });
+
   test('with its daemon gone a key is unknown until the claim expires', async () => {
     await send(one);
     site.peers.services.delete('one');
--- a/test/requests_fakes.ts
+++ b/test/requests_fakes.ts
@@ -215,7 +215,9 @@
   | 'late'
   /** Repeated to a new run of the daemon, whose answer is returned. */
   | 'restarted'
-  | 'answer-to-another';
+  | 'answer-to-another'
+  /** The home daemon does not have the minion in its VM list. */
+  | 'minion-unknown';
 
 export class FakePeers implements RequestPeers {
   faults: DispatchFault[] = [];
@@ -235,8 +237,9 @@
     await this.pause(`dispatch ${sent.request.payload}`);
     const service = this.services.get(address);
     if (!service || fault === 'unreachable') return Result.err(AWAY);
-    const deliver = () =>
-      service.dispatch(dispatchSchema.parse(structuredClone(sent)));
+    const received = dispatchSchema.parse(structuredClone(sent));
+    if (fault === 'minion-unknown') received.minionId = trustedId('none');
+    const deliver = () => service.dispatch(received);
     if (fault === 'late') {
       this.late.push(deliver);
       return Result.err(new TimeoutError('no answer', 'try again'));
--- a/test/requests_routing.test.ts
+++ b/test/requests_routing.test.ts
@@ -116,6 +116,17 @@
     assert.equal((await send(200)).handedTo.length, 210);
   });
 
+  test('what a home daemon did not hand over is routed anew', async () => {
+    // Requests that no minion was found for must not use up the budget.
+    await send(20);
+    site.addDaemon('two', 1, 1);
+    for (const workClass of ['check', 'scan'] as const) {
+      site.peers.faults = ['minion-unknown'];
+      assert.deepEqual((await send(1, workClass)).outcomes, ['answered']);
+    }
+    assert.equal(site.minions.handOvers, 2);
+  });
+
   test('a failed attempt is repeated on another minion if repeatable', async () => {
     add('a');
     add('b');
--- a/test/requests_truth.test.ts
+++ b/test/requests_truth.test.ts
@@ -35,6 +35,7 @@
     'late',
     'restarted',
     'answer-to-another',
+    'minion-unknown',
   ),
   {maxLength: 8},
 );
