--- a/src/requests/claim_bucket.ts
+++ b/src/requests/claim_bucket.ts
@@ -84,15 +84,22 @@
   readonly settle: (result: ClaimResult) => void;
 }
 
+/** A claim with its JSON, which every write of the bucket repeats. */
+interface StoredClaim {
+  readonly claim: Claim;
+  readonly text: string;
+}
+
+type StoredClaims = ReadonlyMap<string, StoredClaim>;
+
 interface BucketState {
   readonly revision: number;
-  readonly claims: ReadonlyMap<string, Claim>;
+  readonly claims: StoredClaims;
 }
 
 interface Applied {
-  readonly claims: ReadonlyMap<string, Claim>;
+  readonly claims: StoredClaims;
   readonly results: readonly ClaimResult[];
-  readonly value: string;
   readonly changed: boolean;
 }
 
@@ -166,7 +173,7 @@
       if (!applied.changed) return applied.results;
       const written = await this.store.put(
         this.storeKey,
-        applied.value,
+        serialize(applied.claims),
         state.revision,
       );
       if (written.isOk) {
@@ -202,11 +209,13 @@
 function parseBucket(
   value: string,
   storeKey: string,
-): Result<ReadonlyMap<string, Claim>, string> {
+): Result<StoredClaims, string> {
   const parsed = validateJson(bucketSchema, value, storeKey);
   if (parsed.isErr) return Result.err(parsed.error.message);
   const claims = parsed.value.claims.map(fromTuple);
-  return Result.ok(new Map(claims.map((claim) => [claimName(claim), claim])));
+  return Result.ok(
+    new Map(claims.map((claim) => [claimName(claim), stored(claim)])),
+  );
 }
 
 function applyChanges(
@@ -214,10 +223,13 @@
   changes: readonly ClaimChange[],
   now: Instant,
 ): Applied {
-  const claims = new Map(
-    [...state.claims].filter(([, claim]) => claim.expiresAt > now),
-  );
-  const size = {bytes: serialize(claims).length};
+  const claims = new Map<string, StoredClaim>();
+  const size = {bytes: 0};
+  for (const [name, entry] of state.claims) {
+    if (entry.claim.expiresAt <= now) continue;
+    claims.set(name, entry);
+    size.bytes += storedBytes(entry);
+  }
   let changed = false;
   const results = changes.map((change): ClaimResult => {
     const result =
@@ -231,49 +243,51 @@
     if (result.kind === 'done' && !wasWritten) changed = true;
     return result;
   });
-  return {claims, results, value: serialize(claims), changed};
+  return {claims, results, changed};
 }
 
 function applyClaim(
-  claims: Map<string, Claim>,
+  claims: Map<string, StoredClaim>,
   change: Extract<ClaimChange, {kind: 'claim'}>,
   size: {bytes: number},
   now: Instant,
 ): ClaimResult {
   const {claim, replaces} = change;
   const present = claims.get(claimName(claim));
-  if (present?.requestId === claim.requestId) return {kind: 'done'};
-  if (present && present.requestId !== replaces) {
-    return {kind: 'taken', by: present};
+  if (present?.claim.requestId === claim.requestId) return {kind: 'done'};
+  if (present && present.claim.requestId !== replaces) {
+    return {kind: 'taken', by: present.claim};
   }
-  const growth = tupleBytes(claim) - (present ? tupleBytes(present) : 0);
+  const added = stored(claim);
+  const growth = storedBytes(added) - (present ? storedBytes(present) : 0);
   if (size.bytes + growth > MAXIMUM_BUCKET_BYTES) {
     return {kind: 'full', retryAfterMs: nextExpiryMs(claims, now)};
   }
   size.bytes += growth;
-  claims.set(claimName(claim), claim);
+  claims.set(claimName(claim), added);
   return {kind: 'done'};
 }
 
 function applyRelease(
-  claims: Map<string, Claim>,
+  claims: Map<string, StoredClaim>,
   claim: Claim,
   size: {bytes: number},
 ): ClaimResult {
-  if (isClaimed(claims, claim)) {
+  const present = claims.get(claimName(claim));
+  if (present?.claim.requestId === claim.requestId) {
     claims.delete(claimName(claim));
-    size.bytes -= tupleBytes(claim);
+    size.bytes -= storedBytes(present);
   }
   return {kind: 'done'};
 }
 
-function isClaimed(claims: ReadonlyMap<string, Claim>, claim: Claim): boolean {
-  return claims.get(claimName(claim))?.requestId === claim.requestId;
+function isClaimed(claims: StoredClaims, claim: Claim): boolean {
+  return claims.get(claimName(claim))?.claim.requestId === claim.requestId;
 }
 
-function nextExpiryMs(claims: ReadonlyMap<string, Claim>, now: Instant) {
+function nextExpiryMs(claims: StoredClaims, now: Instant): number {
   let earliest = Infinity;
-  for (const claim of claims.values()) {
+  for (const {claim} of claims.values()) {
     earliest = Math.min(earliest, claim.expiresAt);
   }
   return Math.max(0, earliest - now);
@@ -284,17 +298,18 @@
   return `${claim.customerId}/${claim.key}`;
 }
 
-/** Ids and digests are ASCII, so characters are bytes. */
-function serialize(claims: ReadonlyMap<string, Claim>): string {
-  return JSON.stringify({claims: [...claims.values()].map(toTuple)});
+function serialize(claims: StoredClaims): string {
+  const texts = Array.from(claims.values(), (entry) => entry.text);
+  return `{"claims":[${texts.join(',')}]}`;
 }
 
-function tupleBytes(claim: Claim): number {
-  return JSON.stringify(toTuple(claim)).length + 1;
+/** Ids and digests are ASCII, so characters are bytes; one is the comma. */
+function storedBytes(entry: StoredClaim): number {
+  return entry.text.length + 1;
 }
 
-function toTuple(claim: Claim): ClaimTuple {
-  return [
+function stored(claim: Claim): StoredClaim {
+  const tuple: ClaimTuple = [
     claim.customerId,
     claim.key,
     claim.requestId,
@@ -302,6 +317,7 @@
     claim.contentDigest,
     claim.expiresAt,
   ];
+  return {claim, text: JSON.stringify(tuple)};
 }
 
 function fromTuple(tuple: ClaimTuple): Claim {
