--- a/test/requests_fakes.ts
+++ b/test/requests_fakes.ts
@@ -153,6 +153,8 @@
   /** Ran, and the answer is lost. */
   | 'lost-answer'
   | 'lost-request'
+  /** Ran, and the answer did not come in time. */
+  | 'no-answer'
   | 'throws'
   | 'leaving';
 
@@ -186,6 +188,9 @@
     await this.gate;
     await this.pause(`answer ${request.payload}`);
     if (fault === 'throws') throw new Error('the client failed');
+    if (fault === 'no-answer') {
+      return {kind: 'unknown', reason: 'no-answer-in-time', message};
+    }
     if (fault === 'lost-answer' || fault === 'lost-request') {
       return {kind: 'unknown', reason: 'connection-lost', message};
     }
@@ -210,7 +215,9 @@
   | 'late'
   /** Repeated to a new run of the daemon, whose answer is returned. */
   | 'restarted'
-  | 'answer-to-another';
+  | 'answer-to-another'
+  /** The home daemon does not have the minion in its VM list. */
+  | 'minion-unknown';
 
 export class FakePeers implements RequestPeers {
   faults: DispatchFault[] = [];
@@ -230,8 +237,9 @@
     await this.pause(`dispatch ${sent.request.payload}`);
     const service = this.services.get(address);
     if (!service || fault === 'unreachable') return Result.err(AWAY);
-    const deliver = () =>
-      service.dispatch(dispatchSchema.parse(structuredClone(sent)));
+    const received = dispatchSchema.parse(structuredClone(sent));
+    if (fault === 'minion-unknown') received.minionId = trustedId('none');
+    const deliver = () => service.dispatch(received);
     if (fault === 'late') {
       this.late.push(deliver);
       return Result.err(new TimeoutError('no answer', 'try again'));
