Generate the reference of settings and drop settings without effect

Cause: three settings were checked and then used by nothing, and operators had no list of settings. Ruled out: a second way to serve keyed requests in an outage: without a claim a retry at another entry VM could run twice, so the only choice was "refuse".

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -85,7 +85,12 @@
     this.startedAt = clock.now();
     this.log = new DaemonLog(settings.vmId, settings.logLevel);
     this.store = this.openStore();
-    this.peers = new TrpcPeerClient({random, scope, log: this.line('peers')});
+    this.peers = new TrpcPeerClient({
+      random,
+      scope,
+      log: this.line('peers'),
+      timeLimits: {heartbeatMs: timings.peerCallTimeoutMs},
+    });
     this.vms = new VmController({
       vmList: new HttpVmList(scope, {
         address: settings.platform.address,
--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -48,7 +48,7 @@
   ),
   peerCallTimeoutMs: milliseconds(
     SECOND_MS,
-    'Time limit of a call to a peer; longer ones carry their own limit.',
+    'Time limit of a heartbeat; other calls carry limits of their own.',
   ),
   storeCallTimeoutMs: milliseconds(
     SECOND_MS,
@@ -103,18 +103,10 @@
 export type Timings = z.infer<typeof timingsSchema>;
 
 const limitsSchema = z.strictObject({
-  minionQueueLength: count(
-    64,
-    'Requests that wait for one minion before more are refused.',
-  ),
   workerCallConcurrency: count(
     32,
     'Calls to workers that are in progress at once.',
   ),
-  rememberedOutcomes: count(
-    10_000,
-    'Outcomes of requests that are kept in memory.',
-  ),
 });
 /** Limits on counts. */
 export type Limits = z.infer<typeof limitsSchema>;
@@ -146,10 +138,6 @@
       'Address of the key-value service and the VM list.',
     ),
   }),
-  claimsDuringOutage: z
-    .enum(['refuse'])
-    .default('refuse')
-    .describe('What happens to keyed non-idempotent requests in an outage.'),
   logLevel: z
     .enum(['trace', 'debug', 'info', 'warn', 'error'])
     .default('info')
--- /dev/null
+++ b/src/daemon/settings_reference.ts
@@ -0,0 +1,57 @@
+/**
+ * Writes the reference of all settings, `docs/settings.md`, from their schema.
+ */
+
+import {z} from 'zod';
+import {settingsSchema} from './settings.js';
+
+const referenceNodeSchema = z.object({
+  description: z.string().optional(),
+  default: z.unknown().optional(),
+  type: z.string().optional(),
+  enum: z.array(z.string()).optional(),
+  properties: z.record(z.string(), z.unknown()).optional(),
+  required: z.array(z.string()).optional(),
+});
+type ReferenceNode = z.infer<typeof referenceNodeSchema>;
+
+const HEAD = `# Settings
+
+The daemon reads one JSON file, named with \`bramleystepd --settings FILE\`. A
+field that is not listed here is refused, and an error names the field, what
+is wrong and the remedy. Times are in milliseconds. \`examples/*/settings\` has
+one file per entry VM of the example sites.
+
+This page is generated from the schema by \`npm run generate:settings\`; a test
+fails if it is out of date.
+
+| setting | default | meaning |
+| --- | --- | --- |
+`;
+
+/** Returns the text of the page. */
+export function renderSettingsReference(): string {
+  const root = z.toJSONSchema(settingsSchema, {
+    io: 'input',
+    unrepresentable: 'any',
+  });
+  return HEAD + rowsOf('', referenceNodeSchema.parse(root)).join('');
+}
+
+function rowsOf(path: string, node: ReferenceNode): string[] {
+  const {properties, required = []} = node;
+  return Object.entries(properties ?? {}).flatMap(([name, value]) => {
+    const child = referenceNodeSchema.parse(value);
+    const childPath = path === '' ? name : `${path}.${name}`;
+    if (child.properties) return rowsOf(childPath, child);
+    return [row(childPath, child, required.includes(name))];
+  });
+}
+
+function row(path: string, node: ReferenceNode, required: boolean): string {
+  const absent = required ? 'required' : '–';
+  const value =
+    node.default === undefined ? absent : `\`${JSON.stringify(node.default)}\``;
+  const choice = node.enum ? ` One of ${node.enum.join(', ')}.` : '';
+  return `| \`${path}\` | ${value} | ${node.description ?? ''}${choice} |\n`;
+}
--- a/test/settings.test.ts
+++ b/test/settings.test.ts
@@ -5,6 +5,7 @@
 import {join} from 'node:path';
 import {test} from 'node:test';
 import {parseSettings} from '../src/daemon/settings.js';
+import {renderSettingsReference} from '../src/daemon/settings_reference.js';
 
 const EXAMPLES = 'examples';
 
@@ -54,3 +55,8 @@
   const timings = {heartbeatIntervalMs: 500, peerTimeoutMs: 600};
   assert.match(errorOf({...VALID, timings}), /set it to 1000 or more/);
 });
+
+test('the page of settings matches the schema', async () => {
+  const page = await readFile('docs/settings.md', 'utf8');
+  assert.equal(page, renderSettingsReference());
+});
