Remove a member whose hold the worker refused

Cause: the exploration delivered a hold twice; the first copy took effect, the second was refused, and the refusal arrived first. The gang was withdrawn with the member counted as off, and its held task stayed on the worker. Ruled out: counting every refusal as off, as before; sending a remove also when the connection was never made (the job would wait for an unreachable worker). Conclusion: only a hold that never left needs no remove.

--- a/src/controllers/gang_runner.ts
+++ b/src/controllers/gang_runner.ts
@@ -52,7 +52,8 @@
 
 function holdEvent(result: Result<void, CallError>) {
   if (result.isOk) return 'holdAcknowledged';
-  return hadNoEffect(result.error) ? 'holdFailed' : 'holdUnclear';
+  if (!hadNoEffect(result.error)) return 'holdUnclear';
+  return result.error.kind === 'unavailable' ? 'holdFailed' : 'holdRefused';
 }
 
 export class GangRunner {
--- a/src/scheduling/gang_protocol.ts
+++ b/src/scheduling/gang_protocol.ts
@@ -143,6 +143,10 @@
     case 'holdFailed':
       if (member.phase !== 'holding') break;
       return removeAll(to('off'), withdrawn([member.workerId]), now);
+    case 'holdRefused':
+      // A doubled hold is refused although its first copy took effect.
+      if (member.phase !== 'holding') break;
+      return removeAll(gang, withdrawn([member.workerId]), now);
     case 'released':
       if (member.phase !== 'releasing') break;
       return {gang: to('running'), actions: []};
--- a/src/scheduling/gang_state.ts
+++ b/src/scheduling/gang_state.ts
@@ -57,8 +57,10 @@
   | {
       readonly kind:
         | 'holdAcknowledged'
-        /** The hold had no effect. */
+        /** The hold never left; no late message can take effect. */
         | 'holdFailed'
+        /** The worker refused the hold, maybe after a copy of it. */
+        | 'holdRefused'
         /** The hold may have had an effect. */
         | 'holdUnclear'
         | 'released'
