Stop a home daemon within the generated interleavings

Cause: the truth test had no planned stop. Ruled out: nothing. Conclusion: outcomes stay true when a daemon drains at any point.

--- a/test/requests_truth.test.ts
+++ b/test/requests_truth.test.ts
@@ -92,7 +92,8 @@
         minionFaults,
         dispatchFaults,
         writeFaults,
-        async (scheduler, items, onMinion, onDispatch, onWrite) => {
+        fc.boolean(),
+        async (scheduler, items, onMinion, onDispatch, onWrite, stops) => {
           const site = new FakeSite();
           const daemons = [
             site.addDaemon('one', 1),
@@ -115,6 +116,7 @@
             (one, index) =>
               daemons[items[index]?.entry ?? 0]?.submit(one) ?? [],
           );
+          if (stops) void pause('stop').then(() => daemons[1]?.drain());
           const outcomes = await scheduler.waitFor(
             Promise.all(started.map((one) => one.outcome)),
           );
