Report closed queues as full

Cause: other entry daemons learned only from refusals that a minion leaves or that its home daemon stops, and each refusal costs a reroute. Ruled out: a further field in the heartbeat. Conclusion: the length that the heartbeat already carries is enough.

--- a/src/requests/home_dispatcher.ts
+++ b/src/requests/home_dispatcher.ts
@@ -12,7 +12,7 @@
 import {AttemptRegister, CLOCK_DIFFERENCE_MS} from './attempt_register.js';
 import type {RequestDirectory} from './directory.js';
 import {notRun, unknown} from './exchange.js';
-import {MinionQueue} from './minion_queue.js';
+import {MinionQueue, queueLimit} from './minion_queue.js';
 
 /** Between two passes over everything that may be forgotten. */
 const FORGET_INTERVAL_MS = 1_000;
@@ -48,11 +48,16 @@
     );
   }
 
-  /** Queue lengths of the minions that this daemon is home of. */
+  /**
+   * Queue lengths of the minions that this daemon is home of. A closed queue
+   * is reported as full, so that other daemons choose other minions.
+   */
   lengths(): QueueLength[] {
     return [...this.queues].map(([minionId, queue]) => ({
       minionId,
-      queued: queue.length,
+      queued: queue.closed
+        ? Math.max(queue.length, queueLimit(queue.minion))
+        : queue.length,
     }));
   }
 
--- a/test/requests_queue.test.ts
+++ b/test/requests_queue.test.ts
@@ -37,8 +37,9 @@
   };
 }
 
+const {minion} = candidate('minion', 'one', 1);
+
 describe('the queue of a minion', () => {
-  const {minion} = candidate('minion', 'one', 1);
   let clock: FakeClock;
   let minions: FakeMinions;
   let queue: MinionQueue;
@@ -156,6 +157,8 @@
     const late = await home.submit(submission('scan', 'late')).outcome;
     assert.equal(late.outcome === 'notRun' && late.reason, 'shutting-down');
     assert.equal(stopped, false);
+    // Reported as full, so that no daemon prefers a queue that takes nothing.
+    assert.equal(home.queueLengths()[0]?.queued, queueLimit(minion));
     open();
     await drained;
     for (const one of sent) {
