Keep jobs within the generator's fuel and delete old records of ended jobs

Ruled out: deciding starts in the planner (it holds no measured draw), and a plan per waiting job (a queue of a thousand jobs would plan a thousand times; a job that needs more energy than one that was refused is now refused without a plan). Conclusion: the scheduler plans every 10 s from reported draw with its zone's share of the fuel, sets aside what the fuel does not last for, and holds back jobs that could not end. Records are deleted 24 h after the job's end, at most 20 a minute. jobKey stood twice and is now in job_store.ts.

--- a/src/controllers/job_keeper.ts
+++ b/src/controllers/job_keeper.ts
@@ -11,8 +11,8 @@
 import type {JobRecord} from '../model/jobs.js';
 import {ABSENT_REVISION} from '../platform/key_value_store.js';
 import type {KeyValueStore} from '../platform/key_value_store.js';
-import {jobKey} from './job_router.js';
 import type {JobHolders} from './job_router.js';
+import {jobKey} from './job_store.js';
 
 /** Bounds the memory that jobs of a long outage take. */
 const MAXIMUM_HELD_JOBS = 10_000;
--- a/src/controllers/job_router.ts
+++ b/src/controllers/job_router.ts
@@ -27,6 +27,7 @@
 import {ABSENT_REVISION} from '../platform/key_value_store.js';
 import type {KeyValueStore} from '../platform/key_value_store.js';
 import type {JobReport} from '../platform/peer_client.js';
+import {jobKey} from './job_store.js';
 
 /** A waiting caller's job is read again after this time. */
 const REPORT_INTERVAL_MS = 250;
@@ -206,11 +207,6 @@
   }
 }
 
-/** Returns the store key of a job's record. */
-export function jobKey(zone: AvailabilityZone, jobId: JobId): string {
-  return `jobs/${zone}/${jobId}`;
-}
-
 /** Returns the zone that a job id names. */
 export function zoneOfJob(jobId: JobId): AvailabilityZone | undefined {
   const end = jobId.lastIndexOf(ZONE_SEPARATOR);
--- a/src/controllers/job_store.ts
+++ b/src/controllers/job_store.ts
@@ -5,7 +5,7 @@
  * end of a job is written also if the daemon lost the zone in the meantime.
  */
 
-import type {Result} from 'true-myth';
+import {Result} from 'true-myth';
 import {Backoff} from '../lifecycle/backoff.js';
 import type {CleanupScope} from '../lifecycle/cleanup_scope.js';
 import type {RandomSource} from '../lifecycle/random.js';
@@ -17,6 +17,7 @@
   KeyValueStore,
   StoreEntry,
   StoreReadError,
+  StoreWriteError,
 } from '../platform/key_value_store.js';
 import {ABSENT_REVISION} from '../platform/key_value_store.js';
 import type {ZoneControllerOptions} from './zone_options.js';
@@ -115,6 +116,17 @@
     return this.known.has(jobId) && !this.unwritten.has(jobId);
   }
 
+  /** Deletes the record of an ended job. */
+  async delete(
+    jobId: JobId,
+  ): Promise<Result<void, StoreReadError | StoreWriteError>> {
+    const key = jobKey(this.zone, jobId);
+    const entry = await this.store.get(key);
+    if (entry.isErr) return Result.err(entry.error);
+    if (entry.value === undefined) return Result.ok(undefined);
+    return this.store.delete(key, entry.value.revision);
+  }
+
   /** Reads all records of the zone with the store's revision. */
   async readAll(): Promise<
     Result<{revision: number; records: readonly JobRecord[]}, StoreReadError>
--- a/src/controllers/job_table.ts
+++ b/src/controllers/job_table.ts
@@ -15,8 +15,12 @@
 import type {ZonePlanner} from '../scheduling/zone_planner.js';
 import type {GangRunner} from './gang_runner.js';
 import type {JobStore} from './job_store.js';
+import {explainLackOfFuel} from './power_controller.js';
 import type {ZoneControllerOptions, ZoneListener} from './zone_options.js';
 
+/** Records deleted in one pass; bounds the load on the store. */
+const MAXIMUM_DELETIONS = 20;
+
 export interface JobEntry {
   record: JobRecord;
   /** The record was rebuilt from tasks, since the store was out of reach. */
@@ -32,6 +36,8 @@
   stopReason: string | undefined;
   /** The job is not queued before this time. */
   notBefore: Instant | undefined;
+  /** The generator's fuel does not last for the job. */
+  lacksFuel: boolean;
   readonly backoff: Backoff;
 }
 
@@ -48,13 +54,14 @@
 export class JobTable {
   private readonly entries = new Map<JobId, JobEntry>();
 
-  /** Jobs that the store says have ended, and that have no entry. */
-  private readonly ended = new Set<JobId>();
+  /** Ended jobs without an entry, whose records are in the store. */
+  private readonly ended = new Map<JobId, Instant>();
 
   constructor(private readonly parts: JobTableParts) {}
 
-  noteEnded(jobId: JobId): void {
-    this.ended.add(jobId);
+  noteEnded(record: JobRecord): void {
+    const endedAt = record.endedAt ?? this.parts.clock.now();
+    this.ended.set(record.jobId, endedAt);
   }
 
   hasEnded(jobId: JobId): boolean {
@@ -82,6 +89,7 @@
       cancelAsked: false,
       stopReason: undefined,
       notBefore: undefined,
+      lacksFuel: false,
       backoff: new Backoff(
         random,
         options.firstRetryMs,
@@ -95,7 +103,9 @@
   report(entry: JobEntry): JobReport {
     const {jobId} = entry.record;
     const now = this.parts.clock.now();
-    const explanation = this.parts.planner.explain(jobId, now);
+    const explanation = entry.lacksFuel
+      ? explainLackOfFuel(jobId)
+      : this.parts.planner.explain(jobId, now);
     return {
       record: entry.record,
       inStore: this.parts.jobStore.isStored(jobId),
@@ -153,8 +163,22 @@
       const due = after(record.endedAt ?? now, endedJobMemoryMs);
       if (now < due || !this.parts.jobStore.isStored(record.jobId)) continue;
       this.entries.delete(record.jobId);
-      this.ended.add(record.jobId);
+      this.noteEnded(record);
       this.parts.jobStore.forget(record.jobId);
     }
   }
+
+  /** Deletes old records of ended jobs, a bounded number at a time. */
+  async deleteOldRecords(now: Instant): Promise<void> {
+    const {endedRecordMemoryMs} = this.parts.options;
+    const old = [...this.ended]
+      .filter(([, endedAt]) => now >= after(endedAt, endedRecordMemoryMs))
+      .slice(0, MAXIMUM_DELETIONS);
+    for (const [jobId] of old) {
+      if (this.parts.scope.closed) return;
+      const deleted = await this.parts.jobStore.delete(jobId);
+      if (deleted.isErr) return;
+      this.ended.delete(jobId);
+    }
+  }
 }
--- a/src/controllers/zone_controller.ts
+++ b/src/controllers/zone_controller.ts
@@ -35,6 +35,8 @@
   readonly options: ZoneControllerOptions;
   /** Closing it ends the term and the writing of records. */
   readonly scope: CleanupScope;
+  /** This zone's share of the site's fuel, 0 to 1; the whole if absent. */
+  readonly fuelShare?: () => number;
 }
 
 export class ZoneController {
--- a/src/controllers/zone_options.ts
+++ b/src/controllers/zone_options.ts
@@ -38,6 +38,11 @@
   readonly longestRetryMs: number;
   /** Ended jobs stay in memory for callers that ask. */
   readonly endedJobMemoryMs: number;
+  /**
+   * Records of ended jobs stay in the store for this time; a key that is used
+   * again later starts a new job.
+   */
+  readonly endedRecordMemoryMs: number;
 }
 
 /** Values for a site of today; the daemon's settings may replace them. */
@@ -58,6 +63,7 @@
   firstRetryMs: 100,
   longestRetryMs: 5_000,
   endedJobMemoryMs: 3_600_000,
+  endedRecordMemoryMs: 86_400_000,
 };
 
 /** A decision, or a change that caused one. */
--- a/src/controllers/zone_session.ts
+++ b/src/controllers/zone_session.ts
@@ -4,12 +4,13 @@
  * once; running tasks are left alone.
  */
 
+import {isDeepStrictEqual} from 'node:util';
 import PQueue from 'p-queue';
 import {Result} from 'true-myth';
 import type {CleanupScope} from '../lifecycle/cleanup_scope.js';
 import type {Clock} from '../lifecycle/clock.js';
 import type {RandomSource} from '../lifecycle/random.js';
-import type {Configuration} from '../model/configuration.js';
+import type {Configuration, PowerState} from '../model/configuration.js';
 import {NotFoundError} from '../model/errors.js';
 import type {CallError} from '../model/errors.js';
 import type {AvailabilityZone, Instant, JobId, VmId} from '../model/ids.js';
@@ -25,6 +26,7 @@
 import type {JobStore} from './job_store.js';
 import {JobTable} from './job_table.js';
 import type {JobEntry} from './job_table.js';
+import {PLAN_INTERVAL_MS, PowerController} from './power_controller.js';
 import {RecordWatcher} from './record_watcher.js';
 import {WorkerTable} from './worker_table.js';
 import type {ZoneControllerOptions, ZoneListener} from './zone_options.js';
@@ -46,6 +48,8 @@
   readonly listener: ZoneListener;
   readonly options: ZoneControllerOptions;
   readonly scope: CleanupScope;
+  /** This zone's share of the site's fuel, 0 to 1; the whole if absent. */
+  readonly fuelShare?: () => number;
 }
 
 export class ZoneSession {
@@ -57,6 +61,8 @@
   private phase: 'adopting' | 'placing' | 'draining' = 'adopting';
   private adoptionDue = false;
   private roundAsked = false;
+  private readonly power: PowerController;
+  private powerState: PowerState = {supply: 'grid'};
   private wakeTimer: NodeJS.Timeout | undefined;
   private wakeTime = Infinity;
 
@@ -64,6 +70,11 @@
     const {options, scope} = parts;
     const queue = new PQueue({concurrency: options.workerCallConcurrency});
     this.jobs = new JobTable(parts);
+    this.power = new PowerController({
+      checkpointMs: options.reclaimBoundMs,
+      estimateRunTimeMs: (record) => parts.planner.estimatedRunTimeMs(record),
+      fuelShare: parts.fuelShare ?? (() => 1),
+    });
     this.table = new WorkerTable(
       {...parts, client: parts.workers, queue},
       {
@@ -99,6 +110,7 @@
 
   configure(configuration: Configuration): void {
     this.parts.planner.configure(configuration);
+    this.setPower(configuration.power);
     this.askRound();
   }
 
@@ -190,7 +202,7 @@
   private recordSeen(stored: JobRecord): void {
     const entry = this.jobs.get(stored.jobId);
     if (entry === undefined) {
-      if (hasEnded(stored.state)) this.jobs.noteEnded(stored.jobId);
+      if (hasEnded(stored.state)) this.jobs.noteEnded(stored);
       else this.jobs.add(stored);
       this.askRound();
       return;
@@ -280,6 +292,7 @@
     this.gangs.leaveWorkers(now);
     this.table.updatePlanner(now);
     if (this.phase !== 'placing') return;
+    this.saveFuel(now);
     for (const entry of this.jobs.all()) this.considerJob(entry, now);
     for (const action of this.parts.planner.plan(now)) this.carryOut(action);
     this.reportQuarantine(now);
@@ -300,7 +313,43 @@
       this.wakeAt(entry.notBefore);
       return;
     }
-    this.jobs.enqueue(entry);
+    entry.lacksFuel = !this.power.mayStart({record, guaranteed: false}, now);
+    if (entry.lacksFuel) this.jobs.delay(entry, PLAN_INTERVAL_MS);
+    else this.jobs.enqueue(entry);
+  }
+
+  // Power.
+
+  private setPower(power: PowerState): void {
+    if (isDeepStrictEqual(power, this.powerState)) return;
+    this.powerState = power;
+    this.power.setPower(power);
+    // Waiting jobs are considered anew with the fuel that is left.
+    for (const entry of this.jobs.all()) {
+      this.jobs.leaveQueue(entry);
+      if (entry.lacksFuel) entry.notBefore = undefined;
+    }
+  }
+
+  /** Sets jobs aside that the generator's fuel does not last for. */
+  private saveFuel(now: Instant): void {
+    const lists = this.table.lists();
+    const guaranteed = new Set(
+      lists
+        .flatMap((list) => list.tasks)
+        .filter((task) => task.guaranteed)
+        .map((task) => task.jobId),
+    );
+    const running = this.jobs
+      .all()
+      .filter((entry) => entry.runner?.phase === 'running')
+      .map(({record}) => ({record, guaranteed: guaranteed.has(record.jobId)}));
+    for (const jobId of this.power.jobsToSetAside(running, lists, now)) {
+      const reason = 'set aside before the fuel ends';
+      this.carryOut({kind: 'preempt', jobId, reason});
+    }
+    const next = this.power.nextPlanAt();
+    if (next !== undefined) this.wakeAt(next);
   }
 
   private carryOut(action: PlanAction): void {
@@ -353,5 +402,6 @@
     const now = this.parts.clock.now();
     this.jobs.forgetEnded(now);
     this.gangs.forgetEnded(now);
+    void this.jobs.deleteOldRecords(now);
   }
 }
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -247,9 +247,17 @@
       ),
       options: zoneOptions(settings),
       scope: this.scope,
+      fuelShare: () => this.fuelShare(),
     });
   }
 
+  /** Each zone plans for its share of the workers that the fuel feeds. */
+  private fuelShare(): number {
+    const all = this.vms.vms().filter((vm) => vm.role === 'worker').length;
+    const own = this.vms.workers(this.parts.settings.availabilityZone).length;
+    return all === 0 ? 1 : own / all;
+  }
+
   private createRequestService(): RequestService {
     const {settings, clock, random} = this.parts;
     const {daemonId, configuration, vms} = this;
--- a/src/scheduling/cell_zone_planner.ts
+++ b/src/scheduling/cell_zone_planner.ts
@@ -57,7 +57,7 @@
   }
 
   /** Expected run time of the job in milliseconds, from earlier ones. */
-  estimatedRunTimeMs(record: JobRecord): number {
+  override estimatedRunTimeMs(record: JobRecord): number {
     return this.state.runTimes.estimate(record);
   }
 
--- a/src/scheduling/zone_planner.ts
+++ b/src/scheduling/zone_planner.ts
@@ -112,6 +112,11 @@
   /** When `plan` could decide otherwise without any new event. */
   abstract nextDecisionAt(now: Instant): Instant | undefined;
 
+  /** Expected run time in milliseconds; as declared if nothing was learned. */
+  estimatedRunTimeMs(record: JobRecord): number {
+    return record.declaredRunTimeMs;
+  }
+
   abstract explain(jobId: JobId, now: Instant): JobExplanation | undefined;
 
   /** Workers that are quarantined now. */
