Do not answer malformed input in place of an earlier call

Cause: Node answers input that is not HTTP with 400 on the connection, also while an earlier call on it waits for its answer. A caller would take the 400 for the answer to that call, which may run. Ruled out: closing every such connection without an answer (a caller with a plain mistake should learn what is wrong). Conclusion: the connection is closed if a call on it is unanswered; otherwise the answer is a typed error with a request id.

--- a/src/daemon/caller_api.ts
+++ b/src/daemon/caller_api.ts
@@ -5,10 +5,12 @@
 import {createServer} from 'node:http';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {AddressInfo} from 'node:net';
+import type {Duplex} from 'node:stream';
 import polka from 'polka';
 import type {Polka} from 'polka';
 import {z} from 'zod';
 import {
+  InvalidInputError,
   NotFoundError,
   UnavailableError,
   UnknownEffectError,
@@ -72,6 +74,8 @@
   private readonly server: Server;
   private readonly bodies = new BodyReader();
   private readonly inProgress = new Set<Promise<void>>();
+  /** Calls that were not answered yet, by connection. */
+  private readonly unanswered = new WeakMap<Duplex, number>();
   /** Ends the waits of job reports when the interface closes. */
   private readonly waits = new AbortController();
 
@@ -81,7 +85,13 @@
       onNoMatch: (_request, response) => this.answerNotFound(response),
     });
     this.addRoutes(router);
+    this.server.on('clientError', (_error, socket) =>
+      this.refuseMalformed(socket),
+    );
     this.server.on('request', (request: IncomingMessage, response) => {
+      const {socket} = request;
+      this.countUnanswered(socket, 1);
+      response.once('close', () => this.countUnanswered(socket, -1));
       this.prepare(response);
       router.handler(request as Parameters<Polka['handler']>[0], response);
     });
@@ -164,6 +174,33 @@
     await finished(call.response);
   }
 
+  private countUnanswered(socket: Duplex, change: 1 | -1): void {
+    const count = this.unanswered.get(socket) ?? 0;
+    this.unanswered.set(socket, count + change);
+  }
+
+  /**
+   * Answers input that is not HTTP, unless an earlier call on the connection
+   * waits for its answer: the caller would take this one for it.
+   */
+  private refuseMalformed(socket: Duplex): void {
+    if (!socket.writable || this.unanswered.get(socket)) {
+      socket.destroy();
+      return;
+    }
+    const requestId = randomId<RequestId>('request');
+    const error = new InvalidInputError('call', 'not HTTP/1.1', 'send HTTP');
+    const body = JSON.stringify({error: error.report()});
+    const head = [
+      'HTTP/1.1 400 Bad Request',
+      `${REQUEST_ID_HEADER}: ${requestId}`,
+      'Content-Type: application/json; charset=utf-8',
+      `Content-Length: ${Buffer.byteLength(body)}`,
+      'Connection: close',
+    ];
+    socket.end(`${head.join('\r\n')}\r\n\r\n${body}`);
+  }
+
   private prepare(response: ServerResponse): void {
     const requestId = randomId<RequestId>('request');
     response.setHeader(REQUEST_ID_HEADER, requestId);
--- a/test/caller_api_http.test.ts
+++ b/test/caller_api_http.test.ts
@@ -6,6 +6,7 @@
 import assert from 'node:assert/strict';
 import {once} from 'node:events';
 import http from 'node:http';
+import net from 'node:net';
 import {afterEach, beforeEach, describe, test} from 'node:test';
 import {Result} from 'true-myth';
 import type {OutcomeAnswer, ErrorAnswer} from '../src/daemon/caller_answers.js';
@@ -257,6 +258,26 @@
     assert.equal(service.outcome(ran.requestId)?.outcome, 'answered');
   });
 
+  test('malformed input is not answered in place of an earlier call', async () => {
+    const talk = async (text: string) => {
+      const socket = net.connect(Number(new URL(base).port), '127.0.0.1');
+      let received = '';
+      socket.on('data', (chunk) => (received += String(chunk)));
+      socket.on('error', () => undefined);
+      socket.write(text);
+      await once(socket, 'close');
+      return received;
+    };
+    const gate = deferred();
+    site.minions.gate = gate.promise;
+    const body = JSON.stringify(submission('scan', 'a'));
+    const head = `POST /v1/requests HTTP/1.1\r\nHost: a\r\nContent-Length: ${body.length}`;
+    assert.equal(await talk(`${head}\r\n\r\n${body}garbage\r\n\r\n`), '');
+    gate.resolve(undefined);
+    const alone = await talk('garbage\r\n\r\n');
+    assert.match(alone, /^HTTP\/1.1 400 [^]*X-Request-Id: request-/);
+  });
+
   test('closing finishes what is in progress and ends waits', async () => {
     const gate = deferred();
     site.minions.gate = gate.promise;
