--- a/src/daemon/caller_api.ts
+++ b/src/daemon/caller_api.ts
@@ -5,8 +5,7 @@
 import type {ServerResponse} from 'node:http';
 import {z} from 'zod';
 import {NotFoundError} from '../model/errors.js';
-import {jobIdSchema, randomId, requestIdSchema} from '../model/ids.js';
-import type {RequestId} from '../model/ids.js';
+import {jobIdSchema, requestIdSchema} from '../model/ids.js';
 import {jobSubmissionSchema} from '../model/jobs.js';
 import {requestSubmissionSchema} from '../model/requests.js';
 import {validate, validateJson} from '../model/validation.js';
@@ -18,7 +17,7 @@
   statusOfOutcome,
 } from './caller_answers.js';
 import type {JobService} from './job_service.js';
-import {JsonServer} from './json_server.js';
+import {JsonServer, REQUEST_ID_HEADER} from './json_server.js';
 import type {Call} from './json_server.js';
 
 /** A payload of 1,048,576 characters takes at most this in UTF-8 and JSON. */
@@ -28,8 +27,6 @@
 /** Longest wait for a change of a job. */
 const MAXIMUM_WAIT_MS = 60_000;
 
-const REQUEST_ID_HEADER = 'X-Request-Id';
-
 const requestPathSchema = z.object({id: requestIdSchema});
 const jobPathSchema = z.object({id: jobIdSchema});
 const jobQuerySchema = z.object({
@@ -75,8 +72,6 @@
   }
 
   private prepare(response: ServerResponse): void {
-    const requestId = randomId<RequestId>('request');
-    response.setHeader(REQUEST_ID_HEADER, requestId);
     // The caller's next connection goes to another entry VM.
     if (this.parts.reasonNotReady() !== undefined) {
       response.setHeader('Connection', 'close');
--- a/src/daemon/json_server.ts
+++ b/src/daemon/json_server.ts
@@ -6,13 +6,17 @@
 import {createServer} from 'node:http';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {AddressInfo} from 'node:net';
+import type {Duplex} from 'node:stream';
 import polka from 'polka';
 import type {Polka} from 'polka';
 import {
+  InvalidInputError,
   NotFoundError,
   UnavailableError,
   UnknownEffectError,
 } from '../model/errors.js';
+import {randomId} from '../model/ids.js';
+import type {RequestId} from '../model/ids.js';
 import {sendError} from './caller_answers.js';
 import {BodyReader} from './request_body.js';
 
@@ -22,6 +26,9 @@
 /** Connections still open this long after the last answer are closed. */
 const CLOSE_GRACE_MS = 1_000;
 
+/** Names the request on every answer. */
+export const REQUEST_ID_HEADER = 'X-Request-Id';
+
 export type HttpMethod = 'GET' | 'POST' | 'DELETE';
 
 /** One call of a client. */
@@ -48,6 +55,8 @@
   private readonly router: Polka;
   private readonly bodies = new BodyReader();
   private readonly inProgress = new Set<Promise<void>>();
+  /** Calls that were not answered yet, by connection. */
+  private readonly unanswered = new WeakMap<Duplex, number>();
   private readonly closed = new AbortController();
 
   constructor(private readonly options: JsonServerOptions) {
@@ -55,7 +64,15 @@
     this.router = polka({
       onNoMatch: (_request, response) => this.answerNotFound(response),
     });
+    this.server.on('clientError', (_error, socket) =>
+      this.refuseMalformed(socket),
+    );
     this.server.on('request', (request: IncomingMessage, response) => {
+      const {socket} = request;
+      this.countUnanswered(socket, 1);
+      response.once('close', () => this.countUnanswered(socket, -1));
+      const requestId = randomId<RequestId>('request');
+      response.setHeader(REQUEST_ID_HEADER, requestId);
       // The client's next connection goes to another entry VM.
       if (this.closing) response.setHeader('Connection', 'close');
       this.options.prepare?.(response);
@@ -156,6 +173,32 @@
     await finished(call.response);
   }
 
+  private countUnanswered(socket: Duplex, change: 1 | -1): void {
+    const count = this.unanswered.get(socket) ?? 0;
+    this.unanswered.set(socket, count + change);
+  }
+
+  /**
+   * Answers input that is not HTTP, unless an earlier call on the connection
+   * waits for its answer: the client would take this one for it.
+   */
+  private refuseMalformed(socket: Duplex): void {
+    if (!socket.writable || this.unanswered.get(socket)) {
+      socket.destroy();
+      return;
+    }
+    const error = new InvalidInputError('call', 'not HTTP/1.1', 'send HTTP');
+    const body = JSON.stringify({error: error.report()});
+    const head = [
+      'HTTP/1.1 400 Bad Request',
+      `${REQUEST_ID_HEADER}: ${randomId<RequestId>('request')}`,
+      'Content-Type: application/json; charset=utf-8',
+      `Content-Length: ${Buffer.byteLength(body)}`,
+      'Connection: close',
+    ];
+    socket.end(`${head.join('\r\n')}\r\n\r\n${body}`);
+  }
+
   private answerNotFound(response: ServerResponse): void {
     const error = new NotFoundError(
       'there is no such method and path',
