--- /dev/null
+++ b/test/power_controller.test.ts
@@ -0,0 +1,132 @@
+/** Guards against jobs that are cut when the generator's fuel ends. */
+
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {PowerController} from '../src/controllers/power_controller.js';
+import type {JobToPower} from '../src/controllers/power_controller.js';
+import {instant} from '../src/model/ids.js';
+import {jobRecordSchema, taskListSchema} from '../src/model/jobs.js';
+import type {TaskList} from '../src/model/jobs.js';
+
+const MINUTE_MS = 60_000;
+const NOW = instant(10_000_000);
+
+function job(jobId: string, runTimeMs: number, guaranteed = false): JobToPower {
+  const record = jobRecordSchema.parse({
+    jobId,
+    customerId: 'owner',
+    workClassId: 'bake',
+    availabilityZone: 'zone-a',
+    shape: {tasks: 1, acceleratorsPerTask: 8},
+    urgency: 'normal',
+    declaredRunTimeMs: runTimeMs,
+    payload: '',
+    submittedAt: NOW,
+    state: 'running',
+    reason: 'started',
+    sequence: 1,
+    attempts: 1,
+    startedAt: NOW,
+  });
+  return {record, guaranteed};
+}
+
+/** A worker that runs the job on 8 accelerators, and one that is idle. */
+function lists(jobIds: readonly string[], busyWatts: number): TaskList[] {
+  const task = (jobId: string) => ({
+    taskId: `task-${jobId}`,
+    gangId: `gang-${jobId}`,
+    jobId,
+    customerId: 'owner',
+    workClassId: 'bake',
+    members: [{taskId: `task-${jobId}`, workerId: 'worker-1'}],
+    accelerators: [0, 1, 2, 3, 4, 5, 6, 7],
+    guaranteed: false,
+    payload: '',
+    state: 'running',
+  });
+  const busy = jobIds.map((jobId) => ({
+    workerId: `worker-${jobId}`,
+    version: 1,
+    leaving: false,
+    tasks: [task(jobId)],
+    drawWatts: busyWatts,
+  }));
+  const idle = {workerId: 'idle', version: 1, leaving: false, tasks: []};
+  return [...busy, {...idle, drawWatts: 400}].map((list) =>
+    taskListSchema.parse(list),
+  );
+}
+
+function controller(fuelKilowattHours: number, fuelShare = 1) {
+  const power = new PowerController({
+    checkpointMs: 1_000,
+    estimateRunTimeMs: (record) => record.declaredRunTimeMs,
+    fuelShare: () => fuelShare,
+  });
+  power.setPower({supply: 'generator', fuelKilowattHours, measuredAt: NOW});
+  return power;
+}
+
+describe('on the generator', () => {
+  it('sets the job aside that cannot end and lets the other one end', () => {
+    const running = [job('short', 5 * MINUTE_MS), job('long', 600 * MINUTE_MS)];
+    const aside = controller(3).jobsToSetAside(
+      running,
+      lists(['short', 'long'], 3_200),
+      NOW,
+    );
+    assert.deepEqual(aside, ['long']);
+  });
+
+  it('gives the last fuel to the guaranteed job', () => {
+    const running = [
+      job('borrower', 20 * MINUTE_MS),
+      job('owner', 20 * MINUTE_MS, true),
+    ];
+    const aside = controller(3.2).jobsToSetAside(
+      running,
+      lists(['borrower', 'owner'], 3_200),
+      NOW,
+    );
+    assert.deepEqual(aside, ['borrower']);
+  });
+
+  it('counts only the own share of the fuel', () => {
+    const running = [job('short', 5 * MINUTE_MS)];
+    const seen = lists(['short'], 3_200);
+    assert.equal(controller(3).jobsToSetAside(running, seen, NOW).length, 0);
+    const half = controller(3, 0.25).jobsToSetAside(running, seen, NOW);
+    assert.deepEqual(half, ['short']);
+  });
+
+  it('starts no job that the fuel does not last for', () => {
+    const power = controller(3);
+    power.jobsToSetAside([], lists([], 0), NOW);
+    assert.equal(power.mayStart(job('long', 600 * MINUTE_MS), NOW), false);
+    assert.equal(power.mayStart(job('longer', 900 * MINUTE_MS), NOW), false);
+    assert.equal(power.mayStart(job('short', 5 * MINUTE_MS), NOW), true);
+  });
+
+  it('plans again at an interval, since usage reports come late', () => {
+    const power = controller(3);
+    power.jobsToSetAside([], lists([], 0), NOW);
+    const next = power.nextPlanAt();
+    assert.ok(next !== undefined && next > NOW);
+    const long = [job('long', 600 * MINUTE_MS)];
+    const seen = lists(['long'], 3_200);
+    assert.deepEqual(power.jobsToSetAside(long, seen, NOW), []);
+    assert.deepEqual(power.jobsToSetAside(long, seen, next), ['long']);
+  });
+});
+
+describe('on the grid', () => {
+  it('leaves all jobs alone', () => {
+    const power = controller(0);
+    power.setPower({supply: 'grid'});
+    const long = job('long', 600 * MINUTE_MS);
+    assert.deepEqual(power.jobsToSetAside([long], [], NOW), []);
+    assert.equal(power.mayStart(long, NOW), true);
+    assert.equal(power.nextPlanAt(), undefined);
+  });
+});
