Log the outcomes of requests with their ids

Cause: the story of a request could not be found in the logs. Ruled out: a line for each refusal by a limit, which would flood the log under overload; those are at level debug. Conclusion: unknown outcomes are warnings, other refusals info, answers debug.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -17,6 +17,7 @@
 import type {RandomSource} from '../lifecycle/random.js';
 import {randomId} from '../model/ids.js';
 import type {DaemonId, Instant} from '../model/ids.js';
+import type {Outcome, RequestSubmission} from '../model/requests.js';
 import {ObservedStore} from '../platform/observed_store.js';
 import {RequestService} from '../requests/request_service.js';
 import {CellZonePlanner} from '../scheduling/cell_zone_planner.js';
@@ -29,7 +30,7 @@
 import {CallerApi} from './caller_api.js';
 import {createGuaranteeCheck} from './guarantee_check.js';
 import {DaemonLog} from './log.js';
-import type {LogPart} from './log.js';
+import type {LogPart, PartLog} from './log.js';
 import {DaemonMetrics} from './metrics.js';
 import {OperatorApi} from './operator_api.js';
 import {DaemonOperatorService} from './operator_service.js';
@@ -307,6 +308,7 @@
           const started = this.requests.submit(submission, signal);
           void started.outcome.then((outcome) => {
             this.metrics.countOutcome(outcome, this.clock.now() - receivedAt);
+            logOutcome(this.log.part('requests'), submission, outcome);
           });
           return started;
         },
@@ -437,6 +439,28 @@
   };
 }
 
+/**
+ * Refusals for a customer's limit or an overload are expected in bursts, and a
+ * line for each would fill the log when it is needed most.
+ */
+function logOutcome(
+  log: PartLog,
+  {customerId, workClassId}: RequestSubmission,
+  outcome: Outcome,
+): void {
+  const fields = {requestId: outcome.requestId, customerId};
+  if (outcome.outcome === 'answered') {
+    log.debug(`answered a ${workClassId}`, fields);
+    return;
+  }
+  const {reason, message} = outcome;
+  const sentence = `${workClassId} ${outcome.outcome}, ${reason}: ${message}`;
+  const expected = reason === 'customer-limit' || reason === 'overloaded';
+  if (outcome.outcome === 'unknown') log.warn(sentence, fields);
+  else if (expected) log.debug(sentence, fields);
+  else log.info(sentence, fields);
+}
+
 /** Splits `10.0.0.1:7000` or `[::1]:7000`. */
 function splitAddress(address: string): {host: string; port: number} {
   const end = address.lastIndexOf(':');
