--- a/src/scheduling/cell_zone_planner.ts
+++ b/src/scheduling/cell_zone_planner.ts
@@ -256,8 +256,8 @@
   }
 
   private updateHealth(now: Instant): void {
-    const workerIds = new Set(this.state.workers.keys());
-    for (const workerId of this.state.health.update(workerIds, now)) {
+    const {health, workers} = this.state;
+    for (const workerId of health.update(workers, now)) {
       this.state.applyWorker(workerId);
     }
   }
--- a/src/scheduling/placement.ts
+++ b/src/scheduling/placement.ts
@@ -118,8 +118,8 @@
     const size = job.cellSize;
     for (let level = levelOf(size); level < CELL_LEVELS; level += 1) {
       const blocks = this.full.free.ofSize(sizeOfLevel(level));
-      for (const block of firstOf(blocks, CANDIDATES_OF_LARGER)) {
-        const cell = cellAround(block.position, size);
+      const cells = cellsToCompare(job, firstOf(blocks, CANDIDATES_OF_LARGER));
+      for (const cell of cells) {
         const lent = this.guarantees.boundCellAt(cell.position) !== undefined;
         const candidate = {
           cell,
@@ -293,6 +293,20 @@
   }
 }
 
+/**
+ * The first cell of each free one. Other cells of it are only better for a
+ * job that avoids some workers.
+ */
+function* cellsToCompare(
+  job: PlannedJob,
+  blocks: Iterable<Cell>,
+): Generator<Cell> {
+  const limit = job.history.avoid.size + 1;
+  for (const block of blocks) {
+    yield* firstOf(cellsWithin(block, job.cellSize), limit);
+  }
+}
+
 function* cellsWithin(outer: Cell, size: CellSize): Generator<Cell> {
   for (let at = outer.position; at < cellEnd(outer); at += size) {
     yield {position: at, size};
--- a/src/scheduling/worker_health.ts
+++ b/src/scheduling/worker_health.ts
@@ -70,12 +70,12 @@
    * a fifth of the workers is quarantined, and those that are due first are
    * released if the zone has shrunk.
    */
-  update(workerIds: ReadonlySet<VmId>, now: Instant): readonly VmId[] {
+  update(workers: ReadonlyMap<VmId, unknown>, now: Instant): readonly VmId[] {
     const before = new Set(this.quarantined());
-    this.endQuarantines(workerIds, now);
-    const allowed = Math.floor(workerIds.size * MAXIMUM_QUARANTINED_SHARE);
+    this.endQuarantines(workers, now);
+    const allowed = Math.floor(workers.size * MAXIMUM_QUARANTINED_SHARE);
     this.releaseBeyond(allowed);
-    this.beginQuarantines(workerIds, allowed, now);
+    this.beginQuarantines(workers, allowed, now);
     const present = new Set(this.quarantined());
     const changed = [...this.workers.keys(), ...before].filter(
       (workerId) => before.has(workerId) !== present.has(workerId),
@@ -94,9 +94,12 @@
     return next;
   }
 
-  private endQuarantines(workerIds: ReadonlySet<VmId>, now: Instant): void {
+  private endQuarantines(
+    workers: ReadonlyMap<VmId, unknown>,
+    now: Instant,
+  ): void {
     for (const [workerId, health] of this.workers) {
-      if (!workerIds.has(workerId)) {
+      if (!workers.has(workerId)) {
         this.workers.delete(workerId);
       } else if ((health.quarantinedUntil ?? Infinity) <= now) {
         health.quarantinedUntil = undefined;
@@ -121,7 +124,7 @@
   }
 
   private beginQuarantines(
-    workerIds: ReadonlySet<VmId>,
+    workers: ReadonlyMap<VmId, unknown>,
     allowed: number,
     now: Instant,
   ): void {
@@ -129,7 +132,7 @@
     for (const [workerId, health] of this.workers) {
       if (held >= allowed) return;
       if (health.quarantinedUntil !== undefined) continue;
-      if (!workerIds.has(workerId) || !isSuspect(health)) continue;
+      if (!workers.has(workerId) || !isSuspect(health)) continue;
       health.quarantinedUntil = after(now, health.nextQuarantineMs);
       health.nextQuarantineMs = Math.min(
         2 * health.nextQuarantineMs,
--- a/src/scheduling/zone_state.ts
+++ b/src/scheduling/zone_state.ts
@@ -49,6 +49,8 @@
   /** Customers whose borrowers may have become guaranteed. */
   readonly changedShares = new Set<CustomerId>();
   readonly customers = new Map<CustomerId, Customer>();
+  /** Accelerators of all workers, in use or not. */
+  accelerators = 0;
   weights: PlacementWeights = {
     completionTimeWeight: 1,
     fragmentationWeight: 1,
@@ -68,13 +70,6 @@
     return new Placer(this.racks, this.full, this.guarantees, this.weights);
   }
 
-  /** Accelerators of all workers, in use or not. */
-  get accelerators(): number {
-    let sum = 0;
-    for (const worker of this.reported.values()) sum += worker.accelerators;
-    return sum;
-  }
-
   get workers(): ReadonlyMap<VmId, PlannedWorker> {
     return this.reported;
   }
@@ -108,6 +103,8 @@
     ) {
       this.removeWorker(worker.workerId);
     }
+    const before = this.reported.get(worker.workerId)?.accelerators ?? 0;
+    this.accelerators += worker.accelerators - before;
     this.reported.set(worker.workerId, worker);
     this.applyWorker(worker.workerId);
     const unlocated = this.unlocated.get(worker.workerId) ?? [];
@@ -128,6 +125,7 @@
 
   /** Returns the jobs whose gangs had a task on the worker. */
   removeWorker(workerId: VmId): readonly JobId[] {
+    this.accelerators -= this.reported.get(workerId)?.accelerators ?? 0;
     this.reported.delete(workerId);
     const place = this.racks.placeOf(workerId);
     this.racks.remove(workerId);
--- a/test/planner_power.test.ts
+++ b/test/planner_power.test.ts
@@ -118,3 +118,13 @@
   assert.equal(kinds(1)[0]?.kind, 'throttle');
   assert.equal(kinds(0.1)[0]?.kind, 'stop');
 });
+
+test('a job ends only if the fuel also covers its checkpoint', () => {
+  const jobs = [job('slow', {checkpointMs: 60 * MINUTE_MS})];
+  const kindFor = (fuelKilowattHours: number) =>
+    planForFuel(jobs, {fuelKilowattHours, measuredAt: NOW}, 10_000, NOW)
+      .steps[0]?.kind;
+  // 75 min to its end, 60 min for the checkpoint and 10 min in reserve.
+  assert.equal(kindFor(24), 'checkpoint');
+  assert.equal(kindFor(25), 'finish');
+});
