--- a/src/scheduling/cell_zone_planner.ts
+++ b/src/scheduling/cell_zone_planner.ts
@@ -116,7 +116,7 @@
 
   override enqueue(record: JobRecord, now: Instant): void {
     if (this.state.jobs.has(record.jobId)) return;
-    const history = this.state.historyOf(record.jobId);
+    const history = this.state.takeHistory(record.jobId);
     const waitingSince = history.waitingSince ?? now;
     history.waitingSince = undefined;
     this.state.addToQueue(
@@ -128,7 +128,7 @@
     const known = this.state.jobs.get(record.jobId);
     if (known?.placed === true) return;
     if (known !== undefined) this.state.withdraw(known);
-    const history = this.state.historyOf(record.jobId);
+    const history = known?.history ?? this.state.takeHistory(record.jobId);
     const job = new PlannedJob(record, cellSizeOf(record), now, history);
     this.state.adopt(job, gang);
   }
@@ -137,7 +137,6 @@
     const job = this.state.jobs.get(jobId);
     if (job === undefined || job.placed) return;
     this.state.withdraw(job);
-    this.state.forgetHistory(jobId);
   }
 
   override gangStarted(jobId: JobId, now: Instant): void {
@@ -206,9 +205,9 @@
         for (const task of job.placement?.tasks ?? []) {
           health.worked(task.workerId);
         }
-        this.state.forgetHistory(jobId);
         return false;
       case 'withdrawn':
+        this.state.keepHistory(job);
         history.waitingSince = job.waitingSince;
         for (const workerId of end.blamedWorkers) {
           health.failedAtOnce(workerId, jobId);
@@ -216,14 +215,15 @@
         }
         return false;
       case 'setAside':
+        this.state.keepHistory(job);
         this.pause(job, now);
         return false;
       case 'failed':
         return this.learnFromFailure(job, end.workerId, ranMs);
       case 'lost':
+        this.state.keepHistory(job);
         return false;
       case 'cancelled':
-        this.state.forgetHistory(jobId);
         return false;
     }
   }
@@ -239,9 +239,11 @@
     else health.worked(workerId);
     failedOn.add(workerId);
     avoid.add(workerId);
-    if (failedOn.size < WORKERS_TO_BLAME_JOB) return false;
+    if (failedOn.size < WORKERS_TO_BLAME_JOB) {
+      this.state.keepHistory(job);
+      return false;
+    }
     health.retract(job.jobId);
-    this.state.forgetHistory(job.jobId);
     return true;
   }
 
--- a/src/scheduling/zone_state.ts
+++ b/src/scheduling/zone_state.ts
@@ -58,6 +58,7 @@
 
   /** Cells that would be free if all workers were idle and accepted tasks. */
   private readonly complete = new FreeCells(new VisitCounter());
+  /** Histories of jobs that are between two attempts. */
   private readonly histories = new Map<JobId, JobHistory>();
   /** Workers as they were reported, whether quarantined or not. */
   private readonly reported = new Map<VmId, PlannedWorker>();
@@ -149,17 +150,19 @@
     return this.complete.largest() ?? ACCELERATORS_PER_RACK;
   }
 
-  historyOf(jobId: JobId): JobHistory {
-    const known = this.histories.get(jobId);
-    if (known !== undefined) return known;
-    const history = emptyHistory();
-    this.histories.set(jobId, history);
-    if (this.histories.size > MAXIMUM_HISTORIES) this.dropOldestHistory();
+  /** What earlier attempts of the job left; it belongs to the next one. */
+  takeHistory(jobId: JobId): JobHistory {
+    const history = this.histories.get(jobId) ?? emptyHistory();
+    this.histories.delete(jobId);
     return history;
   }
 
-  forgetHistory(jobId: JobId): void {
-    this.histories.delete(jobId);
+  /** Keeps the history of a job that may be queued again. */
+  keepHistory(job: PlannedJob): void {
+    this.histories.set(job.jobId, job.history);
+    if (this.histories.size <= MAXIMUM_HISTORIES) return;
+    const [oldest] = this.histories.keys();
+    if (oldest !== undefined) this.histories.delete(oldest);
   }
 
   addToQueue(job: PlannedJob): void {
@@ -302,14 +305,6 @@
       }
     }
   }
-
-  private dropOldestHistory(): void {
-    for (const jobId of this.histories.keys()) {
-      if (this.jobs.has(jobId)) continue;
-      this.histories.delete(jobId);
-      return;
-    }
-  }
 }
 
 /** The smallest cell over positions, unless they span racks. */
