--- a/test/planner_world.ts
+++ b/test/planner_world.ts
@@ -13,6 +13,7 @@
 import {nextPowerOfTwo} from '../src/model/shapes.js';
 import {CellZonePlanner} from '../src/scheduling/cell_zone_planner.js';
 import type {
+  AdoptedGang,
   GangEnd,
   GangPlacement,
   PlannedWorker,
@@ -55,6 +56,8 @@
 export interface JobOptions {
   readonly urgency?: JobRecord['urgency'];
   readonly declaredRunTimeMs?: number;
+  /** First part of the job's id. */
+  readonly prefix?: string;
 }
 
 export class PlannerWorld {
@@ -97,7 +100,7 @@
   ): JobId {
     this.jobCount += 1;
     const record: JobRecord = {
-      jobId: trustedId<JobId>(`job-${this.jobCount}`),
+      jobId: trustedId<JobId>(`${options.prefix ?? 'job'}-${this.jobCount}`),
       customerId: trustedId(customerId),
       workClassId: trustedId('class'),
       availabilityZone: ZONE,
@@ -123,6 +126,13 @@
     this.planner.enqueue(record, this.now);
   }
 
+  /** Counts a gang that runs already. */
+  adopt(record: JobRecord, gang: AdoptedGang): void {
+    this.records.set(record.jobId, record);
+    this.use(gang);
+    this.planner.adopt(record, gang, this.now);
+  }
+
   cancelQueued(jobId: JobId): void {
     this.queued.delete(jobId);
     this.planner.dequeue(jobId);
@@ -201,14 +211,18 @@
       assert.ok(worker?.acceptsTasks === true, `${workerId} takes no task`);
       assert.ok(Math.max(...accelerators) < worker.accelerators);
     }
+    this.queued.delete(placement.jobId);
+    this.use(placement);
+    this.planner.gangStarted(placement.jobId, this.now);
+  }
+
+  private use(placement: GangPlacement): void {
     for (const key of keysOf(placement)) {
       const user = this.users.get(key);
       assert.equal(user, undefined, `${key} is used by ${user}`);
       this.users.set(key, placement.jobId);
     }
-    this.queued.delete(placement.jobId);
     this.placed.set(placement.jobId, placement);
-    this.planner.gangStarted(placement.jobId, this.now);
   }
 
   /** Each preempted gang has to make room for a guaranteed one. */
