Keep a part of a guarantee for which the zone has lost the room

Cause: after the loss of one worker of the only complete rack, a guarantee of 64 fitted nowhere, so that its customer had no guaranteed accelerator at all although seven of eight workers were left.

The largest free cell that leaves room for the guarantees which still fit now stands for the guaranteed one.

Ruled out: binding several smaller cells for one guaranteed cell, because they could not be joined again without stopping the jobs in them.

The new test was seen to fail without partial cells, with partial cells that take room from others, and with partial cells counted by their own size.

--- a/src/scheduling/guarantees.ts
+++ b/src/scheduling/guarantees.ts
@@ -34,6 +34,8 @@
 /** A guaranteed cell that is bound to physical accelerators. */
 export interface BoundCell {
   readonly cell: Cell;
+  /** Guaranteed size that it stands for; larger than a partial cell. */
+  readonly counted: CellSize;
   readonly share: CustomerShare;
   /** The customer's jobs in the cell, with the part that each holds. */
   readonly parts: Map<PlannedJob, Cell>;
@@ -56,7 +58,16 @@
   /** Into free parts of this size within bound cells. */
   | {readonly kind: 'bound'; readonly size: CellSize}
   /** Into an unbound guaranteed cell of this size. */
-  | {readonly kind: 'unbound'; readonly size: CellSize};
+  | {readonly kind: 'unbound'; readonly size: CellSize}
+  /**
+   * Into a cell of this size in place of an unbound one of size `counted`,
+   * for which the zone has no room after the loss of workers.
+   */
+  | {
+      readonly kind: 'partial';
+      readonly size: CellSize;
+      readonly counted: CellSize;
+    };
 
 export class Guarantees {
   /** Free cells of the guaranteed view. */
@@ -119,8 +130,8 @@
    */
   invariantHolds(): boolean {
     const wanted = [...this.totals];
-    for (const {cell} of this.damaged) {
-      wanted[levelOf(cell.size)] = (wanted[levelOf(cell.size)] ?? 0) + 1;
+    for (const {counted} of this.damaged) {
+      wanted[levelOf(counted)] = (wanted[levelOf(counted)] ?? 0) + 1;
     }
     return packs(wanted, this.free.counts());
   }
@@ -149,6 +160,12 @@
     if (boundSize !== undefined) fits.push({kind: 'bound', size: boundSize});
     const unbound = smallestUnbound(share, size);
     if (unbound !== undefined) fits.push({kind: 'unbound', size: unbound});
+    if (unbound !== undefined && this.free.bestFit(unbound) === undefined) {
+      const partial = this.partialSize(size, unbound);
+      if (partial !== undefined) {
+        fits.push({kind: 'partial', size: partial, counted: unbound});
+      }
+    }
     return fits.sort((one, other) => one.size - other.size);
   }
 
@@ -172,10 +189,33 @@
     return sizes.length > 0 ? sizes : [best];
   }
 
-  /** Binds an unbound guaranteed cell of the customer to a free cell. */
-  bind(customerId: CustomerId, cell: Cell): BoundCell {
+  /**
+   * The largest free size of at least `size` that can stand for a cell of size
+   * `counted`, without taking room from guarantees that still fit.
+   */
+  private partialSize(size: CellSize, counted: CellSize): CellSize | undefined {
+    const counts = this.free.counts();
+    const largest = this.free.largest() ?? 0;
+    const wanted = this.totals.map((count, level) =>
+      sizeOfLevel(level) > largest ? 0 : count,
+    );
+    for (let level = levelOf(counted) - 1; level >= levelOf(size); level -= 1) {
+      if ((counts[level] ?? 0) === 0) continue;
+      if (packs(wanted, countsAfterTake(counts, level, level))) {
+        return sizeOfLevel(level);
+      }
+    }
+    return undefined;
+  }
+
+  /**
+   * Binds an unbound guaranteed cell of the customer to a free cell, which is
+   * smaller than `counted` if the zone has no room for that size.
+   */
+  bind(customerId: CustomerId, cell: Cell, counted = cell.size): BoundCell {
     const share = this.shareOf(customerId);
-    const bound: BoundCell = {cell, share, parts: new Map()};
+    const bound: BoundCell = {cell, counted, share, parts: new Map()};
+    if (counted !== cell.size) this.damaged.add(bound);
     this.free.take(cell);
     share.bound.set(cellKey(cell), bound);
     this.countBound(bound, 1);
@@ -272,7 +312,7 @@
     for (let level = 0; level < CELL_LEVELS; level += 1) {
       const size = sizeOfLevel(level);
       const cells = [...share.bound.values()]
-        .filter((bound) => bound.cell.size === size)
+        .filter((bound) => bound.counted === size)
         .sort((one, other) => one.parts.size - other.parts.size);
       const excess = cells.length - (share.guaranteed[level] ?? 0);
       for (const bound of cells.slice(0, Math.max(0, excess))) {
@@ -296,10 +336,10 @@
   }
 
   private countBound(bound: BoundCell, difference: number): void {
-    const level = levelOf(bound.cell.size);
+    const level = levelOf(bound.counted);
     const {boundCounts} = bound.share;
     boundCounts[level] = (boundCounts[level] ?? 0) + difference;
-    this.addToTotal(bound.cell.size, -difference);
+    this.addToTotal(bound.counted, -difference);
   }
 
   private addToTotal(size: CellSize, difference: number): void {
@@ -318,7 +358,7 @@
     const {cell} = bound;
     this.visits.visited += cell.size;
     const usable = partsWhere(cell, (at) => this.racks.isUsable(at));
-    if (usable.length === 1 && usable[0]?.size === cell.size) {
+    if (usable.length === 1 && usable[0]?.size === bound.counted) {
       this.damaged.delete(bound);
     } else {
       this.damaged.add(bound);
--- a/src/scheduling/placement.ts
+++ b/src/scheduling/placement.ts
@@ -55,6 +55,8 @@
   readonly cell: Cell;
   /** Guaranteed cell to bind first, if `cell` is not in a bound one. */
   readonly bindCell?: Cell;
+  /** Guaranteed size that a smaller `bindCell` stands for. */
+  readonly counted?: CellSize;
   /** Sizes between the free cell that is split and the cell taken. */
   readonly splitLevels: number;
   /** Borrowers that have to go, each as a whole. */
@@ -85,7 +87,10 @@
   return (lost * (1 + gang.history.preemptions)) / MILLISECONDS_PER_HOUR;
 }
 
-type Proposal = Pick<Candidate, 'cell' | 'bindCell' | 'splitLevels'>;
+type Proposal = Pick<
+  Candidate,
+  'cell' | 'bindCell' | 'counted' | 'splitLevels'
+>;
 
 export class Placer {
   constructor(
@@ -178,6 +183,14 @@
       yield* this.boundProposals(job, fit.size);
       return;
     }
+    if (fit.kind === 'partial') {
+      const blocks = this.guarantees.free.ofSize(fit.size);
+      const proposals = unboundProposals(job, fit.size, blocks);
+      for (const proposal of firstOf(proposals, CANDIDATES_OF_BEST_FIT)) {
+        yield {...proposal, counted: fit.counted};
+      }
+      return;
+    }
     const sizes = this.guarantees.sizesToBindFrom(fit.size);
     yield* this.freeProposals(job, fit.size, sizes);
     let limit = CANDIDATES_OF_BEST_FIT;
--- a/src/scheduling/planning_pass.ts
+++ b/src/scheduling/planning_pass.ts
@@ -120,14 +120,14 @@
 
   private takeGuaranteed(job: PlannedJob, candidate: Candidate): void {
     const {full, guarantees} = this.state;
-    const {cell, bindCell, evicted} = candidate;
+    const {cell, bindCell, counted, evicted} = candidate;
     for (const keeper of full.keepersInTheWay(job, cell)) {
       this.state.putBack(keeper);
     }
     const bound =
       bindCell === undefined
         ? guarantees.boundCellAt(cell.position)
-        : guarantees.bind(job.record.customerId, bindCell);
+        : guarantees.bind(job.record.customerId, bindCell, counted);
     if (bound === undefined) throw new Error('guaranteed cell is not bound');
     guarantees.assign(job, bound, cell);
     if (evicted.size === 0) {
--- a/test/planner_guarantees.test.ts
+++ b/test/planner_guarantees.test.ts
@@ -260,6 +260,26 @@
   assert.ok(world.placed.has(small), 'the small job need not stop');
 });
 
+test('a guarantee without room keeps what others leave of it', () => {
+  const world = new PlannerWorld(
+    [customer('a', [[64, 1]]), customer('b', [[32, 1]]), customer('c', [])],
+    workers(9),
+  );
+  world.loseWorker(trustedId('worker-0'));
+  assert.ok(!world.planner.guaranteesPack());
+  for (let count = 0; count < 8; count += 1) world.submit('c', 1, 8);
+  world.settle();
+  const isGuaranteed = (jobId: JobId) =>
+    world.placed.get(jobId)?.guaranteed === true;
+  // The largest cell besides the one of 32 that is owed to b has 16.
+  const own = [1, 2, 3].map(() => world.submit('a', 1, 8));
+  world.settle();
+  assert.equal(own.filter(isGuaranteed).length, 2);
+  const other = world.submit('b', 4, 8);
+  world.settle();
+  assert.ok(isGuaranteed(other));
+});
+
 test('the fit of guarantees is exact for each size', () => {
   const zone = workers(12);
   const fits = (cells: ReadonlyArray<readonly [CellSize, number]>) =>
--- a/test/planner_world.ts
+++ b/test/planner_world.ts
@@ -54,7 +54,6 @@
 }
 
 export interface JobOptions {
-  readonly urgency?: JobRecord['urgency'];
   readonly declaredRunTimeMs?: number;
   /** First part of the job's id. */
   readonly prefix?: string;
@@ -105,7 +104,7 @@
       workClassId: trustedId('class'),
       availabilityZone: ZONE,
       shape: {tasks, acceleratorsPerTask},
-      urgency: options.urgency ?? 'normal',
+      urgency: 'normal',
       declaredRunTimeMs: options.declaredRunTimeMs ?? 600_000,
       payload: '',
       submittedAt: this.now,
