--- a/src/scheduling/placement.ts
+++ b/src/scheduling/placement.ts
@@ -55,6 +55,8 @@
   readonly cell: Cell;
   /** Guaranteed cell to bind first, if `cell` is not in a bound one. */
   readonly bindCell?: Cell;
+  /** Guaranteed size that a smaller `bindCell` stands for. */
+  readonly counted?: CellSize;
   /** Sizes between the free cell that is split and the cell taken. */
   readonly splitLevels: number;
   /** Borrowers that have to go, each as a whole. */
@@ -85,7 +87,10 @@
   return (lost * (1 + gang.history.preemptions)) / MILLISECONDS_PER_HOUR;
 }
 
-type Proposal = Pick<Candidate, 'cell' | 'bindCell' | 'splitLevels'>;
+type Proposal = Pick<
+  Candidate,
+  'cell' | 'bindCell' | 'counted' | 'splitLevels'
+>;
 
 export class Placer {
   constructor(
@@ -118,8 +123,8 @@
     const size = job.cellSize;
     for (let level = levelOf(size); level < CELL_LEVELS; level += 1) {
       const blocks = this.full.free.ofSize(sizeOfLevel(level));
-      for (const block of firstOf(blocks, CANDIDATES_OF_LARGER)) {
-        const cell = cellAround(block.position, size);
+      const cells = cellsToCompare(job, firstOf(blocks, CANDIDATES_OF_LARGER));
+      for (const cell of cells) {
         const lent = this.guarantees.boundCellAt(cell.position) !== undefined;
         const candidate = {
           cell,
@@ -178,6 +183,14 @@
       yield* this.boundProposals(job, fit.size);
       return;
     }
+    if (fit.kind === 'partial') {
+      const blocks = this.guarantees.free.ofSize(fit.size);
+      const proposals = unboundProposals(job, fit.size, blocks);
+      for (const proposal of firstOf(proposals, CANDIDATES_OF_BEST_FIT)) {
+        yield {...proposal, counted: fit.counted};
+      }
+      return;
+    }
     const sizes = this.guarantees.sizesToBindFrom(fit.size);
     yield* this.freeProposals(job, fit.size, sizes);
     let limit = CANDIDATES_OF_BEST_FIT;
@@ -293,6 +306,20 @@
   }
 }
 
+/**
+ * The first cell of each free one. Other cells of it are only better for a
+ * job that avoids some workers.
+ */
+function* cellsToCompare(
+  job: PlannedJob,
+  blocks: Iterable<Cell>,
+): Generator<Cell> {
+  const limit = job.history.avoid.size + 1;
+  for (const block of blocks) {
+    yield* firstOf(cellsWithin(block, job.cellSize), limit);
+  }
+}
+
 function* cellsWithin(outer: Cell, size: CellSize): Generator<Cell> {
   for (let at = outer.position; at < cellEnd(outer); at += size) {
     yield {position: at, size};
--- a/src/scheduling/zone_state.ts
+++ b/src/scheduling/zone_state.ts
@@ -49,6 +49,8 @@
   /** Customers whose borrowers may have become guaranteed. */
   readonly changedShares = new Set<CustomerId>();
   readonly customers = new Map<CustomerId, Customer>();
+  /** Accelerators of all workers, in use or not. */
+  accelerators = 0;
   weights: PlacementWeights = {
     completionTimeWeight: 1,
     fragmentationWeight: 1,
@@ -56,6 +58,7 @@
 
   /** Cells that would be free if all workers were idle and accepted tasks. */
   private readonly complete = new FreeCells(new VisitCounter());
+  /** Histories of jobs that are between two attempts. */
   private readonly histories = new Map<JobId, JobHistory>();
   /** Workers as they were reported, whether quarantined or not. */
   private readonly reported = new Map<VmId, PlannedWorker>();
@@ -68,13 +71,6 @@
     return new Placer(this.racks, this.full, this.guarantees, this.weights);
   }
 
-  /** Accelerators of all workers, in use or not. */
-  get accelerators(): number {
-    let sum = 0;
-    for (const worker of this.reported.values()) sum += worker.accelerators;
-    return sum;
-  }
-
   get workers(): ReadonlyMap<VmId, PlannedWorker> {
     return this.reported;
   }
@@ -108,6 +104,8 @@
     ) {
       this.removeWorker(worker.workerId);
     }
+    const before = this.reported.get(worker.workerId)?.accelerators ?? 0;
+    this.accelerators += worker.accelerators - before;
     this.reported.set(worker.workerId, worker);
     this.applyWorker(worker.workerId);
     const unlocated = this.unlocated.get(worker.workerId) ?? [];
@@ -128,6 +126,7 @@
 
   /** Returns the jobs whose gangs had a task on the worker. */
   removeWorker(workerId: VmId): readonly JobId[] {
+    this.accelerators -= this.reported.get(workerId)?.accelerators ?? 0;
     this.reported.delete(workerId);
     const place = this.racks.placeOf(workerId);
     this.racks.remove(workerId);
@@ -151,17 +150,19 @@
     return this.complete.largest() ?? ACCELERATORS_PER_RACK;
   }
 
-  historyOf(jobId: JobId): JobHistory {
-    const known = this.histories.get(jobId);
-    if (known !== undefined) return known;
-    const history = emptyHistory();
-    this.histories.set(jobId, history);
-    if (this.histories.size > MAXIMUM_HISTORIES) this.dropOldestHistory();
+  /** What earlier attempts of the job left; it belongs to the next one. */
+  takeHistory(jobId: JobId): JobHistory {
+    const history = this.histories.get(jobId) ?? emptyHistory();
+    this.histories.delete(jobId);
     return history;
   }
 
-  forgetHistory(jobId: JobId): void {
-    this.histories.delete(jobId);
+  /** Keeps the history of a job that may be queued again. */
+  keepHistory(job: PlannedJob): void {
+    this.histories.set(job.jobId, job.history);
+    if (this.histories.size <= MAXIMUM_HISTORIES) return;
+    const [oldest] = this.histories.keys();
+    if (oldest !== undefined) this.histories.delete(oldest);
   }
 
   addToQueue(job: PlannedJob): void {
@@ -304,14 +305,6 @@
       }
     }
   }
-
-  private dropOldestHistory(): void {
-    for (const jobId of this.histories.keys()) {
-      if (this.jobs.has(jobId)) continue;
-      this.histories.delete(jobId);
-      return;
-    }
-  }
 }
 
 /** The smallest cell over positions, unless they span racks. */
