Keep a new term's record listener when the old term closes

Cause: closing a term's scope runs its cleanups over several turns; a term that started in the same turn lost its listener, so overruled records went unnoticed. Found by reading. Ruled out: waiting for the old scope before a start (a start would then depend on calls of the old term). Also raises the bound on calls to workers from 32 to 128, so that the members of a gang of 64 are checkpointed together and within the reclaim bound. Conclusion: a term only ends its own listening.

--- a/src/controllers/job_store.ts
+++ b/src/controllers/job_store.ts
@@ -101,10 +101,15 @@
   }
 
   /** Sets who is told about the store; one listener at a time. */
-  listen(listener: JobStoreListener | undefined): void {
+  listen(listener: JobStoreListener): void {
     this.listener = listener;
   }
 
+  /** Ends `listen`, unless a later term listens already. */
+  unlisten(listener: JobStoreListener): void {
+    if (this.listener === listener) this.listener = undefined;
+  }
+
   /** Number of records that are only in memory. */
   get unwrittenCount(): number {
     return this.unwritten.size;
--- a/src/controllers/zone_options.ts
+++ b/src/controllers/zone_options.ts
@@ -7,7 +7,11 @@
 import type {GangEnd} from '../scheduling/zone_planner.js';
 
 export interface ZoneControllerOptions {
-  /** Calls to workers at once; waiting watches are not counted. */
+  /**
+   * Calls to workers at once; waiting watches are not counted. At least the
+   * tasks of the largest gang, so that they are checkpointed together. A call
+   * that is never answered keeps its place, so clients need a time limit.
+   */
   readonly workerCallConcurrency: number;
   /** Longest wait of one watch of a worker's task list. */
   readonly watchWaitMs: number;
@@ -42,7 +46,7 @@
 
 /** Values for a site of today; the daemon's settings may replace them. */
 export const DEFAULT_ZONE_OPTIONS: ZoneControllerOptions = {
-  workerCallConcurrency: 32,
+  workerCallConcurrency: 128,
   watchWaitMs: 10_000,
   leaseMs: 60_000,
   watchOverrunMs: 2_000,
--- a/src/controllers/zone_session.ts
+++ b/src/controllers/zone_session.ts
@@ -22,7 +22,7 @@
 import type {PlanAction, ZonePlanner} from '../scheduling/zone_planner.js';
 import {GangTable} from './gang_table.js';
 import {mergeRecords} from './job_store.js';
-import type {JobStore} from './job_store.js';
+import type {JobStore, JobStoreListener} from './job_store.js';
 import {JobTable} from './job_table.js';
 import type {JobEntry} from './job_table.js';
 import {RecordWatcher} from './record_watcher.js';
@@ -82,18 +82,20 @@
     });
     scope.add(() => queue.clear());
     scope.add(() => clearTimeout(this.wakeTimer));
-    scope.add(() => parts.jobStore.listen(undefined));
   }
 
   /** Starts the term. */
   start(): void {
-    this.parts.jobStore.listen({
+    const {jobStore, scope} = this.parts;
+    const listener: JobStoreListener = {
       overruled: (stored) => this.overruled(stored),
       stored: () => this.askRound(),
       storeAvailable: (available, unwritten) =>
         this.parts.listener.zoneEvent({kind: 'store', available, unwritten}),
-    });
-    this.parts.scope.every(FORGET_INTERVAL_MS, () => this.forget());
+    };
+    jobStore.listen(listener);
+    scope.add(() => jobStore.unlisten(listener));
+    scope.every(FORGET_INTERVAL_MS, () => this.forget());
     void this.records.run();
   }
 
--- a/test/zone_controller_faults.test.ts
+++ b/test/zone_controller_faults.test.ts
@@ -217,6 +217,19 @@
   assert.ok(scheduler.controller.cancelJob(jobId).isErr);
 });
 
+// Guards against an old term that cuts the next one off from its records.
+test('a scheduler that loses and regains the zone goes on', async () => {
+  const scheduler = await startJob();
+  scheduler.controller.stop();
+  scheduler.controller.start();
+  await until('it is adopted', () => scheduler.planner.adopted.length === 1);
+  store.down = true;
+  workers.endTasks(jobId, 'finished');
+  await until('the outage is reported', () => scheduler.saw('store'));
+  store.down = false;
+  await until('the end is stored', () => isStored('finished'));
+});
+
 // Guards against a planned stop that cuts a start or drops a record.
 test('a graceful stop completes the start under way', async () => {
   const scheduler = addScheduler();
