Judge only gangs that no runner manages, and only on changed lists

Cause: each round compared all found gangs pairwise, also those that this scheduler runs, and each watch that ended without a change asked for a round. Ruled out: fewer watches (the lease is renewed by them).

--- a/src/controllers/gang_runner.ts
+++ b/src/controllers/gang_runner.ts
@@ -85,8 +85,9 @@
     return this.gang.phase;
   }
 
-  get workerIds(): readonly VmId[] {
-    return this.gang.members.map((member) => member.workerId);
+  /** True if a member is, was or will be on the worker. */
+  isOn(workerId: VmId): boolean {
+    return this.gang.members.some((member) => member.workerId === workerId);
   }
 
   start(): void {
--- a/src/controllers/gang_table.ts
+++ b/src/controllers/gang_table.ts
@@ -98,7 +98,7 @@
 
   listSeen(list: TaskList, requestedAt: Instant): void {
     for (const runner of [...this.runners.values()]) {
-      runner.listSeen(list, requestedAt);
+      if (runner.isOn(list.workerId)) runner.listSeen(list, requestedAt);
     }
   }
 
@@ -114,12 +114,12 @@
    * starting them has had its time.
    */
   considerFound(takeover: boolean): void {
-    const found = findGangs(this.table.lists(), (workerId) =>
-      this.table.isUnread(workerId),
+    const found = findGangs(
+      this.table.lists(),
+      (workerId) => this.table.isUnread(workerId),
+      (gangId) => this.runners.has(gangId),
     );
-    for (const gang of found) {
-      if (!this.runners.has(gang.gangId)) this.considerGang(gang, takeover);
-    }
+    for (const gang of found) this.considerGang(gang, takeover);
   }
 
   private considerGang(gang: FoundGang, takeover: boolean): void {
@@ -356,7 +356,7 @@
       for (const entry of this.jobs.all()) {
         const {runner} = entry;
         if (runner?.phase !== 'running') continue;
-        if (!runner.workerIds.includes(workerId)) continue;
+        if (!runner.isOn(workerId)) continue;
         entry.stopReason = `worker ${workerId} is leaving`;
         runner.stop('setAside', reclaimBoundMs);
       }
--- a/src/controllers/worker_table.ts
+++ b/src/controllers/worker_table.ts
@@ -39,7 +39,8 @@
 }
 
 export interface WorkerTableListener {
-  listSeen(list: TaskList, requestedAt: Instant): void;
+  /** `changed` is false if the worker returned the same list as before. */
+  listSeen(list: TaskList, requestedAt: Instant, changed: boolean): void;
   workerLost(workerId: VmId): void;
   /** True if the gang is started, watched or stopped by this scheduler. */
   isManaged(gangId: GangId): boolean;
@@ -198,10 +199,12 @@
     if (entry.state === 'lost') {
       this.parts.listener.zoneEvent({kind: 'workerReturned', workerId});
     }
+    const changed =
+      entry.state !== 'read' || entry.list?.version !== list.version;
     entry.state = 'read';
     entry.list = list;
     this.noteLeaving(entry, list.leaving);
-    this.listener.listSeen(list, requestedAt);
+    this.listener.listSeen(list, requestedAt, changed);
   }
 
   private noteLeaving(entry: WorkerEntry, leaving: boolean): void {
--- a/src/controllers/zone_session.ts
+++ b/src/controllers/zone_session.ts
@@ -67,7 +67,8 @@
     this.table = new WorkerTable(
       {...parts, client: parts.workers, queue},
       {
-        listSeen: (list, requestedAt) => this.listSeen(list, requestedAt),
+        listSeen: (list, requestedAt, changed) =>
+          this.listSeen(list, requestedAt, changed),
         workerLost: (workerId) => this.workerLost(workerId),
         isManaged: (gangId) => this.gangs.isManaged(gangId),
       },
@@ -249,8 +250,14 @@
 
   // Workers.
 
-  private listSeen(list: TaskList, requestedAt: Instant): void {
+  private listSeen(
+    list: TaskList,
+    requestedAt: Instant,
+    changed: boolean,
+  ): void {
     this.gangs.listSeen(list, requestedAt);
+    // Most watches end without a change; a round reads the whole zone.
+    if (!changed) return;
     this.checkAdoption();
     this.askRound();
   }
--- a/src/scheduling/gang_adoption.ts
+++ b/src/scheduling/gang_adoption.ts
@@ -95,27 +95,44 @@
 }
 
 /**
- * Decides on every gang that the lists show. `isUnread` tells which workers
- * have not been read yet; a worker that is neither listed nor unread is lost.
- * If two gangs of one job run, the one with the lower gang id is kept.
+ * Decides on every gang that the lists show, except those to `skip`.
+ * `isUnread` tells which workers have not been read yet; a worker that is
+ * neither listed nor unread is lost. If two gangs of one job run, the one with
+ * the lower gang id is kept.
  */
 export function findGangs(
   lists: readonly TaskList[],
   isUnread: (workerId: VmId) => boolean,
+  skip: (gangId: GangId) => boolean = () => false,
 ): readonly FoundGang[] {
   const byWorker = new Map(lists.map((list) => [list.workerId, list]));
   const seen = new Map<GangId, TaskStatus>();
   for (const list of lists) {
-    for (const task of list.tasks) seen.set(task.gangId, task);
+    for (const task of list.tasks) {
+      if (!skip(task.gangId)) seen.set(task.gangId, task);
+    }
   }
   const gangs = [...seen.values()].map((task) =>
     describeGang(task, byWorker, isUnread),
   );
-  return gangs.map((gang) =>
-    gangs.some((other) => replaces(other, gang))
-      ? {...gang, decision: 'stop'}
-      : gang,
-  );
+  return stopDuplicates(gangs);
+}
+
+function stopDuplicates(gangs: readonly FoundGang[]): readonly FoundGang[] {
+  const kept = new Map<JobId, GangId>();
+  for (const {jobId, gangId, decision} of gangs) {
+    const known = kept.get(jobId) ?? gangId;
+    if (mayRunOn(decision)) kept.set(jobId, gangId < known ? gangId : known);
+  }
+  return gangs.map((gang) => {
+    const isKept = kept.get(gang.jobId) === gang.gangId;
+    if (isKept || !mayRunOn(gang.decision)) return gang;
+    return {...gang, decision: 'stop'};
+  });
+}
+
+function mayRunOn(decision: AdoptionDecision): boolean {
+  return decision === 'running' || decision === 'finishRelease';
 }
 
 function describeGang(
@@ -163,17 +180,3 @@
   });
   return fits ? 'finishRelease' : 'stop';
 }
-
-/** True if `gang` has to go because `other` runs the same job. */
-function replaces(other: FoundGang, gang: FoundGang): boolean {
-  return (
-    other.jobId === gang.jobId &&
-    other.gangId < gang.gangId &&
-    mayRunOn(other) &&
-    mayRunOn(gang)
-  );
-}
-
-function mayRunOn(gang: FoundGang): boolean {
-  return gang.decision === 'running' || gang.decision === 'finishRelease';
-}
