Hold queued jobs back while a worker is unread and the store is away

Cause: after a takeover in an outage, a job that another daemon hands over as queued may run on a worker that has not been read. Ruled out: holding all jobs back while any worker is unread (with the records at hand, a queued record means that nothing was held). Conclusion: such a job waits until the worker is read or counts as lost.

--- a/src/controllers/zone_session.ts
+++ b/src/controllers/zone_session.ts
@@ -303,7 +303,11 @@
     if (hasEnded(record.state)) return;
     if (this.gangs.hasStray(record.jobId)) return;
     if (entry.provisional && !this.records.hasRead) return;
-    const mayRun = record.state === 'starting' || record.state === 'running';
+    // Without the store's records, a queued job may have been started too.
+    const mayRun =
+      record.state === 'starting' ||
+      record.state === 'running' ||
+      !this.records.hasRead;
     if (mayRun && !this.table.allRead) return;
     if (entry.notBefore !== undefined && now < entry.notBefore) {
       this.wakeAt(entry.notBefore);
--- a/test/zone_controller_faults.test.ts
+++ b/test/zone_controller_faults.test.ts
@@ -281,25 +281,29 @@
 });
 
 // Guards against a second run on a worker that could not be read: the job may
-// run there already.
-test('a job that may run on an unread worker is not started', async () => {
-  placeGang('gang-1', ['running']);
-  store.seed({
-    ...job,
-    shape: {tasks: 1, acceleratorsPerTask: 8},
-    state: 'running',
+// run there already. Without the store that holds for queued jobs too.
+for (const [state, storeDown] of [
+  ['running', false],
+  ['queued', true],
+] as const) {
+  test(`a ${state} job waits for a worker that may run it`, async () => {
+    placeGang('gang-1', ['running']);
+    const shape = {tasks: 1, acceleratorsPerTask: 8};
+    const record: JobRecord = {...job, shape, state};
+    if (!storeDown) store.seed(record);
+    store.down = storeDown;
+    workers.fault = (_, worker) => (worker === w0 ? 'requestLost' : undefined);
+    const scheduler = addScheduler({adoptionBoundMs: 20});
+    scheduler.controller.start();
+    scheduler.controller.submitJob(record);
+    await until('placing begins', () => scheduler.saw('placing'));
+    for (let turn = 0; turn < 50; turn += 1) await new Promise(setImmediate);
+    assert.equal(scheduler.planner.placements.size, 0);
+    workers.fault = () => undefined;
+    await until('it is adopted', () => scheduler.planner.adopted.length === 1);
+    assert.deepEqual(workers.releases, []);
   });
-  workers.fault = (_, worker) => (worker === w0 ? 'requestLost' : undefined);
-  const options = {adoptionBoundMs: 20};
-  const scheduler = addScheduler(options);
-  scheduler.controller.start();
-  await until('placing begins', () => scheduler.saw('placing'));
-  for (let turn = 0; turn < 50; turn += 1) await new Promise(setImmediate);
-  assert.deepEqual(workers.releases, []);
-  workers.fault = () => undefined;
-  await until('it is adopted', () => scheduler.planner.adopted.length === 1);
-  assert.deepEqual(workers.releases, []);
-});
+}
 
 // Guards against two schedulers that run one job twice although the store
 // could tell them apart.
