--- a/src/controllers/zone_session.ts
+++ b/src/controllers/zone_session.ts
@@ -23,7 +23,7 @@
 import type {PlanAction, ZonePlanner} from '../scheduling/zone_planner.js';
 import {GangTable} from './gang_table.js';
 import {mergeRecords} from './job_store.js';
-import type {JobStore} from './job_store.js';
+import type {JobStore, JobStoreListener} from './job_store.js';
 import {JobTable} from './job_table.js';
 import type {JobEntry} from './job_table.js';
 import {PLAN_INTERVAL_MS, PowerController} from './power_controller.js';
@@ -78,7 +78,8 @@
     this.table = new WorkerTable(
       {...parts, client: parts.workers, queue},
       {
-        listSeen: (list, requestedAt) => this.listSeen(list, requestedAt),
+        listSeen: (list, requestedAt, changed) =>
+          this.listSeen(list, requestedAt, changed),
         workerLost: (workerId) => this.workerLost(workerId),
         isManaged: (gangId) => this.gangs.isManaged(gangId),
       },
@@ -93,18 +94,20 @@
     });
     scope.add(() => queue.clear());
     scope.add(() => clearTimeout(this.wakeTimer));
-    scope.add(() => parts.jobStore.listen(undefined));
   }
 
   /** Starts the term. */
   start(): void {
-    this.parts.jobStore.listen({
+    const {jobStore, scope} = this.parts;
+    const listener: JobStoreListener = {
       overruled: (stored) => this.overruled(stored),
       stored: () => this.askRound(),
       storeAvailable: (available, unwritten) =>
         this.parts.listener.zoneEvent({kind: 'store', available, unwritten}),
-    });
-    this.parts.scope.every(FORGET_INTERVAL_MS, () => this.forget());
+    };
+    jobStore.listen(listener);
+    scope.add(() => jobStore.unlisten(listener));
+    scope.every(FORGET_INTERVAL_MS, () => this.forget());
     void this.records.run();
   }
 
@@ -259,8 +262,14 @@
 
   // Workers.
 
-  private listSeen(list: TaskList, requestedAt: Instant): void {
+  private listSeen(
+    list: TaskList,
+    requestedAt: Instant,
+    changed: boolean,
+  ): void {
     this.gangs.listSeen(list, requestedAt);
+    // Most watches end without a change; a round reads the whole zone.
+    if (!changed) return;
     this.checkAdoption();
     this.askRound();
   }
@@ -307,7 +316,11 @@
     if (hasEnded(record.state)) return;
     if (this.gangs.hasStray(record.jobId)) return;
     if (entry.provisional && !this.records.hasRead) return;
-    const mayRun = record.state === 'starting' || record.state === 'running';
+    // Without the store's records, a queued job may have been started too.
+    const mayRun =
+      record.state === 'starting' ||
+      record.state === 'running' ||
+      !this.records.hasRead;
     if (mayRun && !this.table.allRead) return;
     if (entry.notBefore !== undefined && now < entry.notBefore) {
       this.wakeAt(entry.notBefore);
