--- a/src/controllers/heartbeat_sender.ts
+++ b/src/controllers/heartbeat_sender.ts
@@ -9,7 +9,7 @@
 import {after} from '../model/ids.js';
 import type {AvailabilityZone, DaemonId, Instant, VmId} from '../model/ids.js';
 import type {Heartbeat, QueueLength} from '../platform/peer_client.js';
-import {rendezvousOrder} from '../scheduling/rendezvous.js';
+import {rendezvousWeight} from '../scheduling/rendezvous.js';
 
 /** Daemons of each other zone that get heartbeats. */
 const REMOTE_PEERS_PER_ZONE = 2;
@@ -23,6 +23,8 @@
 /** An address that is or was named as that of a daemon. */
 interface Contact {
   readonly address: string;
+  /** Preference among the daemons of another zone; kept, as hashing is slow. */
+  readonly weight: number;
   zone: AvailabilityZone | undefined;
   /** Time at which a source last named it. */
   namedAt: Instant;
@@ -72,6 +74,7 @@
     }
     this.contacts.set(address, {
       address,
+      weight: rendezvousWeight(this.options.vmId, address),
       zone,
       namedAt: now,
       nextAt: now,
@@ -104,9 +107,14 @@
     }
   }
 
-  /** Addresses that get heartbeats now. */
-  targetAddresses(): string[] {
-    return this.targets(this.options.now()).map(({address}) => address);
+  /** True if the address gets heartbeats now. */
+  sendsTo(address: string): boolean {
+    const contact = this.contacts.get(address);
+    if (!contact) return false;
+    return (
+      !this.isRemote(contact) ||
+      this.targets(this.options.now()).includes(contact)
+    );
   }
 
   /** True if the last heartbeats to the address failed. */
@@ -130,8 +138,9 @@
         own.push(contact);
         continue;
       }
-      const sameZone = remote.get(contact.zone) ?? [];
-      remote.set(contact.zone, [...sameZone, contact]);
+      const sameZone = remote.get(contact.zone);
+      if (sameZone) sameZone.push(contact);
+      else remote.set(contact.zone, [contact]);
     }
     return [
       ...own,
@@ -141,11 +150,7 @@
 
   /** Hashing spreads the links of a zone's daemons over the other zone. */
   private chooseRemote(contacts: Contact[], now: Instant): Contact[] {
-    const ordered = rendezvousOrder(
-      this.options.vmId,
-      contacts,
-      ({address}) => address,
-    );
+    const ordered = contacts.sort((a, b) => b.weight - a.weight);
     const avoided = (contact: Contact) =>
       contact.failures >= FAILURES_TO_AVOID &&
       Math.abs(now - contact.failedAt) < AVOID_MS;
--- a/src/controllers/membership_controller.ts
+++ b/src/controllers/membership_controller.ts
@@ -131,7 +131,9 @@
     scope.add(configuration.onApplied(() => this.announceConfiguration()));
     scope.add(vms.onChange(() => this.beat()));
     scope.every(this.heartbeatIntervalMs, () => this.beat());
-    scope.every(this.peerTimeoutMs / CHECKS_PER_TIMEOUT, () => this.check());
+    scope.every(this.peerTimeoutMs / CHECKS_PER_TIMEOUT, () =>
+      this.checkOwnZone(),
+    );
     this.beat();
   }
 
@@ -168,7 +170,7 @@
     this.hear(heartbeat, heartbeat.address);
     // A peer that gets heartbeats of this daemon has the queue lengths from
     // them; any other peer gets all of them with each answer.
-    const sends = this.sender.targetAddresses().includes(heartbeat.address);
+    const sends = this.sender.sendsTo(heartbeat.address);
     const answer = this.createHeartbeat(
       sends ? [] : [...this.options.queueLengths()],
     );
@@ -261,24 +263,30 @@
     }
   }
 
-  /** Ends the settling time and tells listeners what changed. */
+  /** Tells listeners what changed in any zone. */
   private check(): void {
-    const now = this.now();
-    const {vms, vmId, availabilityZone} = this.options;
-    if (vms.vm(vmId)?.state === 'leaving') this.leave();
-    this.settle(now);
+    this.checkOwnZone();
     const zones = new Set<AvailabilityZone>([
-      availabilityZone,
       ...this.table.all().map((peer) => peer.availabilityZone),
-      ...vms.entryVms().map((vm) => vm.availabilityZone),
+      ...this.options.vms.entryVms().map((vm) => vm.availabilityZone),
       ...this.views.keys(),
     ]);
     for (const zone of zones) this.announceIfChanged(zone);
   }
 
+  /** Called often: ownership in the own zone must not outlive its owner. */
+  private checkOwnZone(): void {
+    const now = this.now();
+    const {vms, vmId, availabilityZone} = this.options;
+    if (vms.vm(vmId)?.state === 'leaving') this.leave();
+    this.settle(now);
+    this.announceIfChanged(availabilityZone);
+  }
+
   private settle(now: Instant): void {
     const since = this.unsettledSince;
     if (since === undefined) return;
+    this.nameContacts();
     const heardAll =
       this.options.vms.loaded && this.sender.heardAllSince(since);
     if (!heardAll && now - since < this.peerTimeoutMs) return;
@@ -326,7 +334,6 @@
     if (heartbeat.configurationVersion > this.options.configuration.version) {
       void this.pullConfiguration(address);
     }
-    this.nameContacts();
     this.settle(now);
     this.announceIfChanged(heartbeat.availabilityZone);
   }
