Read an answer that arrived during a pause before it is too late

Cause: after a pause of the process, timers run before sockets are read. Ruled out: longer time limits (a pause has no bound). Conclusion: a call expires after the sockets were read once more.

--- a/src/transport/peer_link.ts
+++ b/src/transport/peer_link.ts
@@ -164,7 +164,12 @@
       fail(refusal);
       return;
     }
-    const timer = setTimeout(() => this.expire(id), call.timeoutMs);
+    // After a pause of this process the answer may have arrived already; it
+    // is read before the immediate runs.
+    const timer = setTimeout(
+      () => setImmediate(() => this.expire(id)),
+      call.timeoutMs,
+    );
     const pending: PendingCall = {
       call,
       text,
--- a/test/peers_links.test.ts
+++ b/test/peers_links.test.ts
@@ -6,9 +6,11 @@
 
 import assert from 'node:assert/strict';
 import {once} from 'node:events';
+import {createRequire} from 'node:module';
 import {connect, createServer} from 'node:net';
 import type {AddressInfo, Socket} from 'node:net';
 import {afterEach, beforeEach, describe, it} from 'node:test';
+import {Worker} from 'node:worker_threads';
 import {Result} from 'true-myth';
 import {WebSocket, WebSocketServer} from 'ws';
 import {CleanupScope} from '../src/lifecycle/cleanup_scope.js';
@@ -119,6 +121,22 @@
   }
 }
 
+/** A peer in its own thread; sets the flag once it has answered. */
+const ANSWERING_PEER = `
+  const {parentPort, workerData} = require('node:worker_threads');
+  const {WebSocketServer} = require(workerData.ws);
+  const server = new WebSocketServer({host: '127.0.0.1', port: 0}, () =>
+    parentPort.postMessage(server.address().port));
+  server.on('connection', (socket) => socket.on('message', (data) => {
+    const {id} = JSON.parse(data);
+    const answer = JSON.stringify({id, result: {type: 'data', data: 1}});
+    socket.send(answer, () => {
+      Atomics.store(workerData.flags, 0, 1);
+      Atomics.notify(workerData.flags, 0);
+    });
+  }));
+`;
+
 /** Forwards TCP; connections that are open when it goes silent stay silent. */
 class SilencingProxy {
   private readonly pairs = new Set<[Socket, Socket]>();
@@ -322,6 +340,27 @@
     assert.ok((quick.linkCounters()[0]?.silent ?? 0) > before);
   });
 
+  it('takes an answer that arrived while this process was paused', async () => {
+    const flags = new Int32Array(new SharedArrayBuffer(4));
+    const worker = new Worker(ANSWERING_PEER, {
+      eval: true,
+      workerData: {flags, ws: createRequire(import.meta.url).resolve('ws')},
+    });
+    scope.add(async () => void (await worker.terminate()));
+    const [port] = (await once(worker, 'message')) as [number];
+    const remote = `127.0.0.1:${port}`;
+    // Opens the link; the answer does not match the schema.
+    assert.ok((await client.dispatch(remote, dispatchOf('r'), LONG_MS)).isErr);
+    const limitMs = 50;
+    const end = performance.now() + 2 * limitMs;
+    Atomics.store(flags, 0, 0);
+    const call = client.dispatch(remote, dispatchOf('r'), limitMs);
+    Atomics.wait(flags, 0, 0, LONG_MS);
+    while (performance.now() < end);
+    const result = await call;
+    assert.ok(result.isErr && result.error.kind === 'protocol');
+  });
+
   it('drops a late answer instead of giving it to another call', async () => {
     const gate = new Gate();
     handler.answer = async (id) => {
