Bound the queue lengths of one heartbeat

Cause: a daemon with more than 1,000 changed queue lengths would send heartbeats that every peer refuses, and would count as dead. Ruled out: a larger bound in the schema (it has to end somewhere). Conclusion: 1,000 lengths go with a heartbeat and the rest with the next.

--- a/src/controllers/heartbeat_sender.ts
+++ b/src/controllers/heartbeat_sender.ts
@@ -8,6 +8,7 @@
 import type {CallError} from '../model/errors.js';
 import {after} from '../model/ids.js';
 import type {AvailabilityZone, DaemonId, Instant, VmId} from '../model/ids.js';
+import {MAXIMUM_QUEUE_LENGTHS} from '../platform/peer_client.js';
 import type {Heartbeat, QueueLength} from '../platform/peer_client.js';
 import {rendezvousWeight} from '../scheduling/rendezvous.js';
 
@@ -37,7 +38,7 @@
   sendAgain: boolean;
   /** Queue lengths that this run of the peer has acknowledged. */
   acknowledgedBy: DaemonId | undefined;
-  acknowledged: Map<VmId, number>;
+  readonly acknowledged: Map<VmId, number>;
 }
 
 export interface HeartbeatSenderOptions {
@@ -182,13 +183,15 @@
     contact.sendAgain = false;
     contact.nextAt = after(this.options.now(), this.intervalOf(contact));
     const lengths = this.options.queueLengths();
-    const changed = lengths.filter(
-      ({minionId, queued}) => contact.acknowledged.get(minionId) !== queued,
-    );
+    const changed = lengths
+      .filter(
+        ({minionId, queued}) => contact.acknowledged.get(minionId) !== queued,
+      )
+      .slice(0, MAXIMUM_QUEUE_LENGTHS);
     const heartbeat = this.options.createHeartbeat(changed);
     void this.options.send(contact.address, heartbeat).then((result) => {
       contact.inFlight = false;
-      if (result.isOk) this.answered(contact, result.value, lengths);
+      if (result.isOk) this.answered(contact, result.value, changed);
       else this.failed(contact);
       if (contact.sendAgain) this.send(contact);
     });
@@ -197,7 +200,7 @@
   private answered(
     contact: Contact,
     answer: Heartbeat,
-    lengths: readonly QueueLength[],
+    sent: readonly QueueLength[],
   ): void {
     contact.failures = 0;
     contact.heardAt = this.options.now();
@@ -207,9 +210,10 @@
       contact.acknowledgedBy === undefined ||
       contact.acknowledgedBy === answer.daemonId;
     contact.acknowledgedBy = answer.daemonId;
-    contact.acknowledged = new Map(
-      sameRun ? lengths.map(({minionId, queued}) => [minionId, queued]) : [],
-    );
+    if (!sameRun) contact.acknowledged.clear();
+    for (const {minionId, queued} of sameRun ? sent : []) {
+      contact.acknowledged.set(minionId, queued);
+    }
     this.options.onAnswer(answer, contact.address);
   }
 
--- a/src/controllers/membership_controller.ts
+++ b/src/controllers/membership_controller.ts
@@ -7,6 +7,7 @@
 import type {CleanupScope} from '../lifecycle/cleanup_scope.js';
 import type {Clock} from '../lifecycle/clock.js';
 import type {AvailabilityZone, DaemonId, Instant, VmId} from '../model/ids.js';
+import {MAXIMUM_QUEUE_LENGTHS} from '../platform/peer_client.js';
 import type {
   Heartbeat,
   PeerClient,
@@ -172,7 +173,7 @@
     // them; any other peer gets all of them with each answer.
     const sends = this.sender.sendsTo(heartbeat.address);
     const answer = this.createHeartbeat(
-      sends ? [] : [...this.options.queueLengths()],
+      sends ? [] : this.options.queueLengths().slice(0, MAXIMUM_QUEUE_LENGTHS),
     );
     const peer = this.table.get(heartbeat.daemonId);
     if (!peer || this.now() - peer.firstHeardAt > INTRODUCE_WITHIN_MS) {
--- a/src/platform/peer_client.ts
+++ b/src/platform/peer_client.ts
@@ -28,6 +28,9 @@
 });
 export type QueueLength = z.infer<typeof queueLengthSchema>;
 
+/** Most queue lengths in one heartbeat; further ones go with the next. */
+export const MAXIMUM_QUEUE_LENGTHS = 1_000;
+
 export const heartbeatSchema = z.object({
   daemonId: daemonIdSchema,
   vmId: vmIdSchema,
@@ -38,7 +41,7 @@
   leaving: z.boolean(),
   configurationVersion: z.int().min(0),
   /** Queue lengths that changed since the last heartbeat to this peer. */
-  queueLengths: z.array(queueLengthSchema).max(1_000),
+  queueLengths: z.array(queueLengthSchema).max(MAXIMUM_QUEUE_LENGTHS),
   /**
    * Daemons that the sender knows. Sent to a daemon that has just started, so
    * that it finds its peers while the VM list cannot be reached.
--- a/test/membership_heartbeats.test.ts
+++ b/test/membership_heartbeats.test.ts
@@ -13,6 +13,7 @@
 import {UnavailableError} from '../src/model/errors.js';
 import {instant, trustedId} from '../src/model/ids.js';
 import type {AvailabilityZone, VmId} from '../src/model/ids.js';
+import {heartbeatSchema} from '../src/platform/peer_client.js';
 import type {Heartbeat, QueueLength} from '../src/platform/peer_client.js';
 import type {EntryVm} from '../src/platform/vm_list.js';
 import {
@@ -146,6 +147,7 @@
   private async deliver(from: Daemon, to: string, heartbeat: Heartbeat) {
     const peer = this.reach(from, to);
     if (!peer) return Result.err(unreachable());
+    heartbeatSchema.parse(heartbeat);
     peer.received.push({from: from.address, heartbeat});
     return Result.ok(peer.membership.receiveHeartbeat(heartbeat));
   }
@@ -312,6 +314,20 @@
     assert.deepEqual(seen[0], {minionId: MINION, queued: 3});
   });
 
+  it('stays live with more queue lengths than a heartbeat takes', async () => {
+    await startZone(2);
+    const [home, other] = site.daemons;
+    assert.ok(home && other);
+    home.queueLengths = Array.from({length: 1_500}, (_, i) => ({
+      minionId: trustedId<VmId>(`minion-${i}`),
+      queued: i,
+    }));
+    other.received.length = 0;
+    await site.pass(2_000);
+    const counts = other.received.map((r) => r.heartbeat.queueLengths.length);
+    assert.deepEqual(counts.slice(0, 3), [1_000, 500, 0]);
+  });
+
   it('finds all peers from one seed while the VM list is down', async () => {
     site.listed = false;
     const first = site.start('north-a', NORTH);
