--- a/src/controllers/heartbeat_sender.ts
+++ b/src/controllers/heartbeat_sender.ts
@@ -8,8 +8,9 @@
 import type {CallError} from '../model/errors.js';
 import {after} from '../model/ids.js';
 import type {AvailabilityZone, DaemonId, Instant, VmId} from '../model/ids.js';
+import {MAXIMUM_QUEUE_LENGTHS} from '../platform/peer_client.js';
 import type {Heartbeat, QueueLength} from '../platform/peer_client.js';
-import {rendezvousOrder} from '../scheduling/rendezvous.js';
+import {rendezvousWeight} from '../scheduling/rendezvous.js';
 
 /** Daemons of each other zone that get heartbeats. */
 const REMOTE_PEERS_PER_ZONE = 2;
@@ -23,6 +24,8 @@
 /** An address that is or was named as that of a daemon. */
 interface Contact {
   readonly address: string;
+  /** Preference among the daemons of another zone; kept, as hashing is slow. */
+  readonly weight: number;
   zone: AvailabilityZone | undefined;
   /** Time at which a source last named it. */
   namedAt: Instant;
@@ -35,7 +38,7 @@
   sendAgain: boolean;
   /** Queue lengths that this run of the peer has acknowledged. */
   acknowledgedBy: DaemonId | undefined;
-  acknowledged: Map<VmId, number>;
+  readonly acknowledged: Map<VmId, number>;
 }
 
 export interface HeartbeatSenderOptions {
@@ -72,6 +75,7 @@
     }
     this.contacts.set(address, {
       address,
+      weight: rendezvousWeight(this.options.vmId, address),
       zone,
       namedAt: now,
       nextAt: now,
@@ -104,9 +108,14 @@
     }
   }
 
-  /** Addresses that get heartbeats now. */
-  targetAddresses(): string[] {
-    return this.targets(this.options.now()).map(({address}) => address);
+  /** True if the address gets heartbeats now. */
+  sendsTo(address: string): boolean {
+    const contact = this.contacts.get(address);
+    if (!contact) return false;
+    return (
+      !this.isRemote(contact) ||
+      this.targets(this.options.now()).includes(contact)
+    );
   }
 
   /** True if the last heartbeats to the address failed. */
@@ -130,8 +139,9 @@
         own.push(contact);
         continue;
       }
-      const sameZone = remote.get(contact.zone) ?? [];
-      remote.set(contact.zone, [...sameZone, contact]);
+      const sameZone = remote.get(contact.zone);
+      if (sameZone) sameZone.push(contact);
+      else remote.set(contact.zone, [contact]);
     }
     return [
       ...own,
@@ -141,11 +151,7 @@
 
   /** Hashing spreads the links of a zone's daemons over the other zone. */
   private chooseRemote(contacts: Contact[], now: Instant): Contact[] {
-    const ordered = rendezvousOrder(
-      this.options.vmId,
-      contacts,
-      ({address}) => address,
-    );
+    const ordered = contacts.sort((a, b) => b.weight - a.weight);
     const avoided = (contact: Contact) =>
       contact.failures >= FAILURES_TO_AVOID &&
       Math.abs(now - contact.failedAt) < AVOID_MS;
@@ -177,13 +183,15 @@
     contact.sendAgain = false;
     contact.nextAt = after(this.options.now(), this.intervalOf(contact));
     const lengths = this.options.queueLengths();
-    const changed = lengths.filter(
-      ({minionId, queued}) => contact.acknowledged.get(minionId) !== queued,
-    );
+    const changed = lengths
+      .filter(
+        ({minionId, queued}) => contact.acknowledged.get(minionId) !== queued,
+      )
+      .slice(0, MAXIMUM_QUEUE_LENGTHS);
     const heartbeat = this.options.createHeartbeat(changed);
     void this.options.send(contact.address, heartbeat).then((result) => {
       contact.inFlight = false;
-      if (result.isOk) this.answered(contact, result.value, lengths);
+      if (result.isOk) this.answered(contact, result.value, changed);
       else this.failed(contact);
       if (contact.sendAgain) this.send(contact);
     });
@@ -192,7 +200,7 @@
   private answered(
     contact: Contact,
     answer: Heartbeat,
-    lengths: readonly QueueLength[],
+    sent: readonly QueueLength[],
   ): void {
     contact.failures = 0;
     contact.heardAt = this.options.now();
@@ -202,9 +210,10 @@
       contact.acknowledgedBy === undefined ||
       contact.acknowledgedBy === answer.daemonId;
     contact.acknowledgedBy = answer.daemonId;
-    contact.acknowledged = new Map(
-      sameRun ? lengths.map(({minionId, queued}) => [minionId, queued]) : [],
-    );
+    if (!sameRun) contact.acknowledged.clear();
+    for (const {minionId, queued} of sameRun ? sent : []) {
+      contact.acknowledged.set(minionId, queued);
+    }
     this.options.onAnswer(answer, contact.address);
   }
 
--- a/src/controllers/membership_controller.ts
+++ b/src/controllers/membership_controller.ts
@@ -7,6 +7,7 @@
 import type {CleanupScope} from '../lifecycle/cleanup_scope.js';
 import type {Clock} from '../lifecycle/clock.js';
 import type {AvailabilityZone, DaemonId, Instant, VmId} from '../model/ids.js';
+import {MAXIMUM_QUEUE_LENGTHS} from '../platform/peer_client.js';
 import type {
   Heartbeat,
   PeerClient,
@@ -131,7 +132,9 @@
     scope.add(configuration.onApplied(() => this.announceConfiguration()));
     scope.add(vms.onChange(() => this.beat()));
     scope.every(this.heartbeatIntervalMs, () => this.beat());
-    scope.every(this.peerTimeoutMs / CHECKS_PER_TIMEOUT, () => this.check());
+    scope.every(this.peerTimeoutMs / CHECKS_PER_TIMEOUT, () =>
+      this.checkOwnZone(),
+    );
     this.beat();
   }
 
@@ -168,9 +171,9 @@
     this.hear(heartbeat, heartbeat.address);
     // A peer that gets heartbeats of this daemon has the queue lengths from
     // them; any other peer gets all of them with each answer.
-    const sends = this.sender.targetAddresses().includes(heartbeat.address);
+    const sends = this.sender.sendsTo(heartbeat.address);
     const answer = this.createHeartbeat(
-      sends ? [] : [...this.options.queueLengths()],
+      sends ? [] : this.options.queueLengths().slice(0, MAXIMUM_QUEUE_LENGTHS),
     );
     const peer = this.table.get(heartbeat.daemonId);
     if (!peer || this.now() - peer.firstHeardAt > INTRODUCE_WITHIN_MS) {
@@ -261,24 +264,30 @@
     }
   }
 
-  /** Ends the settling time and tells listeners what changed. */
+  /** Tells listeners what changed in any zone. */
   private check(): void {
-    const now = this.now();
-    const {vms, vmId, availabilityZone} = this.options;
-    if (vms.vm(vmId)?.state === 'leaving') this.leave();
-    this.settle(now);
+    this.checkOwnZone();
     const zones = new Set<AvailabilityZone>([
-      availabilityZone,
       ...this.table.all().map((peer) => peer.availabilityZone),
-      ...vms.entryVms().map((vm) => vm.availabilityZone),
+      ...this.options.vms.entryVms().map((vm) => vm.availabilityZone),
       ...this.views.keys(),
     ]);
     for (const zone of zones) this.announceIfChanged(zone);
   }
 
+  /** Called often: ownership in the own zone must not outlive its owner. */
+  private checkOwnZone(): void {
+    const now = this.now();
+    const {vms, vmId, availabilityZone} = this.options;
+    if (vms.vm(vmId)?.state === 'leaving') this.leave();
+    this.settle(now);
+    this.announceIfChanged(availabilityZone);
+  }
+
   private settle(now: Instant): void {
     const since = this.unsettledSince;
     if (since === undefined) return;
+    this.nameContacts();
     const heardAll =
       this.options.vms.loaded && this.sender.heardAllSince(since);
     if (!heardAll && now - since < this.peerTimeoutMs) return;
@@ -326,7 +335,6 @@
     if (heartbeat.configurationVersion > this.options.configuration.version) {
       void this.pullConfiguration(address);
     }
-    this.nameContacts();
     this.settle(now);
     this.announceIfChanged(heartbeat.availabilityZone);
   }
