Count the bytes and calls of control traffic by party

The budget of 4 KB/s per daemon could not be checked on a running daemon: only the server side of the peers' links had byte counters. Adds gauges for the bytes and answers of the HTTP connections to the store, the VM list and the workers, for the bytes of the links that the daemon opened to peers, and a counter of store calls by kind.

Counting at the sockets was chosen over counting bodies, since headers are most of a long poll. A link to a peer that was closed as unused leaves the sum; links in use never are.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -24,6 +24,7 @@
 import {HttpMinionClient} from '../transport/http_minion_client.js';
 import {HttpVmList} from '../transport/http_vm_list.js';
 import {HttpWorkerClient} from '../transport/http_worker_client.js';
+import {TrafficCounter} from '../transport/traffic_counter.js';
 import {TrpcPeerClient} from '../transport/trpc_peer_client.js';
 import {TrpcPeerServer} from '../transport/trpc_peer_server.js';
 import {CallerApi} from './caller_api.js';
@@ -31,6 +32,7 @@
 import {DaemonLog} from './log.js';
 import type {LogPart} from './log.js';
 import {DaemonMetrics} from './metrics.js';
+import type {ControlParty} from './metrics.js';
 import {OperatorApi} from './operator_api.js';
 import {DaemonOperatorService} from './operator_service.js';
 import {PeerService} from './peer_service.js';
@@ -90,6 +92,7 @@
       vmList: new HttpVmList(scope, {
         address: settings.platform.address,
         callTimeoutMs: timings.storeCallTimeoutMs,
+        traffic: this.countTraffic('vmList'),
       }),
       random,
       scope,
@@ -209,13 +212,21 @@
       );
   }
 
+  private countTraffic(party: ControlParty): TrafficCounter {
+    const traffic = new TrafficCounter();
+    this.metrics.addTraffic(party, () => traffic.totals());
+    return traffic;
+  }
+
   private openStore(): ObservedStore {
     const {platform, timings} = this.parts.settings;
     const store = new HttpKeyValueStore(this.scope, {
       address: platform.address,
       callTimeoutMs: timings.storeCallTimeoutMs,
+      traffic: this.countTraffic('store'),
     });
-    return new ObservedStore(store, (_call, reached) => {
+    return new ObservedStore(store, (call, reached) => {
+      this.metrics.countStoreCall(call);
       this.storeAnswers = reached;
       this.metrics.countCall('store', reached);
     });
@@ -231,6 +242,7 @@
         new CellZonePlanner({availabilityZone, starvationBoundMs}),
       workers: new HttpWorkerClient(this.scope, {
         callTimeoutMs: timings.workerCallTimeoutMs,
+        traffic: this.countTraffic('worker'),
       }),
       store: this.store,
       clock,
@@ -392,6 +404,16 @@
       '1 if this daemon is the scheduler of its zone, else 0.',
       () => (this.zone.active ? 1 : 0),
     );
+    metrics.addGauge(
+      'peer_sent_bytes',
+      'Bytes sent on the links to peers that are in use.',
+      () => total(this.peers.linkCounters(), 'sentBytes'),
+    );
+    metrics.addGauge(
+      'peer_received_bytes',
+      'Bytes received on the links to peers that are in use.',
+      () => total(this.peers.linkCounters(), 'receivedBytes'),
+    );
     metrics.addGauge(
       'live_peers',
       'Peers that were heard in time.',
@@ -410,6 +432,13 @@
   }
 }
 
+function total<T extends string>(
+  counters: ReadonlyArray<Readonly<Record<T, number>>>,
+  name: T,
+): number {
+  return counters.reduce((sum, counter) => sum + counter[name], 0);
+}
+
 function zoneOptions(settings: Settings): ZoneControllerOptions {
   const {timings, limits} = settings;
   return {
--- a/src/daemon/metrics.ts
+++ b/src/daemon/metrics.ts
@@ -11,6 +11,8 @@
   collectDefaultMetrics,
 } from 'prom-client';
 import type {Outcome} from '../model/requests.js';
+import type {StoreCall} from '../platform/observed_store.js';
+import type {Traffic} from '../transport/traffic_counter.js';
 
 const NAME_PREFIX = 'bramleystep_';
 const MILLISECONDS_PER_SECOND = 1_000;
@@ -28,6 +30,7 @@
   private readonly requestSeconds: Histogram<'outcome'>;
   private readonly zoneEvents: Counter<'event'>;
   private readonly calls: Counter<'party' | 'result'>;
+  private readonly storeCalls: Counter<'call'>;
   private readonly jobs: Counter<'durability'>;
 
   constructor() {
@@ -58,6 +61,12 @@
       labelNames: ['party', 'result'],
       registers,
     });
+    this.storeCalls = new Counter({
+      name: `${NAME_PREFIX}store_calls_total`,
+      help: 'Ended calls to the store by kind; a watch counts when it ends.',
+      labelNames: ['call'],
+      registers,
+    });
     this.jobs = new Counter({
       name: `${NAME_PREFIX}jobs_accepted_total`,
       help: 'Jobs accepted from callers by durability.',
@@ -83,6 +92,10 @@
     this.calls.inc({party, result: succeeded ? 'ok' : 'error'});
   }
 
+  countStoreCall(call: StoreCall): void {
+    this.storeCalls.inc({call});
+  }
+
   countJob(durability: 'store' | 'memory'): void {
     this.jobs.inc({durability});
   }
@@ -99,6 +112,27 @@
     });
   }
 
+  /** Adds the totals of the HTTP connections to a party. */
+  addTraffic(party: ControlParty, read: () => Traffic): void {
+    const name = party === 'vmList' ? 'vm_list' : party;
+    const connections = `the connections to the party ${party}`;
+    this.addGauge(
+      `${name}_sent_bytes`,
+      `Bytes sent on ${connections}.`,
+      () => read().sentBytes,
+    );
+    this.addGauge(
+      `${name}_received_bytes`,
+      `Bytes received on ${connections}.`,
+      () => read().receivedBytes,
+    );
+    this.addGauge(
+      `${name}_answers`,
+      `Whole answers received on ${connections}.`,
+      () => read().answers,
+    );
+  }
+
   /** The text that a scrape returns. */
   async render(): Promise<{contentType: string; text: string}> {
     return {
--- a/src/transport/http_connections.ts
+++ b/src/transport/http_connections.ts
@@ -9,9 +9,10 @@
 
 import {setMaxListeners} from 'node:events';
 import {Result} from 'true-myth';
-import {Client} from 'undici';
+import {Client, buildConnector} from 'undici';
 import type {Dispatcher} from 'undici';
 import type {CleanupScope} from '../lifecycle/cleanup_scope.js';
+import type {TrafficCounter} from './traffic_counter.js';
 
 /** Timers of Node.js fire at once if their time is longer. */
 const LONGEST_TIMER_MS = 2 ** 31 - 1;
@@ -73,6 +74,7 @@
   constructor(
     private readonly address: string,
     private limit: number,
+    private readonly traffic?: TrafficCounter,
   ) {}
 
   /** True if no call is under way. */
@@ -99,8 +101,12 @@
       return Result.err({kind: 'not-sent', message});
     }
     const result = await send(client, {...call, timeoutMs});
-    if (result.isOk) this.release(client);
-    else this.discard(client);
+    if (result.isOk) {
+      this.traffic?.countAnswer();
+      this.release(client);
+    } else {
+      this.discard(client);
+    }
     return result;
   }
 
@@ -136,7 +142,7 @@
   private connect(): Client {
     const client = new Client(`http://${this.address}`, {
       pipelining: 1,
-      connectTimeout: CONNECT_TIMEOUT_MS,
+      connect: this.connector(),
       keepAliveTimeout: IDLE_CONNECTION_MS,
       keepAliveMaxTimeout: IDLE_CONNECTION_MS,
       // The time limit of each call replaces these.
@@ -147,6 +153,19 @@
     return client;
   }
 
+  /** Opens sockets and has their bytes counted. */
+  private connector(): buildConnector.connector {
+    const connect = buildConnector({timeout: CONNECT_TIMEOUT_MS});
+    const {traffic} = this;
+    if (traffic === undefined) return connect;
+    return (options, callback) =>
+      connect(options, (...result) => {
+        const [, socket] = result;
+        if (socket !== null) traffic.addSocket(socket);
+        callback(...result);
+      });
+  }
+
   private release(client: Client): void {
     if (this.destroyed) return;
     const [next] = this.waiting;
@@ -171,8 +190,9 @@
   scope: CleanupScope,
   address: string,
   limit: number,
+  traffic?: TrafficCounter,
 ): HttpConnections {
-  const connections = new HttpConnections(address, limit);
+  const connections = new HttpConnections(address, limit, traffic);
   scope.add(() => connections.destroy());
   return connections;
 }
@@ -186,7 +206,10 @@
 export class ConnectionsByAddress {
   private readonly kept = new Map<string, KeptConnections>();
 
-  constructor(private readonly scope: CleanupScope) {
+  constructor(
+    private readonly scope: CleanupScope,
+    private readonly traffic?: TrafficCounter,
+  ) {
     scope.every(UNUSED_ADDRESS_MS, () => this.closeUnused());
     scope.add(async () => {
       const all = [...this.kept.values()];
@@ -203,7 +226,7 @@
       kept.connections.limitTo(limit);
       return kept.connections;
     }
-    const connections = new HttpConnections(address, limit);
+    const connections = new HttpConnections(address, limit, this.traffic);
     if (this.scope.closed) void connections.destroy();
     else this.kept.set(address, {connections, lastUse: performance.now()});
     return connections;
--- a/src/transport/http_key_value_store.ts
+++ b/src/transport/http_key_value_store.ts
@@ -33,6 +33,7 @@
   watchAnswerSchema,
   writeAnswerSchema,
 } from './http_protocol.js';
+import type {TrafficCounter} from './traffic_counter.js';
 
 /** Room for one value whose every character is escaped in JSON. */
 const MAXIMUM_ENTRY_BYTES = 6 * MAXIMUM_VALUE_BYTES + 4_096;
@@ -51,6 +52,7 @@
   /** Time limit of a call; a watch may take its wait in addition. */
   readonly callTimeoutMs?: number;
   readonly connections?: number;
+  readonly traffic?: TrafficCounter;
 }
 
 export class HttpKeyValueStore extends KeyValueStore {
@@ -60,7 +62,8 @@
   constructor(scope: CleanupScope, options: HttpKeyValueStoreOptions) {
     super();
     const limit = options.connections ?? DEFAULT_CONNECTIONS;
-    this.connections = openConnections(scope, options.address, limit);
+    const {address, traffic} = options;
+    this.connections = openConnections(scope, address, limit, traffic);
     this.callTimeoutMs = options.callTimeoutMs ?? DEFAULT_CALL_TIMEOUT_MS;
   }
 
--- a/src/transport/http_vm_list.ts
+++ b/src/transport/http_vm_list.ts
@@ -16,6 +16,7 @@
 import {openConnections} from './http_connections.js';
 import {readError} from './http_key_value_store.js';
 import {vmListAnswerSchema} from './http_protocol.js';
+import type {TrafficCounter} from './traffic_counter.js';
 
 /** About 400 bytes for each of 20,000 VMs. */
 const MAXIMUM_ANSWER_BYTES = 8 * 1_048_576;
@@ -30,6 +31,7 @@
   readonly address: string;
   /** Time limit of a call in addition to its wait. */
   readonly callTimeoutMs?: number;
+  readonly traffic?: TrafficCounter;
 }
 
 export class HttpVmList extends VmList {
@@ -42,6 +44,7 @@
       scope,
       options.address,
       MAXIMUM_CONNECTIONS,
+      options.traffic,
     );
     this.callTimeoutMs = options.callTimeoutMs ?? DEFAULT_CALL_TIMEOUT_MS;
   }
--- a/src/transport/http_worker_client.ts
+++ b/src/transport/http_worker_client.ts
@@ -20,6 +20,7 @@
   doneAnswerSchema,
   releaseAnswerSchema,
 } from './http_protocol.js';
+import type {TrafficCounter} from './traffic_counter.js';
 
 const DEFAULT_CALL_TIMEOUT_MS = 2_000;
 
@@ -35,6 +36,7 @@
   /** Time limit of a call; a watch may take its wait in addition. */
   readonly callTimeoutMs?: number;
   readonly connectionsPerWorker?: number;
+  readonly traffic?: TrafficCounter;
 }
 
 interface WorkerCall {
@@ -53,7 +55,7 @@
 
   constructor(scope: CleanupScope, options: HttpWorkerClientOptions = {}) {
     super();
-    this.workers = new ConnectionsByAddress(scope);
+    this.workers = new ConnectionsByAddress(scope, options.traffic);
     this.callTimeoutMs = options.callTimeoutMs ?? DEFAULT_CALL_TIMEOUT_MS;
     this.limit = options.connectionsPerWorker ?? DEFAULT_CONNECTIONS_PER_WORKER;
   }
