--- a/src/standins/admin_client.ts
+++ b/src/standins/admin_client.ts
@@ -6,7 +6,7 @@
 import type {z} from 'zod';
 import type {CleanupScope} from '../lifecycle/cleanup_scope.js';
 import type {VmId} from '../model/ids.js';
-import type {TaskList} from '../model/jobs.js';
+import type {TaskList, TaskSpecification} from '../model/jobs.js';
 import {taskListSchema} from '../model/jobs.js';
 import type {StoreEntry} from '../platform/key_value_store.js';
 import type {Vm} from '../platform/vm_list.js';
@@ -135,6 +135,13 @@
   }
 }
 
+export class WorkerFleetAdmin extends AdminClient {
+  /** Runs tasks on the workers that their member lists name. */
+  runTasks(tasks: readonly TaskSpecification[]): Promise<void> {
+    return this.post('/admin/tasks', {tasks});
+  }
+}
+
 export class MinionAdmin extends AdminClient {
   setFaults(faults: MinionFaultsInput): Promise<void> {
     return this.post('/admin/faults', faults);
--- a/src/standins/launcher.ts
+++ b/src/standins/launcher.ts
@@ -18,6 +18,7 @@
 import {runEventSchema} from './run_log.js';
 import type {FirstLine} from './standin_process.js';
 import {firstLineSchema} from './standin_process.js';
+import type {workerFleetOptionsSchema} from './worker_fleet_service.js';
 import type {workerOptionsSchema} from './worker_service.js';
 
 const EVENT_TIMEOUT_MS = 30_000;
@@ -25,6 +26,7 @@
 const PROGRAM_FILES = {
   platform: './platform.js',
   worker: './worker.js',
+  workerFleet: './worker_fleet.js',
   minion: './minion.js',
   faultProxy: './fault_proxy.js',
 } as const;
@@ -32,6 +34,7 @@
 interface StandinOptions {
   readonly platform: z.input<typeof platformOptionsSchema>;
   readonly worker: z.input<typeof workerOptionsSchema>;
+  readonly workerFleet: z.input<typeof workerFleetOptionsSchema>;
   readonly minion: z.input<typeof minionOptionsSchema>;
   readonly faultProxy: z.input<typeof faultProxyOptionsSchema>;
 }
--- /dev/null
+++ b/src/standins/worker_fleet.ts
@@ -0,0 +1,11 @@
+/** Program of the stand-in for many workers in one process. */
+
+import {runStandin} from './standin_process.js';
+import {
+  WorkerFleetService,
+  workerFleetOptionsSchema,
+} from './worker_fleet_service.js';
+
+await runStandin('worker fleet', workerFleetOptionsSchema, (scope, options) =>
+  new WorkerFleetService(scope, options).start(),
+);
--- a/src/standins/worker_service.ts
+++ b/src/standins/worker_service.ts
@@ -8,6 +8,7 @@
 import {taskIdSchema, vmIdSchema} from '../model/ids.js';
 import type {TaskId} from '../model/ids.js';
 import {taskSpecificationSchema} from '../model/jobs.js';
+import type {TaskSpecification} from '../model/jobs.js';
 import {
   throttleBodySchema,
   watchBodySchema,
@@ -79,6 +80,12 @@
     };
   }
 
+  /** Runs a task as if a scheduler had held and released it. */
+  preload(task: TaskSpecification): void {
+    this.tasks.hold(task);
+    this.tasks.release(task.taskId);
+  }
+
   private addTaskCalls(): void {
     const {server, tasks, gate} = this;
     server.write(
