Run the timer of late requests only while requests wait

A bare Node process with a 20 ms interval spends 5.0 to 5.6 ms a second on this machine, one without timers 0.05 ms: wake-ups cost, not the work. The profile of the daemon shows no busy function.

The pass over the queues now has a one-shot timer of the same 20 ms that is set while a request waits, so the bound on late refusals is as before. Forgetting old attempts keeps an interval of 1 s.

--- a/src/requests/home_dispatcher.ts
+++ b/src/requests/home_dispatcher.ts
@@ -3,6 +3,7 @@
  * daemon is home.
  */
 
+import type {CleanupScope} from '../lifecycle/cleanup_scope.js';
 import type {Clock} from '../lifecycle/clock.js';
 import {after} from '../model/ids.js';
 import type {Instant, VmId} from '../model/ids.js';
@@ -17,12 +18,20 @@
 /** Between two passes over everything that may be forgotten. */
 const FORGET_INTERVAL_MS = 1_000;
 
+/**
+ * A waiting request is refused at most this long after its deadline. The
+ * timer runs only while requests wait: at this interval it costs an idle
+ * daemon about 5 ms of CPU a second, of the 12 ms that it may spend.
+ */
+const EXPIRY_INTERVAL_MS = 20;
+
 export class HomeDispatcher {
   private readonly queues = new Map<VmId, MinionQueue>();
   /** Queues of former runs of minions, until what they handed over ends. */
   private readonly retired = new Set<MinionQueue>();
   private draining = false;
-  private forgottenAt: Instant | undefined;
+  private scope: CleanupScope | undefined;
+  private expiryTimer: NodeJS.Timeout | undefined;
 
   constructor(
     private readonly directory: RequestDirectory,
@@ -31,6 +40,14 @@
     private readonly attempts = new AttemptRegister(),
   ) {}
 
+  /** Refuses late requests and forgets old ones until the scope closes. */
+  start(scope: CleanupScope): void {
+    this.scope = scope;
+    scope.every(FORGET_INTERVAL_MS, () => this.maintain(this.clock.now()));
+    scope.add(() => clearTimeout(this.expiryTimer));
+    this.expireLater();
+  }
+
   /** `signal` is given by the entry daemon itself if it is the home. */
   async dispatch(dispatch: Dispatch, signal?: AbortSignal): Promise<Outcome> {
     const {request, homeDaemonId, attempt = 1} = dispatch;
@@ -66,12 +83,9 @@
     return this.queues.get(minionId)?.closed ?? false;
   }
 
-  /** Refuses late waiting requests; called at a short interval. */
+  /** Refuses late waiting requests and forgets what is no longer needed. */
   maintain(now: Instant): void {
-    for (const queue of this.queues.values()) queue.expire(now);
-    const last = this.forgottenAt;
-    if (last !== undefined && now < last + FORGET_INTERVAL_MS) return;
-    this.forgottenAt = now;
+    this.expire(now);
     this.attempts.forget(now);
     this.forgetQueues();
   }
@@ -107,7 +121,25 @@
     if (!queue) {
       return notRun(requestId, 'no-minion', `minion ${minionId} is not listed`);
     }
-    return queue.run(request, deadline, signal);
+    const outcome = queue.run(request, deadline, signal);
+    this.expireLater();
+    return outcome;
+  }
+
+  private expire(now: Instant): void {
+    for (const queue of this.queues.values()) queue.expire(now);
+  }
+
+  private expireLater(): void {
+    const {scope, expiryTimer} = this;
+    if (scope === undefined || scope.closed || expiryTimer) return;
+    const waits = [...this.queues.values()].some((queue) => queue.hasWaiting);
+    if (!waits) return;
+    this.expiryTimer = setTimeout(() => {
+      this.expiryTimer = undefined;
+      this.expire(this.clock.now());
+      this.expireLater();
+    }, EXPIRY_INTERVAL_MS);
   }
 
   private queueFor(minionId: VmId): MinionQueue | undefined {
--- a/src/requests/minion_queue.ts
+++ b/src/requests/minion_queue.ts
@@ -65,6 +65,11 @@
     return this.waiting.size + this.running;
   }
 
+  /** True if a request was not handed over yet. */
+  get hasWaiting(): boolean {
+    return this.waiting.size > 0;
+  }
+
   get closed(): boolean {
     return this.closedWith !== undefined;
   }
--- a/src/requests/request_service.ts
+++ b/src/requests/request_service.ts
@@ -24,9 +24,6 @@
 import {RetryFilter} from './retry_filter.js';
 import {MinionRouter, RouteFilter} from './routing.js';
 
-/** A queued request is refused at most this long after its deadline. */
-const QUEUE_INTERVAL_MS = 20;
-
 /** Between two tries to release claims that the store did not take. */
 const STORE_INTERVAL_MS = 1_000;
 
@@ -79,7 +76,7 @@
 
   /** Runs the recurring work of the path until the scope closes. */
   start(scope: CleanupScope): void {
-    scope.every(QUEUE_INTERVAL_MS, () => this.maintainQueues());
+    this.home.start(scope);
     scope.every(STORE_INTERVAL_MS, () => void this.maintainClaims());
   }
 
@@ -119,11 +116,6 @@
     return this.home.lengths();
   }
 
-  /** Refuses late waiting requests and forgets what is no longer needed. */
-  maintainQueues(): void {
-    this.home.maintain(this.parts.clock.now());
-  }
-
   /** Forgets old outcomes and repeats releases that the store missed. */
   async maintainClaims(): Promise<void> {
     this.outcomes.forget(this.parts.clock.now());
