Count unbound cells once per configuration change

The profile names two functions: Guarantees.configure counted the unbound cells of all customers again after each customer, and the writer's check went through all customers twice for each zone.

Both now take one pass over the customers. Parsing of the head was ruled out: it is about 6% of the profile.

--- a/src/daemon/guarantee_check.ts
+++ b/src/daemon/guarantee_check.ts
@@ -21,9 +21,9 @@
   vms: VmController,
 ): ConfigurationValidator {
   return (wouldBe, current) => {
-    for (const zone of guaranteedZones(wouldBe)) {
-      const before = guaranteedAccelerators(current, zone);
-      if (guaranteedAccelerators(wouldBe, zone) <= before) continue;
+    const before = guaranteedByZone(current);
+    for (const [zone, accelerators] of guaranteedByZone(wouldBe)) {
+      if (accelerators <= (before.get(zone) ?? 0)) continue;
       const workers = vms.workers(zone).map(toPlannedWorker);
       const shortfall = guaranteesFit(wouldBe.customers, workers, zone);
       if (shortfall === undefined) continue;
@@ -40,24 +40,18 @@
   };
 }
 
-function guaranteedZones(
+/** Guaranteed accelerators of all customers by zone. */
+function guaranteedByZone(
   configuration: Configuration,
-): ReadonlySet<AvailabilityZone> {
-  return new Set(
-    configuration.customers.flatMap((customer) =>
-      customer.guarantees.map((guarantee) => guarantee.availabilityZone),
-    ),
-  );
-}
-
-function guaranteedAccelerators(
-  configuration: Configuration,
-  zone: AvailabilityZone,
-): number {
-  return configuration.customers
-    .flatMap((customer) => customer.guarantees)
-    .filter((guarantee) => guarantee.availabilityZone === zone)
-    .reduce((sum, {cellSize, cells}) => sum + cellSize * cells, 0);
+): ReadonlyMap<AvailabilityZone, number> {
+  const byZone = new Map<AvailabilityZone, number>();
+  for (const {guarantees} of configuration.customers) {
+    for (const {availabilityZone, cellSize, cells} of guarantees) {
+      const sum = byZone.get(availabilityZone) ?? 0;
+      byZone.set(availabilityZone, sum + cellSize * cells);
+    }
+  }
+  return byZone;
 }
 
 function toPlannedWorker(vm: WorkerVm): PlannedWorker {
--- a/src/scheduling/guarantees.ts
+++ b/src/scheduling/guarantees.ts
@@ -97,6 +97,8 @@
         this.shares.delete(share.customerId);
       }
     }
+    // Once for all: a pass for each customer takes 40 ms at 700 customers.
+    this.recount();
     return demoted;
   }
 
@@ -281,11 +283,11 @@
         for (const job of jobs) this.unassign(job);
       }
     }
-    this.recount();
     return demoted;
   }
 
   private recount(): void {
+    this.visits.visited += this.shares.size;
     this.totals.fill(0);
     for (const share of this.shares.values()) {
       for (let level = 0; level < CELL_LEVELS; level += 1) {
