Send the members of a gang once per task list

Each task of a list carries all members of its gang, so that a worker with 8 tasks of a gang of 64 sends 40 KB of members with each change of its list. A list now names the members once per gang; tasks that carry their own are read as before. Tasks of a gang share one array in memory as well.

Also measures jobs of 64 tasks, which the slopes of 8 tasks do not cover.

--- a/src/measure/slope_runs.ts
+++ b/src/measure/slope_runs.ts
@@ -17,6 +17,7 @@
 import type {MeasuredDaemon, Party, Snapshot} from './measured_site.js';
 import {
   GANG_CLASS,
+  LARGE_GANG_CLASS,
   MEASURED_ZONE,
   syntheticConfiguration,
   syntheticCustomer,
@@ -47,7 +48,10 @@
   /** Other zones, with two daemons each. */
   readonly otherZones?: number;
   readonly changesPerMinute?: number;
+  /** Gangs of 8 tasks. */
   readonly jobsPerMinute?: number;
+  /** Gangs of 64 tasks. */
+  readonly largeJobsPerMinute?: number;
 }
 
 /** Bytes of both directions by party, and the rest, for one window. */
@@ -188,10 +192,15 @@
       void change(writer, number, size.customers ?? 100, load);
     });
   }
-  if (size.jobsPerMinute) {
+  const jobs = [
+    [GANG_CLASS, size.jobsPerMinute],
+    [LARGE_GANG_CLASS, size.largeJobsPerMinute],
+  ] as const;
+  for (const [workClassId, perMinute] of jobs) {
+    if (!perMinute) continue;
     const caller = new Caller(scope, [daemon.callers]);
-    scope.every(MINUTE_MS / size.jobsPerMinute, () => {
-      void submit(scope, caller, load);
+    scope.every(MINUTE_MS / perMinute, () => {
+      void submit(scope, caller, workClassId, load);
     });
   }
   return load;
@@ -217,11 +226,12 @@
 async function submit(
   scope: CleanupScope,
   caller: Caller,
+  workClassId: string,
   load: Load,
 ): Promise<void> {
   const accepted = await caller.submitJob({
     customerId: 'customer-0',
-    workClassId: GANG_CLASS,
+    workClassId,
     payload: JOB_PAYLOAD,
     availabilityZone: MEASURED_ZONE,
   });
--- a/src/measure/slopes.ts
+++ b/src/measure/slopes.ts
@@ -146,6 +146,15 @@
     })),
     quantities: [CPU, STORE_BYTES, WORKER_BYTES, STORE_WRITES, STORE_READS],
   },
+  {
+    name: 'large jobs',
+    x: 'largeJobsPerMinute',
+    sizes: [0, 10, 20, 40].map((largeJobsPerMinute) => ({
+      largeJobsPerMinute,
+      workers: 64,
+    })),
+    quantities: [CPU, STORE_BYTES, WORKER_BYTES, STORE_WRITES, STORE_READS],
+  },
   {
     name: 'whole zone',
     x: 'workers',
--- a/src/transport/http_protocol.ts
+++ b/src/transport/http_protocol.ts
@@ -15,9 +15,11 @@
  */
 
 import {createHash} from 'node:crypto';
+import {isDeepStrictEqual} from 'node:util';
 import {z} from 'zod';
-import {vmIdSchema} from '../model/ids.js';
-import {taskListSchema} from '../model/jobs.js';
+import {gangIdSchema, vmIdSchema} from '../model/ids.js';
+import {taskListSchema, taskStatusSchema} from '../model/jobs.js';
+import type {TaskList, TaskStatus} from '../model/jobs.js';
 import {vmSchema} from '../platform/vm_list.js';
 import {NO_LIST_VERSION} from '../platform/worker_client.js';
 
@@ -90,9 +92,62 @@
   leaseMs: z.number().positive(),
 });
 
+/**
+ * A task list as it is sent. Members are listed once per gang: 8 tasks of a
+ * gang of 64 on one worker would otherwise repeat 40 KB of them, and a list is
+ * sent with each change. Tasks may also carry their members themselves.
+ */
+export const sentTaskListSchema = taskListSchema
+  .extend({
+    tasks: z.array(
+      taskStatusSchema.extend({
+        members: taskStatusSchema.shape.members.optional(),
+      }),
+    ),
+    gangs: z
+      .array(
+        z.object({
+          gangId: gangIdSchema,
+          members: taskStatusSchema.shape.members,
+        }),
+      )
+      .default([]),
+  })
+  .transform(({gangs, tasks, ...list}, context): TaskList => {
+    const byGang = new Map(gangs.map((gang) => [gang.gangId, gang.members]));
+    return {
+      ...list,
+      tasks: tasks.map((task): TaskStatus => {
+        // Tasks of a gang share the array, which keeps long lists small.
+        const members = task.members ?? byGang.get(task.gangId);
+        if (members !== undefined) return {...task, members};
+        context.addIssue(`no members are listed for gang ${task.gangId}`);
+        return z.NEVER;
+      }),
+    };
+  });
+
+/** Returns the body that `sentTaskListSchema` reads. */
+export function encodeTaskList(
+  list: TaskList,
+): z.input<typeof sentTaskListSchema> {
+  const gangs = new Map(
+    list.tasks.map(({gangId, members}) => [gangId, members]),
+  );
+  return {
+    ...list,
+    gangs: [...gangs].map(([gangId, members]) => ({gangId, members})),
+    tasks: list.tasks.map(({members, ...task}) =>
+      isDeepStrictEqual(gangs.get(task.gangId), members)
+        ? task
+        : {...task, members},
+    ),
+  };
+}
+
 /**
  * Answer to `POST /watch` if the list is still that of `afterRunId` and
- * `afterVersion`. At the target size a whole list has about 19 KB.
+ * `afterVersion`.
  */
 export const unchangedListSchema = z.object({
   workerId: vmIdSchema,
@@ -104,7 +159,7 @@
 /** Answer to `POST /watch`. */
 export const watchTasksAnswerSchema = z.union([
   unchangedListSchema,
-  taskListSchema,
+  sentTaskListSchema,
 ]);
 
 export const REQUEST_ID_HEADER = 'x-request-id';
--- a/src/transport/http_worker_client.ts
+++ b/src/transport/http_worker_client.ts
@@ -10,7 +10,6 @@
 import {ProtocolError} from '../model/errors.js';
 import type {TaskId, VmId} from '../model/ids.js';
 import type {TaskList, TaskSpecification} from '../model/jobs.js';
-import {taskListSchema} from '../model/jobs.js';
 import type {WorkerVm} from '../platform/vm_list.js';
 import {WorkerClient} from '../platform/worker_client.js';
 import {callJson} from './http_call.js';
@@ -20,6 +19,7 @@
   checkpointAnswerSchema,
   doneAnswerSchema,
   releaseAnswerSchema,
+  sentTaskListSchema,
   watchTasksAnswerSchema,
 } from './http_protocol.js';
 
@@ -113,7 +113,7 @@
 
   override listTasks(worker: WorkerVm): Promise<Result<TaskList, CallError>> {
     const call: WorkerCall = {method: 'GET', path: '/tasks'};
-    return this.callForList(worker, call, taskListSchema);
+    return this.callForList(worker, call, sentTaskListSchema);
   }
 
   override async watchTasks(
--- a/test/worker_watch.test.ts
+++ b/test/worker_watch.test.ts
@@ -14,10 +14,15 @@
 import {SystemClock} from '../src/lifecycle/clock.js';
 import {SeededRandom} from '../src/lifecycle/random.js';
 import {trustedId} from '../src/model/ids.js';
+import type {TaskId, VmId} from '../src/model/ids.js';
 import type {TaskList} from '../src/model/jobs.js';
 import {CellZonePlanner} from '../src/scheduling/cell_zone_planner.js';
 import {StandinProcess} from '../src/standins/launcher.js';
 import {HttpWorkerClient} from '../src/transport/http_worker_client.js';
+import {
+  encodeTaskList,
+  sentTaskListSchema,
+} from '../src/transport/http_protocol.js';
 import {TrafficCounter} from '../src/transport/traffic_counter.js';
 import {LONG_MS, taskSpecification, workerVm} from './standins_support.js';
 
@@ -103,3 +108,30 @@
   assert.equal(seen.filter((changed) => changed).length, 2);
   assert.equal(seen[0], true);
 });
+
+test('members are sent once per gang and read back for each task', () => {
+  const members = Array.from({length: 64}, (_, index) => ({
+    taskId: trustedId<TaskId>(`task-${index}`),
+    workerId: trustedId<VmId>('worker-1'),
+  }));
+  const tasks = members.slice(0, 8).map(({taskId}) => ({
+    ...taskSpecification({}, {taskId, members: structuredClone(members)}),
+    state: 'running' as const,
+  }));
+  const alone = {...taskSpecification(), state: 'held' as const};
+  const list: TaskList = {
+    workerId: trustedId('worker-1'),
+    version: 1,
+    leaving: false,
+    // A gang id with two member lists is malformed, but must not be mixed up.
+    tasks: [alone, ...tasks],
+  };
+  const sent = JSON.stringify(encodeTaskList(list));
+  assert.ok(sent.length < JSON.stringify(list).length / 4);
+  const read = sentTaskListSchema.parse(JSON.parse(sent));
+  assert.deepEqual(read, list);
+  assert.equal(read.tasks[1]?.members, read.tasks[8]?.members);
+  assert.deepEqual(sentTaskListSchema.parse(list), list);
+  const lost = {...list, tasks: [{...alone, members: undefined}]};
+  assert.equal(sentTaskListSchema.safeParse(lost).success, false);
+});
