--- a/src/controllers/worker_table.ts
+++ b/src/controllers/worker_table.ts
@@ -39,7 +39,7 @@
 }
 
 export interface WorkerTableListener {
-  /** `changed` is false if the worker returned the same list as before. */
+  /** `changed`: the tasks or the worker's state are not as they were. */
   listSeen(list: TaskList, requestedAt: Instant, changed: boolean): void;
   workerLost(workerId: VmId): void;
   /** True if the gang is started, watched or stopped by this scheduler. */
@@ -200,7 +200,9 @@
       this.parts.listener.zoneEvent({kind: 'workerReturned', workerId});
     }
     const changed =
-      entry.state !== 'read' || entry.list?.version !== list.version;
+      entry.state !== 'read' ||
+      entry.list?.tasks !== list.tasks ||
+      entry.list.leaving !== list.leaving;
     entry.state = 'read';
     entry.list = list;
     this.noteLeaving(entry, list.leaving);
--- a/src/controllers/zone_session.ts
+++ b/src/controllers/zone_session.ts
@@ -271,7 +271,9 @@
     // Most watches end without a change; a round reads the whole zone.
     if (!changed) return;
     this.checkAdoption();
-    this.askRound();
+    // A round takes about 5 ms at the target size, where about two watches
+    // a second end without a change. Whatever depends on time sets a timer.
+    if (changed) this.askRound();
   }
 
   private workerLost(workerId: VmId): void {
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -10,14 +10,11 @@
 import {MembershipController} from '../controllers/membership_controller.js';
 import {VmController} from '../controllers/vm_controller.js';
 import {ZoneController} from '../controllers/zone_controller.js';
-import {DEFAULT_ZONE_OPTIONS} from '../controllers/zone_options.js';
-import type {ZoneControllerOptions} from '../controllers/zone_options.js';
 import {CleanupScope} from '../lifecycle/cleanup_scope.js';
 import type {Clock} from '../lifecycle/clock.js';
 import type {RandomSource} from '../lifecycle/random.js';
 import {randomId} from '../model/ids.js';
 import type {DaemonId, Instant} from '../model/ids.js';
-import type {Outcome, RequestSubmission} from '../model/requests.js';
 import {ObservedStore} from '../platform/observed_store.js';
 import {RequestService} from '../requests/request_service.js';
 import {CellZonePlanner} from '../scheduling/cell_zone_planner.js';
@@ -25,17 +22,22 @@
 import {HttpMinionClient} from '../transport/http_minion_client.js';
 import {HttpVmList} from '../transport/http_vm_list.js';
 import {HttpWorkerClient} from '../transport/http_worker_client.js';
+import {TrafficCounter} from '../transport/traffic_counter.js';
 import {TrpcPeerClient} from '../transport/trpc_peer_client.js';
 import {TrpcPeerServer} from '../transport/trpc_peer_server.js';
 import {CallerApi} from './caller_api.js';
+import {addDaemonGauges} from './daemon_gauges.js';
 import {createGuaranteeCheck} from './guarantee_check.js';
 import {DaemonLog} from './log.js';
-import type {LogPart, PartLog} from './log.js';
+import type {LogPart} from './log.js';
 import {DaemonMetrics} from './metrics.js';
+import type {ControlParty} from './metrics.js';
 import {OperatorApi} from './operator_api.js';
 import {DaemonOperatorService} from './operator_service.js';
+import {logOutcome} from './outcome_log.js';
 import {PeerService} from './peer_service.js';
 import {RoutedJobs} from './routed_jobs.js';
+import {splitAddress} from './settings.js';
 import type {Settings} from './settings.js';
 import {
   LocalJobHolder,
@@ -43,6 +45,7 @@
   SiteRequestDirectory,
 } from './site_directory.js';
 import {ZoneReporter} from './zone_reporter.js';
+import {zoneOptions} from './zone_settings.js';
 
 /** Addresses that the daemon listens on. */
 export interface DaemonAddresses {
@@ -92,16 +95,7 @@
       log: this.line('peers'),
       timeLimits: {heartbeatMs: timings.peerCallTimeoutMs},
     });
-    this.vms = new VmController({
-      vmList: new HttpVmList(scope, {
-        address: settings.platform.address,
-        callTimeoutMs: timings.storeCallTimeoutMs,
-      }),
-      random,
-      scope,
-      log: this.line('vms'),
-      watchWaitMs: timings.watchWaitMs,
-    });
+    this.vms = this.createVmController();
     this.configuration = new ConfigurationController({
       store: this.store,
       clock,
@@ -137,7 +131,14 @@
       new DaemonOperatorService(this),
       this.metrics,
     );
-    this.addGauges();
+    addDaemonGauges(this.metrics, {
+      configuration: this.configuration,
+      zone: this.zone,
+      peers: this.peers,
+      livePeers: () => this.membershipController?.livePeers().length ?? 0,
+      storeReachable: () => this.storeAnswers,
+      heldJobs: () => this.keeper.size,
+    });
   }
 
   get settings(): Settings {
@@ -215,18 +216,42 @@
       );
   }
 
+  private countTraffic(party: ControlParty): TrafficCounter {
+    const traffic = new TrafficCounter();
+    this.metrics.addTraffic(party, () => traffic.totals());
+    return traffic;
+  }
+
   private openStore(): ObservedStore {
     const {platform, timings} = this.parts.settings;
     const store = new HttpKeyValueStore(this.scope, {
       address: platform.address,
       callTimeoutMs: timings.storeCallTimeoutMs,
+      traffic: this.countTraffic('store'),
     });
-    return new ObservedStore(store, (_call, reached) => {
+    return new ObservedStore(store, (call, reached) => {
+      this.metrics.countStoreCall(call);
       this.storeAnswers = reached;
       this.metrics.countCall('store', reached);
     });
   }
 
+  private createVmController(): VmController {
+    const {settings, random} = this.parts;
+    const {platform, timings} = settings;
+    return new VmController({
+      vmList: new HttpVmList(this.scope, {
+        address: platform.address,
+        callTimeoutMs: timings.storeCallTimeoutMs,
+        traffic: this.countTraffic('vmList'),
+      }),
+      random,
+      scope: this.scope,
+      log: this.line('vms'),
+      watchWaitMs: timings.watchWaitMs,
+    });
+  }
+
   private createZoneController(): ZoneController {
     const {settings, clock, random} = this.parts;
     const {availabilityZone, timings} = settings;
@@ -237,6 +262,7 @@
         new CellZonePlanner({availabilityZone, starvationBoundMs}),
       workers: new HttpWorkerClient(this.scope, {
         callTimeoutMs: timings.workerCallTimeoutMs,
+        traffic: this.countTraffic('worker'),
       }),
       store: this.store,
       clock,
@@ -394,78 +420,6 @@
     const {host, port} = splitAddress(address);
     return `${host}:${await api.listen(host, port)}`;
   }
-
-  private addGauges(): void {
-    const {metrics} = this;
-    metrics.addGauge(
-      'configuration_version',
-      'Version of the configuration in force.',
-      () => this.configuration.version,
-    );
-    metrics.addGauge(
-      'scheduler',
-      '1 if this daemon is the scheduler of its zone, else 0.',
-      () => (this.zone.active ? 1 : 0),
-    );
-    metrics.addGauge(
-      'live_peers',
-      'Peers that were heard in time.',
-      () => this.membershipController?.livePeers().length ?? 0,
-    );
-    metrics.addGauge(
-      'store_reachable',
-      '1 if the last call to the store was answered, else 0.',
-      () => (this.storeAnswers ? 1 : 0),
-    );
-    metrics.addGauge(
-      'jobs_held_in_memory',
-      'Accepted jobs that are not known to be in the store.',
-      () => this.keeper.size,
-    );
-  }
-}
-
-function zoneOptions(settings: Settings): ZoneControllerOptions {
-  const {timings, limits} = settings;
-  return {
-    ...DEFAULT_ZONE_OPTIONS,
-    workerCallConcurrency: limits.workerCallConcurrency,
-    watchWaitMs: timings.workerWatchWaitMs,
-    leaseMs: timings.workerLeaseMs,
-    workerSilentMs: timings.workerLostAfterMs,
-    reclaimBoundMs: timings.reclaimBoundMs,
-    gangSkewBoundMs: timings.gangSkewBoundMs,
-    storeWatchWaitMs: timings.watchWaitMs,
-  };
-}
-
-/**
- * Refusals for a customer's limit or an overload are expected in bursts, and a
- * line for each would fill the log when it is needed most.
- */
-function logOutcome(
-  log: PartLog,
-  {customerId, workClassId}: RequestSubmission,
-  outcome: Outcome,
-): void {
-  const fields = {requestId: outcome.requestId, customerId};
-  if (outcome.outcome === 'answered') {
-    log.debug(`answered a ${workClassId}`, fields);
-    return;
-  }
-  const {reason, message} = outcome;
-  const sentence = `${workClassId} ${outcome.outcome}, ${reason}: ${message}`;
-  const expected = reason === 'customer-limit' || reason === 'overloaded';
-  if (outcome.outcome === 'unknown') log.warn(sentence, fields);
-  else if (expected) log.debug(sentence, fields);
-  else log.info(sentence, fields);
-}
-
-/** Splits `10.0.0.1:7000` or `[::1]:7000`. */
-function splitAddress(address: string): {host: string; port: number} {
-  const end = address.lastIndexOf(':');
-  const host = address.slice(0, end).replace(/^\[(.*)\]$/, '$1');
-  return {host, port: Number(address.slice(end + 1))};
 }
 
 /** Waits for all, at most `limitMs`. */
--- a/src/daemon/metrics.ts
+++ b/src/daemon/metrics.ts
@@ -11,9 +11,26 @@
   collectDefaultMetrics,
 } from 'prom-client';
 import type {Outcome} from '../model/requests.js';
+import type {StoreCall} from '../platform/observed_store.js';
+import type {Traffic} from '../transport/traffic_counter.js';
 
 const NAME_PREFIX = 'bramleystep_';
 const MILLISECONDS_PER_SECOND = 1_000;
+/**
+ * prom-client starts a timer that samples the delay of the event loop, by
+ * default every 10 ms. Its wake-ups cost an idle daemon about 4 ms of CPU a
+ * second, a third of what it may spend, and prom-client cannot leave it out.
+ */
+const LOOP_MONITOR_INTERVAL_MS = 60_000;
+const LOOP_MONITOR_METRICS = [
+  'min',
+  'max',
+  'mean',
+  'stddev',
+  'p50',
+  'p90',
+  'p99',
+] as const;
 /** From half of a fast check to the longest deadline of a request. */
 const REQUEST_BUCKETS_SECONDS = [
   0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60,
@@ -28,10 +45,19 @@
   private readonly requestSeconds: Histogram<'outcome'>;
   private readonly zoneEvents: Counter<'event'>;
   private readonly calls: Counter<'party' | 'result'>;
+  private readonly storeCalls: Counter<'call'>;
   private readonly jobs: Counter<'durability'>;
 
   constructor() {
-    collectDefaultMetrics({register: this.registry});
+    collectDefaultMetrics({
+      register: this.registry,
+      eventLoopMonitoringPrecision: LOOP_MONITOR_INTERVAL_MS,
+    });
+    // Their histogram means nothing at that interval; the delay at the time
+    // of a scrape, `nodejs_eventloop_lag_seconds`, does not depend on it.
+    for (const name of LOOP_MONITOR_METRICS) {
+      this.registry.removeSingleMetric(`nodejs_eventloop_lag_${name}_seconds`);
+    }
     const registers = [this.registry];
     this.requests = new Counter({
       name: `${NAME_PREFIX}requests_total`,
@@ -58,6 +84,12 @@
       labelNames: ['party', 'result'],
       registers,
     });
+    this.storeCalls = new Counter({
+      name: `${NAME_PREFIX}store_calls_total`,
+      help: 'Ended calls to the store by kind; a watch counts when it ends.',
+      labelNames: ['call'],
+      registers,
+    });
     this.jobs = new Counter({
       name: `${NAME_PREFIX}jobs_accepted_total`,
       help: 'Jobs accepted from callers by durability.',
@@ -83,6 +115,10 @@
     this.calls.inc({party, result: succeeded ? 'ok' : 'error'});
   }
 
+  countStoreCall(call: StoreCall): void {
+    this.storeCalls.inc({call});
+  }
+
   countJob(durability: 'store' | 'memory'): void {
     this.jobs.inc({durability});
   }
@@ -99,6 +135,27 @@
     });
   }
 
+  /** Adds the totals of the HTTP connections to a party. */
+  addTraffic(party: ControlParty, read: () => Traffic): void {
+    const name = party === 'vmList' ? 'vm_list' : party;
+    const connections = `the connections to the party ${party}`;
+    this.addGauge(
+      `${name}_sent_bytes`,
+      `Bytes sent on ${connections}.`,
+      () => read().sentBytes,
+    );
+    this.addGauge(
+      `${name}_received_bytes`,
+      `Bytes received on ${connections}.`,
+      () => read().receivedBytes,
+    );
+    this.addGauge(
+      `${name}_answers`,
+      `Whole answers received on ${connections}.`,
+      () => read().answers,
+    );
+  }
+
   /** The text that a scrape returns. */
   async render(): Promise<{contentType: string; text: string}> {
     return {
--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -202,3 +202,10 @@
   }
   return Result.ok(settings);
 }
+
+/** Splits `10.0.0.1:7000` or `[::1]:7000`. */
+export function splitAddress(address: string): {host: string; port: number} {
+  const end = address.lastIndexOf(':');
+  const host = address.slice(0, end).replace(/^\[(.*)\]$/, '$1');
+  return {host, port: Number(address.slice(end + 1))};
+}
--- a/src/standins/launcher.ts
+++ b/src/standins/launcher.ts
@@ -14,6 +14,7 @@
 import {ManagedProcess} from './managed_process.js';
 import type {FirstLine} from './standin_process.js';
 import {firstLineSchema} from './standin_process.js';
+import type {workerFleetOptionsSchema} from './worker_fleet_service.js';
 import type {workerOptionsSchema} from './worker_service.js';
 
 const EVENT_TIMEOUT_MS = 30_000;
@@ -21,6 +22,7 @@
 const PROGRAM_FILES = {
   platform: './platform.js',
   worker: './worker.js',
+  workerFleet: './worker_fleet.js',
   minion: './minion.js',
   faultProxy: './fault_proxy.js',
 } as const;
@@ -28,6 +30,7 @@
 interface StandinOptions {
   readonly platform: z.input<typeof platformOptionsSchema>;
   readonly worker: z.input<typeof workerOptionsSchema>;
+  readonly workerFleet: z.input<typeof workerFleetOptionsSchema>;
   readonly minion: z.input<typeof minionOptionsSchema>;
   readonly faultProxy: z.input<typeof faultProxyOptionsSchema>;
 }
--- a/src/standins/worker_service.ts
+++ b/src/standins/worker_service.ts
@@ -8,7 +8,9 @@
 import {taskIdSchema, vmIdSchema} from '../model/ids.js';
 import type {TaskId} from '../model/ids.js';
 import {taskSpecificationSchema} from '../model/jobs.js';
+import type {TaskSpecification} from '../model/jobs.js';
 import {
+  encodeTaskList,
   throttleBodySchema,
   watchBodySchema,
 } from '../transport/http_protocol.js';
@@ -79,6 +81,12 @@
     };
   }
 
+  /** Runs a task as if a scheduler had held and released it. */
+  preload(task: TaskSpecification): void {
+    this.tasks.hold(task);
+    this.tasks.release(task.taskId);
+  }
+
   private addTaskCalls(): void {
     const {server, tasks, gate} = this;
     server.write(
@@ -123,12 +131,12 @@
 
   private addListCalls(): void {
     const {server, tasks, gate} = this;
-    server.read('GET', '/tasks', () => tasks.list(), gate);
+    server.read('GET', '/tasks', () => encodeTaskList(tasks.list()), gate);
     server.read(
       'POST',
       '/watch',
       async (call) => {
-        const {afterVersion, waitMs, leaseMs} = parseBody(
+        const {afterVersion, afterRunId, waitMs, leaseMs} = parseBody(
           call,
           watchBodySchema,
         );
@@ -137,12 +145,17 @@
         const changed = await this.listChanged.poll(
           () => {
             const list = tasks.list();
-            return list.version === afterVersion ? undefined : list;
+            const sameRun = (afterRunId ?? list.runId) === list.runId;
+            return sameRun && list.version === afterVersion ? undefined : list;
           },
           waitMs,
           call.signal,
         );
-        return changed ?? tasks.list();
+        if (changed !== undefined) return encodeTaskList(changed);
+        const list = tasks.list();
+        if (afterRunId === undefined) return encodeTaskList(list);
+        const {workerId, leaving, drawWatts} = list;
+        return {workerId, leaving, drawWatts, unchanged: true};
       },
       gate,
     );
