Add a benchmark that replays seeded workloads through the planner

It is a replayer over ZonePlanner; workers are reduced to what the planner is told of them.

Guaranteed work is judged by a rule over jobs and guarantees alone, so that it is the same for every policy. Baselines need adjacent accelerators too, but not aligned cells, and are measured by their own rule.

--- /dev/null
+++ b/src/bench/baselines.ts
@@ -0,0 +1,352 @@
+/**
+ * Simple policies to compare the planner with. None lends guaranteed capacity
+ * or preempts. A gang takes adjacent accelerators of one rack, not aligned to
+ * cells. Quarantine and blame work as in the real planner, so that a failing
+ * worker does not decide the comparison.
+ */
+
+import {Result} from 'true-myth';
+import type {Configuration, Customer} from '../model/configuration.js';
+import type {InvalidInputError} from '../model/errors.js';
+import {RefusedError} from '../model/errors.js';
+import type {
+  AvailabilityZone,
+  CustomerId,
+  Instant,
+  JobId,
+  VmId,
+} from '../model/ids.js';
+import type {JobRecord} from '../model/jobs.js';
+import type {GangShape} from '../model/shapes.js';
+import {
+  ACCELERATORS_PER_RACK,
+  ACCELERATORS_PER_WORKER,
+  CELL_SIZES,
+  cellSizeFor,
+} from '../model/shapes.js';
+import {cellAround} from '../scheduling/cells.js';
+import {FreeCells, VisitCounter} from '../scheduling/free_cells.js';
+import {Racks} from '../scheduling/racks.js';
+import {WorkerHealth} from '../scheduling/worker_health.js';
+import {ZonePlanner} from '../scheduling/zone_planner.js';
+import type {
+  AdoptedGang,
+  GangEnd,
+  GangPlacement,
+  PlanAction,
+  PlannedWorker,
+  TaskPlacement,
+} from '../scheduling/zone_planner.js';
+
+/** As in the real planner. */
+const FAILED_AT_ONCE_MS = 60_000;
+const WORKERS_TO_BLAME_JOB = 3;
+
+export interface BaselineOptions {
+  readonly availabilityZone: AvailabilityZone;
+  /** `strict`: the first job that does not fit keeps all later ones back. */
+  readonly order: 'strict' | 'skip';
+  readonly fit: 'first' | 'best';
+  /** Each customer uses its guaranteed cells only, urgent jobs first. */
+  readonly isPartitioned: boolean;
+}
+
+/** Adjacent free accelerators of one rack, from `start` up to `end`. */
+interface Run {
+  readonly start: number;
+  readonly end: number;
+}
+
+interface Gang {
+  readonly record: JobRecord;
+  readonly placement: GangPlacement;
+  startedAt: Instant | undefined;
+}
+
+export class BaselinePlanner extends ZonePlanner {
+  private readonly racks = new Racks();
+  private readonly health = new WorkerHealth();
+  private readonly workers = new Map<VmId, PlannedWorker>();
+  private readonly customers = new Map<CustomerId, Customer>();
+  private readonly gangs = new Map<JobId, Gang>();
+  private readonly failedOn = new Map<JobId, Set<VmId>>();
+  private readonly busy = new Set<number>();
+  /** The customer's cell that includes an accelerator, if partitioned. */
+  private readonly cells: Array<{owner: CustomerId} | undefined> = [];
+  private queue: JobRecord[] = [];
+
+  constructor(private readonly options: BaselineOptions) {
+    super();
+  }
+
+  override configure(configuration: Configuration): void {
+    this.customers.clear();
+    for (const customer of configuration.customers) {
+      this.customers.set(customer.id, customer);
+    }
+    this.partition();
+  }
+
+  override setWorker(worker: PlannedWorker): void {
+    this.workers.set(worker.workerId, worker);
+    this.racks.set(worker);
+    this.partition();
+  }
+
+  override removeWorker(workerId: VmId): readonly JobId[] {
+    this.workers.delete(workerId);
+    this.racks.remove(workerId);
+    return [...this.gangs.values()]
+      .filter(({placement}) =>
+        placement.tasks.some((task) => task.workerId === workerId),
+      )
+      .map(({record}) => record.jobId);
+  }
+
+  override check(
+    record: JobRecord,
+  ): Result<void, InvalidInputError | RefusedError> {
+    if (cellSizeFor(record.shape) !== undefined) return Result.ok(undefined);
+    return Result.err(
+      new RefusedError('the gang fits no rack', 'submit a smaller gang'),
+    );
+  }
+
+  override enqueue(record: JobRecord): void {
+    this.queue.push(record);
+    this.queue.sort((one, other) => this.compare(one, other));
+  }
+
+  override adopt(record: JobRecord, gang: AdoptedGang): void {
+    this.occupy(record, gang);
+  }
+
+  override dequeue(jobId: JobId): void {
+    this.queue = this.queue.filter((record) => record.jobId !== jobId);
+  }
+
+  override gangStarted(jobId: JobId, now: Instant): void {
+    const gang = this.gangs.get(jobId);
+    if (gang !== undefined) gang.startedAt = now;
+  }
+
+  override checkpointed(): void {
+    // Nothing is preempted, so checkpoints make no difference.
+  }
+
+  override gangEnded(jobId: JobId, end: GangEnd, now: Instant): boolean {
+    const gang = this.gangs.get(jobId);
+    if (gang === undefined) return false;
+    this.gangs.delete(jobId);
+    for (const position of this.positionsOf(gang.placement)) {
+      this.busy.delete(position);
+    }
+    if (end.kind === 'finished') {
+      for (const task of gang.placement.tasks) {
+        this.health.worked(task.workerId);
+      }
+    }
+    if (end.kind !== 'failed') return false;
+    const ranMs = now - (gang.startedAt ?? now);
+    if (ranMs < FAILED_AT_ONCE_MS) {
+      this.health.failedAtOnce(end.workerId, jobId);
+    }
+    const failedOn = this.failedOn.get(jobId) ?? new Set();
+    this.failedOn.set(jobId, failedOn.add(end.workerId));
+    if (failedOn.size < WORKERS_TO_BLAME_JOB) return false;
+    this.health.retract(jobId);
+    return true;
+  }
+
+  override plan(now: Instant): readonly PlanAction[] {
+    this.updateHealth(now);
+    const actions: PlanAction[] = [];
+    const tooLarge = new Set<string>();
+    for (const record of [...this.queue]) {
+      if (!this.ceilingAllows(record)) continue;
+      const key = this.shapeKey(record);
+      if (tooLarge.has(key)) continue;
+      const tasks = this.place(record);
+      if (tasks === undefined) {
+        if (this.options.order === 'strict') break;
+        if (!this.failedOn.has(record.jobId)) tooLarge.add(key);
+        continue;
+      }
+      const {jobId} = record;
+      const guaranteed = this.options.isPartitioned;
+      const placement = {jobId, tasks, guaranteed};
+      this.dequeue(jobId);
+      this.occupy(record, placement);
+      actions.push({kind: 'start', placement});
+    }
+    return actions;
+  }
+
+  override nextDecisionAt(now: Instant): Instant | undefined {
+    const next = this.health.nextChangeAt();
+    return next !== undefined && next > now ? next : undefined;
+  }
+
+  override explain(): undefined {
+    return undefined;
+  }
+
+  override quarantined(): readonly VmId[] {
+    return this.health.quarantined();
+  }
+
+  private compare(one: JobRecord, other: JobRecord): number {
+    if (this.options.isPartitioned && one.urgency !== other.urgency) {
+      return one.urgency === 'urgent' ? -1 : 1;
+    }
+    const byAge = one.submittedAt - other.submittedAt;
+    return byAge !== 0 ? byAge : one.jobId < other.jobId ? -1 : 1;
+  }
+
+  private shapeKey({customerId, shape}: JobRecord): string {
+    const owner = this.options.isPartitioned ? customerId : '';
+    return `${owner}/${shape.tasks}x${shape.acceleratorsPerTask}`;
+  }
+
+  private ceilingAllows({customerId, shape}: JobRecord): boolean {
+    let inUse = shape.tasks * shape.acceleratorsPerTask;
+    for (const {record} of this.gangs.values()) {
+      if (record.customerId !== customerId) continue;
+      inUse += record.shape.tasks * record.shape.acceleratorsPerTask;
+    }
+    const ceiling = this.customers.get(customerId)?.acceleratorCeiling;
+    return inUse <= (ceiling ?? Infinity);
+  }
+
+  private place(record: JobRecord): readonly TaskPlacement[] | undefined {
+    let best: readonly TaskPlacement[] | undefined;
+    let bestLength = Infinity;
+    for (const run of this.freeRuns(record)) {
+      if (run.end - run.start >= bestLength) continue;
+      const tasks = this.placeIn(run, record.shape);
+      if (tasks === undefined) continue;
+      if (this.options.fit === 'first') return tasks;
+      best = tasks;
+      bestLength = run.end - run.start;
+    }
+    return best;
+  }
+
+  private placeIn(
+    run: Run,
+    {tasks, acceleratorsPerTask}: GangShape,
+  ): readonly TaskPlacement[] | undefined {
+    const placed: TaskPlacement[] = [];
+    let at = run.start;
+    while (placed.length < tasks) {
+      const left = ACCELERATORS_PER_WORKER - (at % ACCELERATORS_PER_WORKER);
+      if (left < acceleratorsPerTask) at += left;
+      if (at + acceleratorsPerTask > run.end) return undefined;
+      const worker = this.racks.workerAt(at);
+      if (worker === undefined) return undefined;
+      const first = at % ACCELERATORS_PER_WORKER;
+      placed.push({
+        workerId: worker.workerId,
+        accelerators: Array.from(
+          {length: acceleratorsPerTask},
+          (_, index) => first + index,
+        ),
+      });
+      at += acceleratorsPerTask;
+    }
+    return placed;
+  }
+
+  private *freeRuns(record: JobRecord): Generator<Run> {
+    const end = this.racks.rackCount * ACCELERATORS_PER_RACK;
+    let start: number | undefined;
+    for (let at = 0; at <= end; at += 1) {
+      const continues =
+        start !== undefined &&
+        at % ACCELERATORS_PER_RACK !== 0 &&
+        this.cells[at] === this.cells[start];
+      const isFree = at < end && this.isFreeFor(record, at);
+      if (start !== undefined && !(continues && isFree)) {
+        yield {start, end: at};
+        start = undefined;
+      }
+      if (isFree) start ??= at;
+    }
+  }
+
+  private isFreeFor(record: JobRecord, position: number): boolean {
+    if (this.busy.has(position) || !this.racks.isUsable(position)) return false;
+    if (this.options.isPartitioned) {
+      // A customer with one worker has no other to avoid it with.
+      return this.cells[position]?.owner === record.customerId;
+    }
+    const failedOn = this.failedOn.get(record.jobId);
+    if (failedOn === undefined) return true;
+    const worker = this.racks.workerAt(position);
+    return worker === undefined || !failedOn.has(worker.workerId);
+  }
+
+  private occupy(record: JobRecord, placement: GangPlacement): void {
+    this.gangs.set(record.jobId, {record, placement, startedAt: undefined});
+    for (const position of this.positionsOf(placement)) {
+      this.busy.add(position);
+    }
+  }
+
+  private positionsOf(placement: GangPlacement): readonly number[] {
+    return placement.tasks.flatMap(({workerId, accelerators}) => {
+      const first = this.racks.placeOf(workerId)?.position ?? 0;
+      return accelerators.map((index) => first + index);
+    });
+  }
+
+  private updateHealth(now: Instant): void {
+    const workerIds = new Set(this.workers.keys());
+    for (const workerId of this.health.update(workerIds, now)) {
+      const worker = this.workers.get(workerId);
+      if (worker === undefined) continue;
+      const isQuarantined = this.health.isQuarantined(workerId);
+      const acceptsTasks = worker.acceptsTasks && !isQuarantined;
+      this.racks.set({...worker, acceptsTasks});
+    }
+  }
+
+  /** Gives each customer its cells, the largest first. */
+  private partition(): void {
+    if (!this.options.isPartitioned) return;
+    this.cells.length = 0;
+    const free = new FreeCells(new VisitCounter());
+    for (const {workerId} of this.workers.values()) {
+      const place = this.racks.placeOf(workerId);
+      if (place !== undefined) free.release(place);
+    }
+    for (const size of [...CELL_SIZES].reverse()) {
+      for (const customer of this.customers.values()) {
+        for (const {availabilityZone, cellSize, cells} of customer.guarantees) {
+          if (availabilityZone !== this.options.availabilityZone) continue;
+          if (cellSize !== size) continue;
+          for (let cell = 0; cell < cells; cell += 1) {
+            this.giveCell(free, size, customer.id);
+          }
+        }
+      }
+    }
+  }
+
+  private giveCell(
+    free: FreeCells,
+    size: (typeof CELL_SIZES)[number],
+    owner: CustomerId,
+  ): void {
+    const from = free.bestFit(size);
+    if (from === undefined) return;
+    const [around] = free.ofSize(from);
+    if (around === undefined) return;
+    const cell = cellAround(around.position, size);
+    free.take(cell);
+    const region = {owner};
+    for (let at = cell.position; at < cell.position + size; at += 1) {
+      this.cells[at] = region;
+    }
+  }
+}
--- /dev/null
+++ b/src/bench/guaranteed_work.ts
@@ -0,0 +1,152 @@
+/**
+ * Which waiting jobs are within their customer's guarantee, and how long they
+ * wait. The rule looks only at jobs and guarantees, so it is the same for
+ * every policy.
+ */
+
+import type {Customer} from '../model/configuration.js';
+import type {
+  AvailabilityZone,
+  CustomerId,
+  Instant,
+  JobId,
+} from '../model/ids.js';
+import type {JobRecord} from '../model/jobs.js';
+import type {CellSize} from '../model/shapes.js';
+import {cellSizeFor} from '../model/shapes.js';
+
+interface CustomerJobs {
+  readonly running: Map<JobId, CellSize>;
+  readonly waiting: Map<JobId, JobRecord>;
+}
+
+export class GuaranteedWork {
+  private readonly jobs = new Map<CustomerId, CustomerJobs>();
+  private readonly owedSince = new Map<JobId, Instant>();
+  private readonly changed = new Set<CustomerId>();
+  private isProtected = true;
+
+  /** `onWait` receives each wait of a job within its guarantee, in ms. */
+  constructor(
+    private readonly customers: ReadonlyMap<CustomerId, Customer>,
+    private readonly availabilityZone: AvailabilityZone,
+    private readonly onWait: (record: JobRecord, waitMs: number) => void,
+  ) {}
+
+  waits(record: JobRecord): void {
+    const jobs = this.jobsOf(record.customerId);
+    jobs.running.delete(record.jobId);
+    jobs.waiting.set(record.jobId, record);
+  }
+
+  starts(record: JobRecord, now: Instant): void {
+    const jobs = this.jobsOf(record.customerId);
+    this.endWait(record, now);
+    jobs.waiting.delete(record.jobId);
+    const size = cellSizeFor(record.shape);
+    if (size !== undefined) jobs.running.set(record.jobId, size);
+  }
+
+  ends(record: JobRecord, now: Instant): void {
+    const jobs = this.jobsOf(record.customerId);
+    this.endWait(record, now);
+    jobs.waiting.delete(record.jobId);
+    jobs.running.delete(record.jobId);
+  }
+
+  /** Since when the job is within its guarantee and waits. */
+  owedSinceOf(jobId: JobId): Instant | undefined {
+    return this.owedSince.get(jobId);
+  }
+
+  /**
+   * Works out which jobs are within their guarantee now. `isProtected` is
+   * false while the workers that take tasks cannot hold all guarantees, or
+   * while the zone runs on its generator.
+   */
+  update(isProtected: boolean, now: Instant): void {
+    const customerIds =
+      isProtected === this.isProtected
+        ? [...this.changed]
+        : [...this.jobs.keys()];
+    this.isProtected = isProtected;
+    this.changed.clear();
+    for (const customerId of customerIds) this.updateCustomer(customerId, now);
+  }
+
+  private updateCustomer(customerId: CustomerId, now: Instant): void {
+    const {running, waiting} = this.jobsOf(customerId);
+    this.changed.delete(customerId);
+    const ahead = [...running.values()];
+    const records = [...waiting.values()].sort(compareRecords);
+    for (const record of records) {
+      const size = cellSizeFor(record.shape);
+      if (size === undefined) continue;
+      const isOwed = this.isProtected && this.hasRoom(customerId, size, ahead);
+      if (!isOwed) this.endWait(record, now);
+      else if (!this.owedSince.has(record.jobId)) {
+        this.owedSince.set(record.jobId, now);
+      }
+      ahead.push(size);
+    }
+  }
+
+  /**
+   * True if a guaranteed cell of this size is unused wherever the jobs ahead
+   * are: each takes at most one such cell, or several if it is larger.
+   */
+  private hasRoom(
+    customerId: CustomerId,
+    size: CellSize,
+    ahead: readonly CellSize[],
+  ): boolean {
+    const guarantees = this.customers.get(customerId)?.guarantees ?? [];
+    const guaranteed = guarantees
+      .filter(
+        ({availabilityZone, cellSize}) =>
+          availabilityZone === this.availabilityZone && cellSize >= size,
+      )
+      .reduce((sum, {cellSize, cells}) => sum + cellSize * cells, 0);
+    const taken = ahead.reduce((sum, each) => sum + Math.max(each, size), 0);
+    return taken + size <= guaranteed;
+  }
+
+  private endWait(record: JobRecord, now: Instant): void {
+    const since = this.owedSince.get(record.jobId);
+    if (since === undefined) return;
+    this.owedSince.delete(record.jobId);
+    this.onWait(record, now - since);
+  }
+
+  private jobsOf(customerId: CustomerId): CustomerJobs {
+    let jobs = this.jobs.get(customerId);
+    if (jobs === undefined) {
+      jobs = {running: new Map(), waiting: new Map()};
+      this.jobs.set(customerId, jobs);
+    }
+    this.changed.add(customerId);
+    return jobs;
+  }
+}
+
+/** True if a guaranteed cell of the customer can hold the job. */
+export function fitsGuaranteedCell(
+  record: JobRecord,
+  customer: Customer | undefined,
+  availabilityZone: AvailabilityZone,
+): boolean {
+  const size = cellSizeFor(record.shape);
+  if (size === undefined || customer === undefined) return false;
+  return customer.guarantees.some(
+    (guarantee) =>
+      guarantee.availabilityZone === availabilityZone &&
+      guarantee.cellSize >= size,
+  );
+}
+
+/** Urgent jobs first, then by age, as the planner orders them. */
+function compareRecords(one: JobRecord, other: JobRecord): number {
+  if (one.urgency !== other.urgency) return one.urgency === 'urgent' ? -1 : 1;
+  const byAge = one.submittedAt - other.submittedAt;
+  return byAge !== 0 ? byAge : one.jobId < other.jobId ? -1 : 1;
+}
--- /dev/null
+++ b/src/bench/measures.ts
@@ -0,0 +1,248 @@
+/**
+ * What a replay measures: times of jobs per customer, averages over time of
+ * the zone, and the cost of decisions.
+ */
+
+import {build} from 'hdr-histogram-js';
+import type {Histogram} from 'hdr-histogram-js';
+import type {CustomerId, Instant, JobId} from '../model/ids.js';
+import type {JobRecord} from '../model/jobs.js';
+import type {CellSize} from '../model/shapes.js';
+import type {Occupancy} from './occupancy.js';
+import type {WorkloadJob} from './workload.js';
+import {shouldFinish} from './workload.js';
+
+const HIGHEST_MS = 100 * 24 * 3_600_000;
+const SIGNIFICANT_DIGITS = 3;
+/** Slowdowns are recorded in hundredths. */
+const SLOWDOWN_SCALE = 100;
+/** Shorter jobs count with this run time, as is usual for slowdown. */
+const SHORTEST_RUN_MS = 60_000;
+const MILLISECONDS_PER_HOUR = 3_600_000;
+const HOSTED_SIZES: readonly CellSize[] = [8, 16, 64];
+
+/** Times in milliseconds. The mean and the worst are exact. */
+export interface TimeSummary {
+  readonly count: number;
+  readonly mean: number;
+  readonly p95: number;
+  readonly p99: number;
+  readonly worst: number;
+}
+
+class Times {
+  private readonly histogram: Histogram = build({
+    highestTrackableValue: HIGHEST_MS,
+    numberOfSignificantValueDigits: SIGNIFICANT_DIGITS,
+  });
+  private count = 0;
+  private sum = 0;
+  private worst = 0;
+
+  add(value: number): void {
+    this.histogram.recordValue(Math.min(HIGHEST_MS, Math.round(value)));
+    this.count += 1;
+    this.sum += value;
+    this.worst = Math.max(this.worst, value);
+  }
+
+  summary(scale = 1): TimeSummary {
+    const {count, sum, worst} = this;
+    const percentile = (at: number) =>
+      count === 0 ? 0 : this.histogram.getValueAtPercentile(at) / scale;
+    return {
+      count,
+      mean: count === 0 ? 0 : sum / count / scale,
+      p95: percentile(95),
+      p99: percentile(99),
+      worst: worst / scale,
+    };
+  }
+}
+
+export interface JobsSummary {
+  /** From submission to end, of jobs that finish under any policy. */
+  readonly completion: TimeSummary;
+  /** Completion time by run time. */
+  readonly slowdown: TimeSummary;
+  /** From submission to the first start, of guaranteed shapes. */
+  readonly startDelay: TimeSummary;
+  /** Waits of work within its guarantee, up to the decision to start. */
+  readonly guaranteedWait: TimeSummary;
+  /** Waits of urgent work within its guarantee, up to the running gang. */
+  readonly urgentWait: TimeSummary;
+  readonly unfinished: number;
+  readonly preemptions: number;
+  /** Accelerator hours that ran again because of preemptions. */
+  readonly lostHours: number;
+  /** Accelerator hours that ran again because of the power cut. */
+  readonly lostToPowerHours: number;
+}
+
+class JobMeasures {
+  readonly completion = new Times();
+  readonly slowdown = new Times();
+  readonly startDelay = new Times();
+  readonly guaranteedWait = new Times();
+  readonly urgentWait = new Times();
+  unfinished = 0;
+  preemptions = 0;
+  lostHours = 0;
+  lostToPowerHours = 0;
+
+  summary(): JobsSummary {
+    return {
+      completion: this.completion.summary(),
+      slowdown: this.slowdown.summary(SLOWDOWN_SCALE),
+      startDelay: this.startDelay.summary(),
+      guaranteedWait: this.guaranteedWait.summary(),
+      urgentWait: this.urgentWait.summary(),
+      unfinished: this.unfinished,
+      preemptions: this.preemptions,
+      lostHours: this.lostHours,
+      lostToPowerHours: this.lostToPowerHours,
+    };
+  }
+}
+
+/** Averages over the time of the submissions. */
+export interface ZoneSummary {
+  /** Share of the accelerators that gangs use. */
+  readonly utilisation: number;
+  /**
+   * Share of the free accelerators that the largest waiting guaranteed shape
+   * cannot use; none while no guaranteed shape waits.
+   */
+  readonly fragmentation: number;
+  /** Racks with a free block of 8, 16 and 64 accelerators. */
+  readonly racksAbleToHost: readonly number[];
+  readonly runningTasks: number;
+}
+
+class ZoneMeasures {
+  private lengthMs = 0;
+  private used = 0;
+  private free = 0;
+  private stranded = 0;
+  private tasks = 0;
+  private readonly hosting = HOSTED_SIZES.map(() => 0);
+
+  /** The state held for `lengthMs`; `waiting` is the largest shape. */
+  add(
+    occupancy: Occupancy,
+    waiting: CellSize | undefined,
+    tasks: number,
+    lengthMs: number,
+  ): void {
+    const {free} = occupancy;
+    this.lengthMs += lengthMs;
+    this.used += occupancy.used * lengthMs;
+    this.free += free * lengthMs;
+    this.tasks += tasks * lengthMs;
+    if (waiting !== undefined) {
+      this.stranded += (free - occupancy.usable(waiting)) * lengthMs;
+    }
+    for (const [index, size] of HOSTED_SIZES.entries()) {
+      const racks = occupancy.racksAbleToHost(size) * lengthMs;
+      this.hosting[index] = (this.hosting[index] ?? 0) + racks;
+    }
+  }
+
+  summary(accelerators: number): ZoneSummary {
+    const lengthMs = Math.max(1, this.lengthMs);
+    return {
+      utilisation: this.used / lengthMs / accelerators,
+      fragmentation: this.stranded / Math.max(1, this.free),
+      racksAbleToHost: this.hosting.map((sum) => sum / lengthMs),
+      runningTasks: this.tasks / lengthMs,
+    };
+  }
+}
+
+/** A wait of work within its guarantee that is worth a closer look. */
+export interface GuaranteedWait {
+  readonly jobId: JobId;
+  readonly customerId: CustomerId;
+  readonly at: Instant;
+  readonly waitMs: number;
+}
+
+export class Measures {
+  readonly zone = new ZoneMeasures();
+  /** Cells visited by each call of `plan`. */
+  readonly visitedCells = new Times();
+  /** Waits beyond the reclaim bound. */
+  readonly overdue: GuaranteedWait[] = [];
+  refused = 0;
+  /** Jobs that should finish but were blamed for failures. */
+  wronglyBlamed = 0;
+  decisions = 0;
+  private readonly total = new JobMeasures();
+  private readonly customers = new Map<CustomerId, JobMeasures>();
+
+  finished(job: WorkloadJob, now: Instant): void {
+    if (!shouldFinish(job)) return;
+    const completion = now - job.record.submittedAt;
+    const runTimeMs = Math.max(SHORTEST_RUN_MS, job.runTimeMs);
+    for (const measures of this.of(job.record)) {
+      measures.completion.add(completion);
+      measures.slowdown.add((SLOWDOWN_SCALE * completion) / runTimeMs);
+    }
+  }
+
+  unfinished(job: WorkloadJob): void {
+    if (!shouldFinish(job)) return;
+    for (const measures of this.of(job.record)) measures.unfinished += 1;
+  }
+
+  startDelay(record: JobRecord, delayMs: number): void {
+    for (const each of this.of(record)) each.startDelay.add(delayMs);
+  }
+
+  guaranteedWait(record: JobRecord, waitMs: number): void {
+    for (const each of this.of(record)) each.guaranteedWait.add(waitMs);
+  }
+
+  urgentWait(record: JobRecord, waitMs: number): void {
+    for (const each of this.of(record)) each.urgentWait.add(waitMs);
+  }
+
+  preempted(record: JobRecord, lostMs: number): void {
+    const lostHours = hoursOf(record, lostMs);
+    for (const each of this.of(record)) {
+      each.preemptions += 1;
+      each.lostHours += lostHours;
+    }
+  }
+
+  setAsideForPower(record: JobRecord, lostMs: number): void {
+    const lostHours = hoursOf(record, lostMs);
+    for (const each of this.of(record)) each.lostToPowerHours += lostHours;
+  }
+
+  totalSummary(): JobsSummary {
+    return this.total.summary();
+  }
+
+  customerSummaries(): ReadonlyMap<CustomerId, JobsSummary> {
+    return new Map(
+      [...this.customers]
+        .sort(([one], [other]) => (one < other ? -1 : 1))
+        .map(([customerId, measures]) => [customerId, measures.summary()]),
+    );
+  }
+
+  private of(record: JobRecord): readonly [JobMeasures, JobMeasures] {
+    let measures = this.customers.get(record.customerId);
+    if (measures === undefined) {
+      measures = new JobMeasures();
+      this.customers.set(record.customerId, measures);
+    }
+    return [this.total, measures];
+  }
+}
+
+function hoursOf({shape}: JobRecord, milliseconds: number): number {
+  const accelerators = shape.tasks * shape.acceleratorsPerTask;
+  return (accelerators * milliseconds) / MILLISECONDS_PER_HOUR;
+}
--- /dev/null
+++ b/src/bench/occupancy.ts
@@ -0,0 +1,137 @@
+/**
+ * Which accelerators of a zone are in use, for measurements of fragmentation.
+ * It is kept from the placements alone and is the same for every policy.
+ */
+
+import type {VmId} from '../model/ids.js';
+import type {CellSize} from '../model/shapes.js';
+import {
+  ACCELERATORS_PER_RACK,
+  ACCELERATORS_PER_WORKER,
+  CELL_SIZES,
+} from '../model/shapes.js';
+import {Racks} from '../scheduling/racks.js';
+import type {GangPlacement, PlannedWorker} from '../scheduling/zone_planner.js';
+
+interface RackUse {
+  free: number;
+  /** By cell size, the number of disjoint free blocks of this size. */
+  blocks: readonly number[];
+}
+
+export class Occupancy {
+  private readonly racks = new Racks();
+  private readonly inUse = new Set<number>();
+  private readonly unavailable = new Set<VmId>();
+  private readonly uses = new Map<number, RackUse>();
+
+  /**
+   * `isAligned` is true for policies that place gangs on aligned cells only;
+   * the others can use any adjacent accelerators of a rack.
+   */
+  constructor(
+    workers: readonly PlannedWorker[],
+    private readonly isAligned: boolean,
+  ) {
+    for (const worker of workers) this.racks.set(worker);
+  }
+
+  occupy(placement: GangPlacement): void {
+    for (const position of this.positionsOf(placement)) {
+      this.inUse.add(position);
+    }
+  }
+
+  vacate(placement: GangPlacement): void {
+    for (const position of this.positionsOf(placement)) {
+      this.inUse.delete(position);
+    }
+  }
+
+  /** Quarantined workers have no free accelerators. */
+  setUnavailable(workerIds: readonly VmId[]): void {
+    if (
+      workerIds.length === this.unavailable.size &&
+      workerIds.every((workerId) => this.unavailable.has(workerId))
+    ) {
+      return;
+    }
+    this.unavailable.clear();
+    for (const workerId of workerIds) this.unavailable.add(workerId);
+    this.uses.clear();
+  }
+
+  /** Accelerators that gangs use. */
+  get used(): number {
+    return this.inUse.size;
+  }
+
+  get free(): number {
+    return this.rackUses().reduce((sum, rack) => sum + rack.free, 0);
+  }
+
+  /** Free accelerators that gangs of this size can use. */
+  usable(size: CellSize): number {
+    const level = CELL_SIZES.indexOf(size);
+    return this.rackUses().reduce(
+      (sum, rack) => sum + size * (rack.blocks[level] ?? 0),
+      0,
+    );
+  }
+
+  /** Racks with at least one free block of this size. */
+  racksAbleToHost(size: CellSize): number {
+    const level = CELL_SIZES.indexOf(size);
+    return this.rackUses().filter((rack) => (rack.blocks[level] ?? 0) > 0)
+      .length;
+  }
+
+  private rackUses(): readonly RackUse[] {
+    return Array.from({length: this.racks.rackCount}, (_, rack) => {
+      const known = this.uses.get(rack);
+      if (known !== undefined) return known;
+      const use = this.useOf(rack);
+      this.uses.set(rack, use);
+      return use;
+    });
+  }
+
+  private useOf(rack: number): RackUse {
+    const start = rack * ACCELERATORS_PER_RACK;
+    const free = Array.from({length: ACCELERATORS_PER_RACK}, (_, index) =>
+      this.isFree(start + index),
+    );
+    return {
+      free: free.filter((isFree) => isFree).length,
+      blocks: CELL_SIZES.map((size) => this.blocksIn(free, size)),
+    };
+  }
+
+  private blocksIn(free: readonly boolean[], size: CellSize): number {
+    const step = this.isAligned
+      ? size
+      : Math.min(size, ACCELERATORS_PER_WORKER);
+    let blocks = 0;
+    let at = 0;
+    while (at + size <= free.length) {
+      const isBlock = free.slice(at, at + size).every((isFree) => isFree);
+      if (isBlock) blocks += 1;
+      at += isBlock ? size : step;
+    }
+    return blocks;
+  }
+
+  private isFree(position: number): boolean {
+    const worker = this.racks.workerAt(position);
+    if (worker === undefined || !this.racks.isUsable(position)) return false;
+    return !this.unavailable.has(worker.workerId) && !this.inUse.has(position);
+  }
+
+  private positionsOf(placement: GangPlacement): readonly number[] {
+    return placement.tasks.flatMap(({workerId, accelerators}) => {
+      const first = this.racks.placeOf(workerId)?.position ?? 0;
+      this.uses.delete(Math.floor(first / ACCELERATORS_PER_RACK));
+      return accelerators.map((index) => first + index);
+    });
+  }
+}
--- /dev/null
+++ b/src/bench/replay.ts
@@ -0,0 +1,488 @@
+/**
+ * Replays a workload through a policy in virtual time. Workers are reduced to
+ * what the planner is told of them: a gang that is started runs for its
+ * actual run time, or fails on a worker that fails its tasks.
+ */
+
+import type {Customer, PowerState} from '../model/configuration.js';
+import type {CustomerId, Instant, JobId, VmId} from '../model/ids.js';
+import {after} from '../model/ids.js';
+import type {CellSize} from '../model/shapes.js';
+import {CELL_SIZES, cellSizeFor} from '../model/shapes.js';
+import {guaranteesFit} from '../scheduling/packing.js';
+import type {PoweredJob} from '../scheduling/power_plan.js';
+import {planForFuel} from '../scheduling/power_plan.js';
+import type {GangEnd, GangPlacement} from '../scheduling/zone_planner.js';
+import {GuaranteedWork, fitsGuaranteedCell} from './guaranteed_work.js';
+import type {JobsSummary, TimeSummary, ZoneSummary} from './measures.js';
+import {Measures} from './measures.js';
+import type {GuaranteedWait} from './measures.js';
+import {Occupancy} from './occupancy.js';
+import type {Policy, PolicyName} from './policies.js';
+import {createPolicy} from './policies.js';
+import {Timeline} from './timeline.js';
+import type {Workload, WorkloadEvent, WorkloadJob} from './workload.js';
+import {shouldFinish} from './workload.js';
+
+/** Default of the setting `reclaimBoundMs`. */
+export const RECLAIM_BOUND_MS = 1_000;
+/** Hold, read back and release: three calls within a zone. */
+const START_MS = 50;
+/** Time after which a task on a failing worker fails. */
+const FAULT_DELAY_MS = 5_000;
+/** Time after the last submission for jobs that are still queued. */
+const DRAIN_MS = 30 * 24 * 3_600_000;
+const IDLE_WORKER_WATTS = 300;
+const ACCELERATOR_WATTS = 300;
+const WATT_MILLISECONDS_PER_KILOWATT_HOUR = 3_600_000_000;
+
+export interface PolicyResult {
+  readonly policy: PolicyName;
+  readonly total: JobsSummary;
+  readonly customers: ReadonlyMap<CustomerId, JobsSummary>;
+  readonly zone: ZoneSummary;
+  /** Per call of `plan`; undefined if the policy does not count them. */
+  readonly visitedCells: TimeSummary | undefined;
+  readonly refused: number;
+  readonly wronglyBlamed: number;
+  /** Energy used while gangs ran on the generator. */
+  readonly generatorKilowattHours: number;
+  readonly overdue: readonly GuaranteedWait[];
+}
+
+/** Runs all of the workload's events and returns what was measured. */
+export function replay(workload: Workload, name: PolicyName): PolicyResult {
+  return new Replay(workload, createPolicy(name, workload)).run();
+}
+
+interface Attempt {
+  readonly placement: GangPlacement;
+  /** When the job came within its guarantee, if it was waiting in it. */
+  readonly owedSince: Instant | undefined;
+  startedAt: Instant | undefined;
+  /** Run time of this attempt that its last checkpoint holds. */
+  savedMs: number;
+  isLeaving: boolean;
+}
+
+interface JobState {
+  readonly job: WorkloadJob;
+  /** Run time that checkpoints of ended attempts hold. */
+  doneMs: number;
+  attempt: Attempt | undefined;
+  hasStarted: boolean;
+}
+
+class Replay {
+  private now: Instant;
+  private power: PowerState = {supply: 'grid'};
+  private generatorEnergy = 0;
+  private runningTasks = 0;
+  private guaranteesFit = true;
+  /** True if a step at this instant could change a decision. */
+  private needsDecision = false;
+  private checkedQuarantine = '';
+  private readonly timeline = new Timeline();
+  private readonly measures = new Measures();
+  private readonly occupancy: Occupancy;
+  private readonly guaranteedWork: GuaranteedWork;
+  private readonly customers: ReadonlyMap<CustomerId, Customer>;
+  /** Jobs that have not ended. */
+  private readonly states = new Map<JobId, JobState>();
+  private readonly failingWorkers = new Set<VmId>();
+  /** Waiting jobs of guaranteed shapes by cell size. */
+  private readonly waitingShapes = new Map<CellSize, number>();
+  private readonly wakeTimes = new Set<Instant>();
+
+  constructor(
+    private readonly workload: Workload,
+    private readonly policy: Policy,
+  ) {
+    const {configuration, availabilityZone, workers} = workload;
+    this.now = workload.startsAt;
+    this.customers = new Map(
+      configuration.customers.map((customer) => [customer.id, customer]),
+    );
+    this.occupancy = new Occupancy(workers, policy.isAligned);
+    this.guaranteedWork = new GuaranteedWork(
+      this.customers,
+      availabilityZone,
+      (record, waitMs) => {
+        const {jobId, customerId} = record;
+        this.measures.guaranteedWait(record, waitMs);
+        if (waitMs <= RECLAIM_BOUND_MS) return;
+        this.measures.overdue.push({jobId, customerId, at: this.now, waitMs});
+      },
+    );
+  }
+
+  run(): PolicyResult {
+    const {planner} = this.policy;
+    const {configuration, workers, events, endsAt} = this.workload;
+    planner.configure(configuration);
+    for (const worker of workers) planner.setWorker(worker, this.now);
+    for (const event of events) {
+      this.timeline.add(event.at, () => this.apply(event));
+    }
+    const limit = after(endsAt, DRAIN_MS);
+    let next = this.timeline.nextAt();
+    while (next !== undefined && next <= limit) {
+      this.advance(next);
+      this.needsDecision = false;
+      this.timeline.runDue(next);
+      if (this.needsDecision) this.decide();
+      next = this.timeline.nextAt();
+    }
+    for (const {job} of this.states.values()) {
+      this.guaranteedWork.ends(job.record, this.now);
+      this.measures.unfinished(job);
+    }
+    return this.result();
+  }
+
+  private result(): PolicyResult {
+    const {measures, policy, workload} = this;
+    const accelerators = workload.workers.reduce(
+      (sum, worker) => sum + worker.accelerators,
+      0,
+    );
+    const isCounted = policy.visitedCells() !== undefined;
+    return {
+      policy: policy.name,
+      total: measures.totalSummary(),
+      customers: measures.customerSummaries(),
+      zone: measures.zone.summary(accelerators),
+      visitedCells: isCounted ? measures.visitedCells.summary() : undefined,
+      refused: measures.refused,
+      wronglyBlamed: measures.wronglyBlamed,
+      generatorKilowattHours:
+        this.generatorEnergy / WATT_MILLISECONDS_PER_KILOWATT_HOUR,
+      overdue: measures.overdue,
+    };
+  }
+
+  private apply(event: WorkloadEvent): void {
+    this.needsDecision = true;
+    switch (event.kind) {
+      case 'submit':
+        this.submit(event.job);
+        return;
+      case 'cancel':
+        this.cancel(event.jobId);
+        return;
+      case 'workerFault':
+        if (event.failsTasks) this.failingWorkers.add(event.workerId);
+        else this.failingWorkers.delete(event.workerId);
+        return;
+      case 'power':
+        this.power = event.power;
+        if (event.power.supply === 'generator') this.saveFuel(event.power);
+        return;
+    }
+  }
+
+  /** Accounts for the time up to `to`, in which nothing changed. */
+  private advance(to: Instant): void {
+    const lengthMs = Math.min(to, this.workload.endsAt) - this.now;
+    if (this.power.supply === 'generator') {
+      if (this.occupancy.used > 0) {
+        this.generatorEnergy += this.drawWatts() * (to - this.now);
+      }
+    } else if (lengthMs > 0) {
+      const waiting = this.largestWaiting();
+      const {zone} = this.measures;
+      zone.add(this.occupancy, waiting, this.runningTasks, lengthMs);
+    }
+    this.now = to;
+  }
+
+  private decide(): void {
+    const {planner} = this.policy;
+    const quarantined = planner.quarantined(this.now);
+    this.occupancy.setUnavailable(quarantined);
+    const isProtected =
+      this.power.supply === 'grid' && this.doGuaranteesFit(quarantined);
+    this.guaranteedWork.update(isProtected, this.now);
+    if (this.power.supply !== 'grid') return;
+    const visitedBefore = this.policy.visitedCells();
+    for (const action of planner.plan(this.now)) {
+      if (action.kind === 'start') this.start(action.placement);
+      else this.preempt(action.jobId);
+    }
+    const visited = this.policy.visitedCells();
+    if (visited !== undefined && visitedBefore !== undefined) {
+      this.measures.visitedCells.add(visited - visitedBefore);
+    }
+    this.wakeAt(planner.nextDecisionAt(this.now));
+  }
+
+  private wakeAt(at: Instant | undefined): void {
+    if (at === undefined || this.wakeTimes.has(at)) return;
+    this.wakeTimes.add(at);
+    this.timeline.add(at, () => {
+      this.wakeTimes.delete(at);
+      this.needsDecision = true;
+    });
+  }
+
+  /** True if the workers that take tasks can hold all guarantees. */
+  private doGuaranteesFit(quarantined: readonly VmId[]): boolean {
+    const key = quarantined.join();
+    if (key === this.checkedQuarantine) return this.guaranteesFit;
+    const {configuration, workers, availabilityZone} = this.workload;
+    const shortfall = guaranteesFit(
+      configuration.customers,
+      workers.filter(({workerId}) => !quarantined.includes(workerId)),
+      availabilityZone,
+    );
+    this.checkedQuarantine = key;
+    this.guaranteesFit = shortfall === undefined;
+    return this.guaranteesFit;
+  }
+
+  private submit(job: WorkloadJob): void {
+    const {record} = job;
+    if (this.policy.planner.check(record).isErr) {
+      this.measures.refused += 1;
+      return;
+    }
+    const state: JobState = {
+      job,
+      doneMs: 0,
+      attempt: undefined,
+      hasStarted: false,
+    };
+    this.states.set(record.jobId, state);
+    this.enqueue(state);
+  }
+
+  private enqueue({job}: JobState): void {
+    this.countWaiting(job, 1);
+    this.guaranteedWork.waits(job.record);
+    this.policy.planner.enqueue(job.record, this.now);
+  }
+
+  private cancel(jobId: JobId): void {
+    const state = this.states.get(jobId);
+    if (state === undefined) return;
+    if (state.attempt !== undefined) {
+      this.endAttempt(state, state.attempt, {kind: 'cancelled'});
+    } else {
+      this.countWaiting(state.job, -1);
+      this.policy.planner.dequeue(jobId);
+    }
+    this.endJob(state);
+  }
+
+  private start(placement: GangPlacement): void {
+    const state = this.states.get(placement.jobId);
+    if (state === undefined || state.attempt !== undefined) {
+      throw new Error(`${placement.jobId} was started but does not wait`);
+    }
+    const {record} = state.job;
+    const attempt: Attempt = {
+      placement,
+      owedSince: this.guaranteedWork.owedSinceOf(record.jobId),
+      startedAt: undefined,
+      savedMs: 0,
+      isLeaving: false,
+    };
+    state.attempt = attempt;
+    this.countWaiting(state.job, -1);
+    this.guaranteedWork.starts(record, this.now);
+    this.occupancy.occupy(placement);
+    this.runningTasks += placement.tasks.length;
+    this.noteFirstStart(state);
+    this.when(state, attempt, START_MS, () => this.release(state, attempt));
+  }
+
+  private noteFirstStart(state: JobState): void {
+    const {record} = state.job;
+    if (state.hasStarted) return;
+    state.hasStarted = true;
+    const customer = this.customers.get(record.customerId);
+    const {availabilityZone} = this.workload;
+    if (!fitsGuaranteedCell(record, customer, availabilityZone)) return;
+    if (!shouldFinish(state.job)) return;
+    this.measures.startDelay(record, this.now - record.submittedAt);
+  }
+
+  /** The gang's tasks are released and run. */
+  private release(state: JobState, attempt: Attempt): void {
+    if (attempt.isLeaving) return;
+    const {job} = state;
+    const {record} = job;
+    attempt.startedAt = this.now;
+    this.policy.planner.gangStarted(record.jobId, this.now);
+    if (record.urgency === 'urgent' && attempt.owedSince !== undefined) {
+      this.measures.urgentWait(record, this.now - attempt.owedSince);
+    }
+    const workerIds = attempt.placement.tasks.map((task) => task.workerId);
+    const failing = workerIds.find((id) => this.failingWorkers.has(id));
+    if (failing !== undefined) {
+      this.failLater(state, attempt, failing, FAULT_DELAY_MS);
+    } else if (job.failsAfterMs !== undefined) {
+      const [first] = workerIds;
+      if (first === undefined) throw new Error('a gang has no tasks');
+      this.failLater(state, attempt, first, job.failsAfterMs);
+    } else {
+      const leftMs = job.runTimeMs - state.doneMs;
+      this.when(state, attempt, leftMs, () => this.finish(state, attempt));
+      this.checkpointLater(state, attempt);
+    }
+  }
+
+  private failLater(
+    state: JobState,
+    attempt: Attempt,
+    workerId: VmId,
+    delayMs: number,
+  ): void {
+    this.when(state, attempt, delayMs, () => {
+      const end: GangEnd = {kind: 'failed', workerId};
+      const isBlamed = this.endAttempt(state, attempt, end);
+      if (!isBlamed) {
+        this.enqueue(state);
+        return;
+      }
+      if (shouldFinish(state.job)) this.measures.wronglyBlamed += 1;
+      this.endJob(state);
+    });
+  }
+
+  private finish(state: JobState, attempt: Attempt): void {
+    this.endAttempt(state, attempt, {kind: 'finished'});
+    this.measures.finished(state.job, this.now);
+    this.endJob(state);
+  }
+
+  private checkpointLater(state: JobState, attempt: Attempt): void {
+    const {job} = state;
+    this.when(state, attempt, job.checkpointIntervalMs, () => {
+      if (attempt.isLeaving) return;
+      attempt.savedMs = this.ranMs(attempt);
+      this.policy.planner.checkpointed(job.record.jobId, this.now);
+      this.checkpointLater(state, attempt);
+    });
+  }
+
+  private preempt(jobId: JobId): void {
+    const state = this.states.get(jobId);
+    if (state?.attempt === undefined) {
+      throw new Error(`${jobId} was preempted but does not run`);
+    }
+    const {record} = state.job;
+    this.setAside(state, state.attempt, (lostMs) =>
+      this.measures.preempted(record, lostMs),
+    );
+  }
+
+  /** Checkpoints and stops the gang; what no checkpoint holds is lost. */
+  private setAside(
+    state: JobState,
+    attempt: Attempt,
+    onStopped: (lostMs: number) => void,
+  ): void {
+    if (attempt.isLeaving) return;
+    attempt.isLeaving = true;
+    const {checkpointMs} = state.job;
+    const isInTime = checkpointMs <= RECLAIM_BOUND_MS;
+    const savedMs = isInTime ? this.ranMs(attempt) : attempt.savedMs;
+    const hasStarted = attempt.startedAt !== undefined;
+    const stopMs = hasStarted
+      ? Math.min(checkpointMs, RECLAIM_BOUND_MS)
+      : START_MS;
+    this.when(state, attempt, stopMs, () => {
+      state.doneMs += savedMs;
+      onStopped(this.ranMs(attempt) - savedMs);
+      this.endAttempt(state, attempt, {kind: 'setAside'});
+      this.enqueue(state);
+    });
+  }
+
+  private endAttempt(state: JobState, attempt: Attempt, end: GangEnd): boolean {
+    state.attempt = undefined;
+    this.needsDecision = true;
+    this.occupancy.vacate(attempt.placement);
+    this.runningTasks -= attempt.placement.tasks.length;
+    const {jobId} = attempt.placement;
+    return this.policy.planner.gangEnded(jobId, end, this.now);
+  }
+
+  private endJob({job}: JobState): void {
+    this.states.delete(job.record.jobId);
+    this.guaranteedWork.ends(job.record, this.now);
+  }
+
+  /** Runs a step later unless the attempt has ended by then. */
+  private when(
+    state: JobState,
+    attempt: Attempt,
+    delayMs: number,
+    run: () => void,
+  ): void {
+    this.timeline.add(after(this.now, delayMs), () => {
+      if (state.attempt === attempt) run();
+    });
+  }
+
+  private ranMs(attempt: Attempt): number {
+    return attempt.startedAt === undefined ? 0 : this.now - attempt.startedAt;
+  }
+
+  private saveFuel(fuel: Extract<PowerState, {supply: 'generator'}>): void {
+    const running = [...this.states.values()].flatMap((state) =>
+      state.attempt === undefined ? [] : [{state, attempt: state.attempt}],
+    );
+    const jobs = running.map(({state, attempt}) =>
+      this.poweredJob(state, attempt),
+    );
+    const plan = planForFuel(jobs, fuel, this.drawWatts(), this.now);
+    const steps = new Map(plan.steps.map((step) => [step.jobId, step]));
+    for (const {state, attempt} of running) {
+      const step = steps.get(state.job.record.jobId);
+      const stop = () =>
+        this.setAside(state, attempt, (lostMs) =>
+          this.measures.setAsideForPower(state.job.record, lostMs),
+        );
+      if (step?.kind !== 'finish') stop();
+      else this.when(state, attempt, step.endsBy - this.now, stop);
+    }
+  }
+
+  private poweredJob({job, doneMs}: JobState, attempt: Attempt): PoweredJob {
+    const {tasks, acceleratorsPerTask} = job.record.shape;
+    const accelerators = tasks * acceleratorsPerTask;
+    const estimate = this.policy.estimatedRunTimeMs(job.record);
+    const ranMs = this.ranMs(attempt);
+    return {
+      jobId: job.record.jobId,
+      guaranteed: attempt.placement.guaranteed,
+      remainingRunTimeMs: Math.max(0, estimate - doneMs - ranMs),
+      drawWatts: accelerators * ACCELERATOR_WATTS,
+      checkpointMs: Math.min(job.checkpointMs, RECLAIM_BOUND_MS),
+      workSinceCheckpoint: (ranMs - attempt.savedMs) * accelerators,
+    };
+  }
+
+  private drawWatts(): number {
+    const idle = this.workload.workers.length * IDLE_WORKER_WATTS;
+    return idle + this.occupancy.used * ACCELERATOR_WATTS;
+  }
+
+  private countWaiting({record}: WorkloadJob, difference: number): void {
+    const size = cellSizeFor(record.shape);
+    const customer = this.customers.get(record.customerId);
+    const {availabilityZone} = this.workload;
+    if (size === undefined) return;
+    if (!fitsGuaranteedCell(record, customer, availabilityZone)) return;
+    const count = this.waitingShapes.get(size) ?? 0;
+    this.waitingShapes.set(size, count + difference);
+  }
+
+  private largestWaiting(): CellSize | undefined {
+    return [...CELL_SIZES]
+      .reverse()
+      .find((size) => (this.waitingShapes.get(size) ?? 0) > 0);
+  }
+}
--- /dev/null
+++ b/test/bench_targets.test.ts
@@ -0,0 +1,153 @@
+/**
+ * Guards against policies that miss the project's stated targets. The bounds
+ * are the targets themselves, not figures of earlier runs.
+ */
+
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {RECLAIM_BOUND_MS, replay} from '../src/bench/replay.js';
+import type {PolicyResult} from '../src/bench/replay.js';
+import {createWorkload} from '../src/bench/workloads.js';
+import {SEEDS, SITES, checkTarget, replayed} from './bench_support.js';
+
+/** Start of urgent work, besides the time of the borrowers' checkpoints. */
+const URGENT_START_MS = 1_100;
+const FIFO_COMPLETION_SHARE = 0.5;
+const BEST_FIT_FRAGMENTATION_SHARE = 0.5;
+const TARGET_WORKERS = 540;
+const WORKERS_TODAY = 10;
+const DECISION_COST_FACTOR = 4;
+
+/** Fails if guaranteed work waited longer than the reclaim bound. */
+function checkGuaranteedWaits(result: PolicyResult, label: string): void {
+  const {guaranteedWait, unfinished} = result.total;
+  assert.ok(guaranteedWait.count > 0, `${label}: no guaranteed work waited`);
+  assert.equal(unfinished, 0, `${label}: jobs did not finish`);
+  assert.deepEqual(result.overdue, [], label);
+}
+
+for (const site of SITES) {
+  checkTarget(
+    `guaranteed work waits at most the reclaim bound, ${site}`,
+    () => {
+      for (const seed of SEEDS) {
+        const result = replayed(site, seed, 'cells', false);
+        checkGuaranteedWaits(result, `${site}, seed ${seed}`);
+      }
+    },
+  );
+
+  checkTarget(
+    `guaranteed work waits at most the reclaim bound while workers fail, ` +
+      site,
+    () => {
+      for (const seed of SEEDS) {
+        const result = replayed(site, seed, 'cells', true);
+        checkGuaranteedWaits(result, `${site}, seed ${seed}`);
+      }
+    },
+  );
+
+  checkTarget(`urgent work starts in time, ${site}`, () => {
+    for (const seed of SEEDS) {
+      const {urgentWait} = replayed(site, seed, 'cells', false).total;
+      assert.ok(urgentWait.count > 0, `seed ${seed}: no urgent work`);
+      const bound = URGENT_START_MS + RECLAIM_BOUND_MS;
+      assert.ok(urgentWait.worst <= bound, `seed ${seed}: ${urgentWait.worst}`);
+    }
+  });
+
+  checkTarget(`no customer waits longer than on its own share, ${site}`, () => {
+    for (const seed of SEEDS) {
+      const shared = replayed(site, seed, 'cells', false);
+      const alone = replayed(site, seed, 'static-partition', false);
+      for (const [
+        customerId,
+        {startDelay, guaranteedWait},
+      ] of shared.customers) {
+        const label = `seed ${seed}, ${customerId}`;
+        const own = alone.customers.get(customerId);
+        assert.ok(own !== undefined, label);
+        const ownWait = own.guaranteedWait.worst;
+        assert.ok(guaranteedWait.worst <= ownWait + RECLAIM_BOUND_MS, label);
+        const ownDelay = own.startDelay.worst;
+        assert.ok(startDelay.worst <= ownDelay + RECLAIM_BOUND_MS, label);
+      }
+    }
+  });
+
+  checkTarget(`lent capacity shortens completion, ${site}`, () => {
+    for (const seed of SEEDS) {
+      const shared = replayed(site, seed, 'cells', false);
+      const alone = replayed(site, seed, 'static-partition', false);
+      for (const [customerId, {completion}] of shared.customers) {
+        const own = alone.customers.get(customerId)?.completion.mean ?? 0;
+        const label = `seed ${seed}, ${customerId}: ${completion.mean} ${own}`;
+        assert.ok(completion.mean < own, label);
+      }
+    }
+  });
+}
+
+checkTarget(
+  'completion is at most half of first-in-first-out, kettleby',
+  () => {
+    for (const seed of SEEDS) {
+      const cells = replayed('kettleby', seed, 'cells', true).total;
+      const fifo = replayed('kettleby', seed, 'fifo-first-fit', true).total;
+      const bound = FIFO_COMPLETION_SHARE * fifo.completion.mean;
+      const label = `seed ${seed}: ${cells.completion.mean} over ${bound}`;
+      assert.ok(cells.completion.mean <= bound, label);
+    }
+  },
+);
+
+checkTarget('fragmentation is at most half of best fit, iloilo', () => {
+  const missed = SEEDS.flatMap((seed) => {
+    const cells = replayed('iloilo', seed, 'cells', true).zone;
+    const bestFit = replayed('iloilo', seed, 'best-fit', true).zone;
+    const bound = BEST_FIT_FRAGMENTATION_SHARE * bestFit.fragmentation;
+    if (cells.fragmentation <= bound) return [];
+    return [`seed ${seed}: ${cells.fragmentation} over ${bound}`];
+  });
+  assert.deepEqual(missed, []);
+});
+
+checkTarget('a decision costs at most 4 times as much at target size', () => {
+  const costOf = (workers: number, hours: number) => {
+    const options = {seed: 1, hours, workers};
+    const workload = createWorkload('target-zone', options);
+    const {visitedCells} = replay(workload, 'cells');
+    assert.ok(visitedCells !== undefined && visitedCells.count > 100);
+    return visitedCells;
+  };
+  const today = costOf(WORKERS_TODAY, 48);
+  const target = costOf(TARGET_WORKERS, 10);
+  for (const figure of ['mean', 'p99'] as const) {
+    const bound = DECISION_COST_FACTOR * today[figure];
+    assert.ok(target[figure] <= bound, `${figure}: ${target[figure]}`);
+  }
+});
+
+// A replay that depends on anything but its seed would make every bound above
+// change its verdict from run to run.
+test('the same seed gives the same figures', () => {
+  const once = () =>
+    replay(createWorkload('iloilo', {seed: 7, hours: 12}), 'cells');
+  assert.deepEqual(once(), once());
+});
+
+// Guards against a replay in which the faults of the workload have no effect.
+test('the workload has cancellations, faults, a power cut and a refusal', () => {
+  const {events} = createWorkload('kettleby', {seed: 1, hours: 48});
+  const kinds = new Set(events.map((event) => event.kind));
+  assert.deepEqual([...kinds].sort(), [
+    'cancel',
+    'power',
+    'submit',
+    'workerFault',
+  ]);
+  const result = replayed('kettleby', 1, 'cells', true);
+  assert.equal(result.refused, 1);
+  assert.ok(result.generatorKilowattHours <= 30);
+});
