Let customers ask for work in proportion to their guarantees

Classes were picked with equal probability, so the customer with the largest gangs asked for more than twice its guarantee and no policy could keep up with it.

--- a/src/bench/workloads.ts
+++ b/src/bench/workloads.ts
@@ -12,7 +12,12 @@
   JobClass,
 } from '../model/configuration.js';
 import {EMPTY_CONFIGURATION, applyChange} from '../model/configuration.js';
-import type {AvailabilityZone, Instant, VmId} from '../model/ids.js';
+import type {
+  AvailabilityZone,
+  CustomerId,
+  Instant,
+  VmId,
+} from '../model/ids.js';
 import {after, instant, trustedId} from '../model/ids.js';
 import {
   parseQuestionnaireText,
@@ -296,7 +301,7 @@
 class JobGenerator {
   private readonly created: WorkloadJob[] = [];
   /** Accelerator milliseconds that are still to be asked for. */
-  private workLeft: number;
+  private readonly workLeft = new Map<CustomerId, number>();
   private readonly classes: readonly JobClass[];
 
   constructor(
@@ -304,30 +309,48 @@
     private readonly random: SeededRandom,
     private readonly endsAt: Instant,
   ) {
-    const accelerators = generation.workers.reduce(
-      (sum, worker) => sum + worker.accelerators,
-      0,
-    );
-    this.workLeft = LOAD * accelerators * (endsAt - STARTS_AT);
-    this.classes = generation.configuration.workClasses.filter(
+    const {configuration, workers} = generation;
+    this.classes = configuration.workClasses.filter(
       (workClass) => workClass.kind === 'job',
     );
+    const accelerators = sumOf(workers, (worker) => worker.accelerators);
+    const work = LOAD * accelerators * (endsAt - STARTS_AT);
+    const guaranteed = configuration.customers.map((customer) => ({
+      customerId: customer.id,
+      accelerators: guaranteedTo(customer, generation.availabilityZone),
+    }));
+    const total = sumOf(guaranteed, (share) => share.accelerators);
+    for (const share of guaranteed) {
+      const part = share.accelerators / total;
+      if (part > 0) this.workLeft.set(share.customerId, work * part);
+    }
   }
 
+  /** Customers ask for work in proportion to their guarantees. */
   jobs(): readonly WorkloadJob[] {
-    while (this.workLeft > 0) this.addBurst();
+    for (const customerId of this.workLeft.keys()) {
+      const classes = this.classes.filter(
+        (workClass) => workClass.customerId === customerId,
+      );
+      while (this.asksForMore(customerId)) this.addBurst(classes);
+    }
     this.addOversized();
     return this.created;
   }
 
+  private asksForMore(customerId: CustomerId): boolean {
+    return (this.workLeft.get(customerId) ?? 0) > 0;
+  }
+
   /** A few gangs, or a larger number of jobs of one or two accelerators. */
-  private addBurst(): void {
+  private addBurst(classes: readonly JobClass[]): void {
     const lengthMs = this.endsAt - STARTS_AT;
     const at = after(STARTS_AT, Math.floor(this.random.next() * lengthMs));
-    const workClass = pick(this.classes, this.random);
+    const workClass = pick(classes, this.random);
     const isSmall = workClass.shape.acceleratorsPerTask <= 2;
     const count = 1 + this.random.nextBelow(isSmall ? 8 : 3);
-    for (let index = 0; index < count && this.workLeft > 0; index += 1) {
+    for (let index = 0; index < count; index += 1) {
+      if (!this.asksForMore(workClass.customerId)) return;
       this.add(workClass, after(at, this.random.nextBelow(MINUTE_MS)));
     }
   }
@@ -351,7 +374,9 @@
     const hasSlowCheckpoint = random.next() < SLOW_CHECKPOINT_SHARE;
     const {tasks, acceleratorsPerTask} = workClass.shape;
     if (!fails && !isCancelled) {
-      this.workLeft -= tasks * acceleratorsPerTask * runTimeMs;
+      const left = this.workLeft.get(workClass.customerId) ?? 0;
+      const work = tasks * acceleratorsPerTask * runTimeMs;
+      this.workLeft.set(workClass.customerId, left - work);
     }
     this.created.push({
       record: this.record(workClass, submittedAt, runTimeMs),
@@ -395,6 +420,18 @@
   }
 }
 
+/** Accelerators that the customer is guaranteed in the zone. */
+function guaranteedTo(customer: Customer, zone: AvailabilityZone): number {
+  const guarantees = customer.guarantees.filter(
+    (guarantee) => guarantee.availabilityZone === zone,
+  );
+  return sumOf(guarantees, ({cellSize, cells}) => cellSize * cells);
+}
+
+function sumOf<T>(items: readonly T[], value: (item: T) => number): number {
+  return items.reduce((sum, item) => sum + value(item), 0);
+}
+
 function nextCancelWave(submittedAt: Instant): Instant {
   const since = submittedAt - STARTS_AT;
   const wave = Math.floor(since / CANCEL_WAVE_INTERVAL_MS) + 1;
