Keep the claim of guaranteed work whose cell is being reclaimed

The rule for work within its guarantee let an older job of the same customer that was queued again overtake one whose cell was being reclaimed, and counted preempted gangs as users of the guarantee.

--- a/src/bench/guaranteed_work.ts
+++ b/src/bench/guaranteed_work.ts
@@ -47,6 +47,11 @@
     if (size !== undefined) jobs.running.set(record.jobId, size);
   }
 
+  /** The job's gang is preempted, so it uses no guarantee any more. */
+  leaves(record: JobRecord): void {
+    this.jobsOf(record.customerId).running.delete(record.jobId);
+  }
+
   ends(record: JobRecord, now: Instant): void {
     const jobs = this.jobsOf(record.customerId);
     this.endWait(record, now);
@@ -78,7 +83,9 @@
     const {running, waiting} = this.jobsOf(customerId);
     this.changed.delete(customerId);
     const ahead = [...running.values()];
-    const records = [...waiting.values()].sort(compareRecords);
+    const records = [...waiting.values()].sort((one, other) =>
+      this.compareClaims(one, other),
+    );
     for (const record of records) {
       const size = cellSizeFor(record.shape);
       if (size === undefined) continue;
@@ -91,6 +98,16 @@
     }
   }
 
+  /**
+   * A job whose cell is being reclaimed keeps its claim when an older job of
+   * its customer is queued again.
+   */
+  private compareClaims(one: JobRecord, other: JobRecord): number {
+    const first = this.owedSince.get(one.jobId) ?? Infinity;
+    const second = this.owedSince.get(other.jobId) ?? Infinity;
+    return first === second ? compareRecords(one, other) : first - second;
+  }
+
   /**
    * True if a guaranteed cell of this size is unused wherever the jobs ahead
    * are: each takes at most one such cell, or several if it is larger.
--- a/src/bench/replay.ts
+++ b/src/bench/replay.ts
@@ -209,6 +209,8 @@
       if (action.kind === 'start') this.start(action.placement);
       else this.preempt(action.jobId);
     }
+    // A preempted gang leaves its customer's guarantee to the next job.
+    this.guaranteedWork.update(isProtected, this.now);
     const visited = this.policy.visitedCells();
     if (visited !== undefined && visitedBefore !== undefined) {
       this.measures.visitedCells.add(visited - visitedBefore);
@@ -385,6 +387,7 @@
   ): void {
     if (attempt.isLeaving) return;
     attempt.isLeaving = true;
+    this.guaranteedWork.leaves(state.job.record);
     const {checkpointMs} = state.job;
     const isInTime = checkpointMs <= RECLAIM_BOUND_MS;
     const savedMs = isInTime ? this.ranMs(attempt) : attempt.savedMs;
