Measure fragmentation for guaranteed work separately

The target's "largest waiting guaranteed shape" can mean any waiting job that fits a guaranteed cell or work that waits within its guarantee. Both are measured and checked.

--- a/src/bench/replay.ts
+++ b/src/bench/replay.ts
@@ -191,7 +191,8 @@
     } else if (lengthMs > 0) {
       const waiting = this.largestWaiting();
       const {zone} = this.measures;
-      zone.add(this.occupancy, waiting, this.runningTasks, lengthMs);
+      const owed = this.guaranteedWork.largestOwed();
+      zone.add(this.occupancy, waiting, owed, this.runningTasks, lengthMs);
     }
     this.now = to;
   }
@@ -484,8 +485,8 @@
   }
 
   private largestWaiting(): CellSize | undefined {
-    return [...CELL_SIZES]
-      .reverse()
-      .find((size) => (this.waitingShapes.get(size) ?? 0) > 0);
+    return CELL_SIZES.findLast(
+      (size) => (this.waitingShapes.get(size) ?? 0) > 0,
+    );
   }
 }
