Test record before hold, duplicate gangs and unread records directly

Cause: with three mechanisms switched off one at a time no test failed: the wait for the record before the first hold, the choice between two gangs of one job, and the wait of a rebuilt job for the store. Ruled out: more runs of two concurrent schedulers (they meet these cases only by chance).

--- a/test/zone_controller_faults.test.ts
+++ b/test/zone_controller_faults.test.ts
@@ -53,11 +53,15 @@
   return store.record(id)?.state === state;
 }
 
-/** Puts a gang on the first workers as an earlier scheduler left it. */
-function placeGang(gang: string, states: ReadonlyArray<TaskState | 'absent'>) {
+/** Puts a gang on workers as another scheduler left it. */
+function placeGang(
+  gang: string,
+  states: ReadonlyArray<TaskState | 'absent'>,
+  firstWorker = 0,
+): void {
   const members = states.map((_, index) => ({
     taskId: trustedId<TaskId>(`${gang}.${index}`),
-    workerId: vms[index]?.vmId ?? trustedId('none'),
+    workerId: vms[firstWorker + index]?.vmId ?? trustedId('none'),
   }));
   members.forEach(({taskId, workerId}, index) => {
     const state = states[index];
@@ -273,7 +277,8 @@
     () => scheduler.controller.jobs().length === 1,
   );
   for (let turn = 0; turn < 50; turn += 1) await new Promise(setImmediate);
-  assert.deepEqual(workers.releases, []);
+  assert.deepEqual(scheduler.planner.queue, []);
+  assert.equal(scheduler.planner.placements.size, 0);
   store.down = false;
   await until('the rest is removed', () => workers.tasksOf(jobId).length === 0);
   assert.equal(scheduler.state(jobId), 'finished');
@@ -305,6 +310,38 @@
   });
 }
 
+// Guards against two starts of a job that the store would have told apart, and
+// against a queued record of a job of which something is held.
+test('a gang is held only after its record is stored', async () => {
+  store.writeMs = 20;
+  const seen: unknown[] = [];
+  workers.fault = (call) => {
+    if (call === 'hold') seen.push(store.record(jobId)?.state);
+    return undefined;
+  };
+  await startJob();
+  assert.deepEqual(seen, ['starting', 'starting']);
+});
+
+// Guards against two gangs of one job that run on after a partition. All
+// schedulers have to keep the same one.
+for (const [gang, kept] of [
+  ['a-gang', 'the found'],
+  ['z-gang', 'the own'],
+] as const) {
+  test(`of ${gang} and an own gang, ${kept} one runs on`, async () => {
+    const scheduler = await startJob();
+    placeGang(gang, ['running', 'running'], 2);
+    await until('one is left', () => workers.tasksOf(jobId).length === 2);
+    const isFound = workers.tasksOf(jobId)[0]?.gangId === gang;
+    assert.equal(isFound, kept === 'the found');
+    await until('the planner counts it', () => {
+      return scheduler.planner.placements.size === 1;
+    });
+    assert.ok(workers.isRunning(jobId, 2));
+  });
+}
+
 // Guards against two schedulers that run one job twice although the store
 // could tell them apart.
 test('two schedulers with the store run each job once', async () => {
--- a/test/zone_fakes.ts
+++ b/test/zone_fakes.ts
@@ -272,6 +272,8 @@
 
 export class FakeStore extends KeyValueStore {
   down = false;
+  /** Time that a write takes. */
+  writeMs = 0;
   /** Decides on the fate of each write. */
   writeFault: (key: string, record: JobRecord) => Fault = () => undefined;
   /** Every value that was written, in order. */
@@ -316,7 +318,7 @@
   override async put(key: string, value: string, expected: number) {
     this.writesNow += 1;
     this.mostWritesAtOnce = Math.max(this.mostWritesAtOnce, this.writesNow);
-    await delay(0);
+    await delay(this.writeMs);
     this.writesNow -= 1;
     if (this.down) return away<number>();
     const record = JSON.parse(value) as JobRecord;
