Test the stop after a release that finds nothing

Cause: with releaseNotFound taken for a release no test failed. Ruled out: leaving it to the watch (the part runs until the list is read).

--- /dev/null
+++ b/test/gang_protocol.test.ts
@@ -0,0 +1,36 @@
+/** Guards against steps that only a later watch would make good. */
+
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {instant, trustedId} from '../src/model/ids.js';
+import type {TaskId, VmId} from '../src/model/ids.js';
+import {stepGang} from '../src/scheduling/gang_protocol.js';
+import type {GangState} from '../src/scheduling/gang_state.js';
+
+const now = instant(1);
+const [first, second] = ['g.0', 'g.1'].map((id) => trustedId<TaskId>(id));
+
+// Guards against a part of a gang that runs until the next list is read.
+test('a member that is not found at its release stops the gang', () => {
+  assert.ok(first !== undefined && second !== undefined);
+  const members = [first, second].map((taskId) => ({
+    taskId,
+    workerId: trustedId<VmId>(`w-${taskId}`),
+    phase: 'releasing' as const,
+    since: now,
+  }));
+  const gang: GangState = {
+    phase: 'releasing',
+    members,
+    maximumReads: 1,
+    reads: [],
+  };
+  const released = stepGang(gang, {kind: 'released', taskId: first}, now);
+  const event = {kind: 'releaseNotFound', taskId: second} as const;
+  const {gang: stopped, actions} = stepGang(released.gang, event, now);
+  assert.equal(stopped.phase, 'removing');
+  assert.deepEqual(
+    actions.map(({kind}) => kind),
+    ['remove', 'remove'],
+  );
+});
