Test gang jobs while schedulers and workers fail

The workers' run log now names the job and the size of the gang, since the checks need both and the store keeps only the last attempt's gang. findPartialGangs replaces longestPartialRunMs, which looked at starts only and missed a gang of which one member ended early.

Ruled out: a site of four workers; at most a fifth of the workers may be quarantined, so a zone of four retries on the failing worker for good.

--- a/src/demo/demo_site.ts
+++ b/src/demo/demo_site.ts
@@ -12,10 +12,8 @@
 import {OperatorClient} from '../cli/operator_client.js';
 import {Caller} from '../harness/caller.js';
 import type {AcceptedJob} from '../harness/caller.js';
-import {
-  findSharedAccelerators,
-  reconcileRequests,
-} from '../harness/reconciler.js';
+import {findSharedAccelerators} from '../harness/job_reconciler.js';
+import {reconcileRequests} from '../harness/reconciler.js';
 import type {Reconciliation} from '../harness/reconciler.js';
 import {SiteFixture, fleetSchema} from '../harness/site_fixture.js';
 import type {CleanupScope} from '../lifecycle/cleanup_scope.js';
--- /dev/null
+++ b/src/harness/job_reconciler.ts
@@ -0,0 +1,205 @@
+/**
+ * Checks gang jobs against the workers' run logs and the store, which are the
+ * truth; what a daemon says counts for nothing here.
+ */
+
+import type {GangId, JobId, TaskId, VmId} from '../model/ids.js';
+import {hasEnded, jobRecordSchema} from '../model/jobs.js';
+import type {JobRecord} from '../model/jobs.js';
+import type {StoreEntry} from '../platform/key_value_store.js';
+import type {RunEvent, TaskEvent} from '../standins/run_log.js';
+
+/** When each killed worker died, in milliseconds since the Unix epoch. */
+export type WorkerDeaths = ReadonlyMap<VmId, number>;
+
+const NO_DEATHS: WorkerDeaths = new Map();
+
+/** A period in which one task ran. */
+interface TaskRun {
+  readonly event: TaskEvent;
+  readonly endedAt: number;
+  /** It did all of its work. */
+  readonly finished: boolean;
+}
+
+const TASK_ENDS: ReadonlySet<RunEvent['event']> = new Set([
+  'removed',
+  'finished',
+  'failed',
+  'leaseLapsed',
+]);
+
+function taskRuns(
+  events: readonly RunEvent[],
+  deaths: WorkerDeaths,
+): readonly TaskRun[] {
+  const started = new Map<TaskId, TaskEvent>();
+  const runs: TaskRun[] = [];
+  for (const event of events) {
+    if (!('taskId' in event)) continue;
+    if (event.event === 'released') started.set(event.taskId, event);
+    const start = started.get(event.taskId);
+    if (!start || !TASK_ENDS.has(event.event)) continue;
+    const finished = event.event === 'finished';
+    runs.push({event: start, endedAt: event.at, finished});
+    started.delete(event.taskId);
+  }
+  for (const event of started.values()) {
+    const endedAt = deaths.get(event.workerId) ?? Number.POSITIVE_INFINITY;
+    runs.push({event, endedAt, finished: false});
+  }
+  return runs;
+}
+
+function groupBy<K>(
+  runs: readonly TaskRun[],
+  key: (run: TaskRun) => K,
+): ReadonlyMap<K, readonly TaskRun[]> {
+  const groups = new Map<K, TaskRun[]>();
+  for (const run of runs) {
+    const group = groups.get(key(run)) ?? [];
+    group.push(run);
+    groups.set(key(run), group);
+  }
+  return groups;
+}
+
+/** Returns a sentence for each pair of tasks that shared an accelerator. */
+export function findSharedAccelerators(
+  events: readonly RunEvent[],
+  deaths: WorkerDeaths = NO_DEATHS,
+): string[] {
+  const byWorker = groupBy(
+    taskRuns(events, deaths),
+    (run) => run.event.workerId,
+  );
+  return [...byWorker.values()].flatMap((runs) =>
+    runs.flatMap((run, index) =>
+      runs
+        .slice(index + 1)
+        .filter((other) => overlaps(run, other))
+        .map(
+          (other) =>
+            `tasks ${run.event.taskId} and ${other.event.taskId} shared an ` +
+            `accelerator of ${run.event.workerId}`,
+        ),
+    ),
+  );
+}
+
+function overlaps(first: TaskRun, second: TaskRun): boolean {
+  const inTime =
+    first.event.at < second.endedAt && second.event.at < first.endedAt;
+  const inSpace = first.event.accelerators.some((index) =>
+    second.event.accelerators.includes(index),
+  );
+  return inTime && inSpace;
+}
+
+/** Returns a sentence for each gang of which a part ran alone for too long. */
+export function findPartialGangs(
+  events: readonly RunEvent[],
+  boundMs: number,
+  deaths: WorkerDeaths = NO_DEATHS,
+): string[] {
+  const gangs = groupBy(taskRuns(events, deaths), (run) => run.event.gangId);
+  return [...gangs].flatMap(([gangId, runs]) => {
+    const partialMs = longestPartialMs(runs);
+    if (partialMs <= boundMs) return [];
+    const {jobId, gangSize} = runs[0]?.event ?? {};
+    return [
+      `a part of gang ${gangId} (job ${jobId}, ${runs.length} of ${gangSize} ` +
+        `tasks ran) ran alone for ${partialMs} ms`,
+    ];
+  });
+}
+
+/** Longest time for which some but not all tasks of one gang ran. */
+function longestPartialMs(runs: readonly TaskRun[]): number {
+  const size = runs[0]?.event.gangSize ?? 0;
+  const times = new Set(runs.flatMap((run) => [run.event.at, run.endedAt]));
+  let since: number | undefined;
+  let longest = 0;
+  for (const time of [...times].sort((a, b) => a - b)) {
+    if (since !== undefined) longest = Math.max(longest, time - since);
+    const begun = runs.filter((run) => run.event.at <= time);
+    const running = begun.filter((run) => time < run.endedAt).length;
+    // A task that did its work is not missing while the others still run.
+    const done = begun.filter((run) => run.finished && run.endedAt <= time);
+    const isPartial = running > 0 && running + done.length < size;
+    since = isPartial ? (since ?? time) : undefined;
+  }
+  return longest;
+}
+
+/** Returns a sentence for each job that ran again after it had finished. */
+export function findRepeatedJobs(events: readonly RunEvent[]): string[] {
+  const jobs = groupBy(taskRuns(events, NO_DEATHS), (run) => run.event.jobId);
+  return [...jobs].flatMap(([jobId, runs]) => {
+    const finishedAt = finishTime(runs);
+    const again = runs.find((run) => run.event.at > finishedAt);
+    if (!again) return [];
+    return [`job ${jobId} finished and ran again as ${again.event.gangId}`];
+  });
+}
+
+/** When the first gang of a job had finished; infinite if none has. */
+function finishTime(runs: readonly TaskRun[]): number {
+  const gangs = groupBy(runs, (run) => run.event.gangId);
+  const times = [...gangs.values()]
+    .filter(isWholeAndFinished)
+    .map((gang) => Math.max(...gang.map((run) => run.endedAt)));
+  return Math.min(Number.POSITIVE_INFINITY, ...times);
+}
+
+function isWholeAndFinished(gang: readonly TaskRun[]): boolean {
+  const size = gang[0]?.event.gangSize;
+  return gang.filter((run) => run.finished).length === size;
+}
+
+/** Reads the job records of all zones from the store's entries. */
+export function jobRecords(
+  entries: readonly StoreEntry[],
+): ReadonlyMap<JobId, JobRecord> {
+  const records = entries
+    .filter(({key}) => key.startsWith('jobs/'))
+    .map(({value}) => jobRecordSchema.parse(JSON.parse(value)));
+  return new Map(records.map((record) => [record.jobId, record]));
+}
+
+/**
+ * Returns a sentence for each accepted job without a record, and for each
+ * record that says "finished" although no whole gang of the job finished.
+ */
+export function findUnaccountedJobs(
+  accepted: readonly JobId[],
+  records: ReadonlyMap<JobId, JobRecord>,
+  events: readonly RunEvent[],
+): string[] {
+  const gangs = groupBy(taskRuns(events, NO_DEATHS), (run) => run.event.gangId);
+  const finishedGangs = new Set<GangId>(
+    [...gangs].filter(([, runs]) => isWholeAndFinished(runs)).map(([id]) => id),
+  );
+  const finishedJobs = new Set(
+    events.flatMap((event) =>
+      'gangId' in event && finishedGangs.has(event.gangId) ? [event.jobId] : [],
+    ),
+  );
+  return accepted.flatMap((jobId) => {
+    const record = records.get(jobId);
+    if (!record) return [`accepted job ${jobId} is not in the store`];
+    if (record.state !== 'finished' || finishedJobs.has(jobId)) return [];
+    return [`job ${jobId} is recorded as finished and never did`];
+  });
+}
+
+/** Accepted jobs whose record does not say how they ended. */
+export function unendedJobs(
+  accepted: readonly JobId[],
+  records: ReadonlyMap<JobId, JobRecord>,
+): readonly JobId[] {
+  return accepted.filter((jobId) => {
+    const record = records.get(jobId);
+    return !record || !hasEnded(record.state);
+  });
+}
--- a/src/harness/reconciler.ts
+++ b/src/harness/reconciler.ts
@@ -1,10 +1,10 @@
 /**
- * Compares what callers were told with what the stand-ins ran. The stand-ins'
+ * Compares what callers were told of requests with what the minions ran. The stand-ins'
  * run logs are the truth; what a daemon says counts for nothing here.
  */
 
-import type {RequestId, TaskId, VmId} from '../model/ids.js';
-import type {RunEvent, TaskEvent} from '../standins/run_log.js';
+import type {RequestId} from '../model/ids.js';
+import type {RunEvent} from '../standins/run_log.js';
 import {isRightAnswer} from './caller.js';
 import type {RequestRecord} from './caller.js';
 
@@ -111,91 +111,3 @@
     .filter(([, requestIds]) => requestIds.size > 1)
     .map(([name, ids]) => `key ${name} ran ${ids.size} times`);
 }
-
-/** Periods in which one task ran, from the workers' run logs. */
-interface TaskRun {
-  readonly event: TaskEvent;
-  readonly endedAt: number;
-}
-
-const TASK_ENDS: ReadonlySet<RunEvent['event']> = new Set([
-  'removed',
-  'finished',
-  'failed',
-  'leaseLapsed',
-]);
-
-function taskRuns(events: readonly RunEvent[]): TaskRun[] {
-  const started = new Map<TaskId, TaskEvent>();
-  const runs: TaskRun[] = [];
-  for (const event of events) {
-    if (event.event === 'released') started.set(event.taskId, event);
-    if (!isTaskEvent(event) || !TASK_ENDS.has(event.event)) continue;
-    const start = started.get(event.taskId);
-    if (!start) continue;
-    runs.push({event: start, endedAt: event.at});
-    started.delete(event.taskId);
-  }
-  for (const event of started.values()) {
-    runs.push({event, endedAt: Number.POSITIVE_INFINITY});
-  }
-  return runs;
-}
-
-function isTaskEvent(event: RunEvent): event is TaskEvent {
-  return 'taskId' in event;
-}
-
-/** Returns a sentence for each pair of tasks that shared an accelerator. */
-export function findSharedAccelerators(events: readonly RunEvent[]): string[] {
-  const byWorker = new Map<VmId, TaskRun[]>();
-  for (const run of taskRuns(events)) {
-    const runs = byWorker.get(run.event.workerId) ?? [];
-    byWorker.set(run.event.workerId, [...runs, run]);
-  }
-  return [...byWorker.values()].flatMap((runs) =>
-    runs.flatMap((run, index) =>
-      runs
-        .slice(index + 1)
-        .filter((other) => overlaps(run, other))
-        .map(
-          (other) =>
-            `tasks ${run.event.taskId} and ${other.event.taskId} shared an ` +
-            `accelerator of ${run.event.workerId}`,
-        ),
-    ),
-  );
-}
-
-function overlaps(first: TaskRun, second: TaskRun): boolean {
-  const inTime =
-    first.event.at < second.endedAt && second.event.at < first.endedAt;
-  const inSpace = first.event.accelerators.some((index) =>
-    second.event.accelerators.includes(index),
-  );
-  return inTime && inSpace;
-}
-
-/** How long parts of gangs ran without the whole, at most, in milliseconds. */
-export function longestPartialRunMs(
-  events: readonly RunEvent[],
-  gangSizes: ReadonlyMap<string, number>,
-): number {
-  const byGang = new Map<string, TaskRun[]>();
-  for (const run of taskRuns(events)) {
-    const runs = byGang.get(run.event.gangId) ?? [];
-    byGang.set(run.event.gangId, [...runs, run]);
-  }
-  let longest = 0;
-  for (const [gangId, runs] of byGang) {
-    const size = gangSizes.get(gangId) ?? runs.length;
-    const starts = runs.map((run) => run.event.at);
-    const ends = runs.map((run) => run.endedAt);
-    const whole = runs.length === size;
-    const startSkew = whole
-      ? Math.max(...starts) - Math.min(...starts)
-      : Math.max(...ends) - Math.min(...starts);
-    longest = Math.max(longest, startSkew);
-  }
-  return longest;
-}
--- a/src/harness/site_fixture.ts
+++ b/src/harness/site_fixture.ts
@@ -24,6 +24,7 @@
   WorkerAdmin,
 } from '../standins/admin_client.js';
 import {StandinProcess} from '../standins/launcher.js';
+import type {RunEvent} from '../standins/run_log.js';
 import {ManagedProcess} from './managed_process.js';
 
 /** Processes that start at once; more only compete for the processors. */
@@ -94,6 +95,8 @@
   readonly workers: WorkerStandin[] = [];
   readonly minions: MinionStandin[] = [];
   readonly daemons: DaemonProcess[] = [];
+  /** When each killed worker died, in milliseconds since the Unix epoch. */
+  readonly workerDeaths = new Map<VmId, number>();
   private readonly queue = new PQueue({concurrency: START_CONCURRENCY});
 
   private constructor(
@@ -186,6 +189,19 @@
     await this.platformAdmin.setVm({...vm, state});
   }
 
+  /** Kills a worker with all of its tasks; its VM stays in the list. */
+  async killWorker(worker: WorkerStandin): Promise<void> {
+    await worker.process.kill();
+    this.workerDeaths.set(worker.vm.vmId, Date.now());
+  }
+
+  /** The run logs of all workers and minions so far. */
+  events(): RunEvent[] {
+    return [...this.workers, ...this.minions].flatMap(
+      ({process}) => process.events,
+    );
+  }
+
   /** Stops all daemons at once, then the workers and minions. */
   private async stopProcesses(): Promise<void> {
     await Promise.all(this.daemons.map(({process}) => process.stop()));
--- a/src/standins/run_log.ts
+++ b/src/standins/run_log.ts
@@ -8,6 +8,7 @@
 import {
   customerIdSchema,
   gangIdSchema,
+  jobIdSchema,
   requestIdSchema,
   taskIdSchema,
   vmIdSchema,
@@ -40,6 +41,9 @@
   workerId: vmIdSchema,
   taskId: taskIdSchema,
   gangId: gangIdSchema,
+  /** Members of the gang, this task included. */
+  gangSize: z.int(),
+  jobId: jobIdSchema,
   accelerators: z.array(z.int()),
   /** The checkpoint that was written or that the task resumed from. */
   checkpoint: z.string().optional(),
--- a/src/standins/worker_tasks.ts
+++ b/src/standins/worker_tasks.ts
@@ -245,13 +245,15 @@
     task: WorkerTask,
     checkpoint: string | undefined,
   ): void {
-    const {taskId, gangId, accelerators} = task.specification;
+    const {taskId, gangId, jobId, members, accelerators} = task.specification;
     this.log.record({
       event,
       at: Date.now(),
       workerId: this.workerId,
       taskId,
       gangId,
+      gangSize: members.length,
+      jobId,
       accelerators,
       ...(checkpoint === undefined ? {} : {checkpoint}),
       ...(event === 'throttled' ? {share: task.share} : {}),
