--- /dev/null
+++ b/test/process_leaving.test.ts
@@ -0,0 +1,248 @@
+/**
+ * VMs that leave while the VM list lags, and a zone that is cut off from the
+ * platform, through real daemon processes: no new work after the bound, no
+ * work in progress is cut, and no accepted job is lost.
+ */
+
+import assert from 'node:assert/strict';
+import {after, before, describe, it} from 'node:test';
+import {request} from 'undici';
+import {Caller} from '../src/harness/caller.js';
+import {
+  BORROWER,
+  OWNER,
+  SMALL_FLEET,
+  ZONE_A,
+  ZONE_B,
+  isRepeatable,
+  schedulerOf,
+  startSmallSite,
+} from '../src/harness/example_site.js';
+import {
+  findJobViolations,
+  submitUntilAccepted,
+  waitForJobEnds,
+} from '../src/harness/job_checks.js';
+import {reconcileRequests} from '../src/harness/reconciler.js';
+import type {DaemonProcess, SiteFixture} from '../src/harness/site_fixture.js';
+import {CleanupScope} from '../src/lifecycle/cleanup_scope.js';
+
+const VM_LIST_LAG_MS = 1_000;
+/** The design page's bound, after the list shows the change. */
+const NO_NEW_WORK_BOUND_MS = 5_000;
+const NO_NEW_WORK_AFTER_MS = VM_LIST_LAG_MS + NO_NEW_WORK_BOUND_MS;
+/** Load goes on for this long after a VM began to leave. */
+const LOAD_MS = NO_NEW_WORK_AFTER_MS + 2_000;
+/** No scheduler dies without a takeover within this time. */
+const PARTIAL_BOUND_MS = 12_000;
+
+const scope = new CleanupScope();
+const callers: Caller[] = [];
+let site: SiteFixture;
+let workNumber = 0;
+
+before(async () => {
+  site = await startSmallSite(
+    scope,
+    {proxied: true, vmListLagMs: VM_LIST_LAG_MS},
+    {
+      ...SMALL_FLEET,
+      zones: SMALL_FLEET.zones.map((zone) => ({
+        ...zone,
+        entryVms: zone.name === ZONE_A ? 3 : 2,
+      })),
+    },
+  );
+});
+after(() => scope.close());
+
+function newCaller(zone: string): Caller {
+  const daemons = site
+    .daemonsOf(zone)
+    .filter((daemon) => daemon.process.running);
+  const addresses = daemons.map((daemon) => daemon.callers);
+  const caller = new Caller(scope, addresses);
+  callers.push(caller);
+  return caller;
+}
+
+function scan(serviceTimeMs: number) {
+  workNumber += 1;
+  const key = `leaving-${workNumber}`;
+  const payload = JSON.stringify({serviceTimeMs, key});
+  return {customerId: OWNER, workClassId: 'scan', payload, key};
+}
+
+function check(serviceTimeMs: number) {
+  workNumber += 1;
+  const payload = JSON.stringify({serviceTimeMs, workNumber});
+  return {customerId: OWNER, workClassId: 'check', payload};
+}
+
+function job(zone: string, runTimeMs: number, workClassId = 'single') {
+  workNumber += 1;
+  return {
+    customerId: BORROWER,
+    workClassId,
+    payload: JSON.stringify({runTimeMs}),
+    key: `leaving-${workNumber}`,
+    availabilityZone: zone,
+  };
+}
+
+/** Repeats a step every `intervalMs` for `LOAD_MS`, and waits for all. */
+async function repeat(intervalMs: number, step: () => Promise<unknown>) {
+  const steps: Array<Promise<unknown>> = [];
+  for (let n = 0; n * intervalMs < LOAD_MS; n += 1) {
+    steps.push(step());
+    await scope.sleep(intervalMs);
+  }
+  await Promise.all(steps);
+}
+
+async function isReady(daemon: DaemonProcess): Promise<boolean> {
+  try {
+    const answer = await request(`http://${daemon.callers}/ready`);
+    await answer.body.dump();
+    return answer.statusCode === 200;
+  } catch {
+    return false;
+  }
+}
+
+async function assertAllHolds(): Promise<void> {
+  await waitForJobEnds(site, callers);
+  const records = callers.flatMap(({requests}) => requests);
+  const result = reconcileRequests(records, site.events(), isRepeatable);
+  assert.deepEqual(result.violations, []);
+  assert.equal(result.unanswered, 0, 'requests that were cut');
+  assert.deepEqual(
+    await findJobViolations(site, callers, PARTIAL_BOUND_MS),
+    [],
+  );
+}
+
+describe('a VM that is leaving according to the list', () => {
+  it('of a minion gets no new request, and none is cut', async () => {
+    const caller = newCaller(ZONE_A);
+    const minion = site.minions.find(({vm}) => vm.availabilityZone === ZONE_A);
+    assert.ok(minion);
+    const load = repeat(40, () => caller.send(scan(100)));
+    await minion.process.waitForEvent(({event}) => event === 'runStarted');
+    const leftAt = Date.now();
+    await site.setVmState(minion.vm, 'leaving');
+    await load;
+    const late = minion.process.events.filter(
+      ({event, at}) =>
+        event === 'runStarted' && at > leftAt + NO_NEW_WORK_AFTER_MS,
+    );
+    assert.deepEqual(late, []);
+    for (const {outcome} of caller.requests) {
+      assert.equal(outcome?.outcome, 'answered', JSON.stringify(outcome));
+    }
+    await assertAllHolds();
+    await site.setVmState(minion.vm, 'live');
+  });
+
+  it('of a worker gets no new task, and what runs there ends', async () => {
+    const caller = newCaller(ZONE_A);
+    const long = await submitUntilAccepted(
+      scope,
+      caller,
+      job(ZONE_A, LOAD_MS - 1_000),
+    );
+    const worker = await Promise.any(
+      site.workers.map(async (candidate) => {
+        await candidate.process.waitForEvent(
+          (event) => event.event === 'released' && event.jobId === long.jobId,
+        );
+        return candidate;
+      }),
+    );
+    const leftAt = Date.now();
+    await site.setVmState(worker.vm, 'leaving');
+    await repeat(250, () =>
+      submitUntilAccepted(scope, caller, job(ZONE_A, 200)),
+    );
+    const late = worker.process.events.filter(
+      ({event, at}) => event === 'held' && at > leftAt + NO_NEW_WORK_AFTER_MS,
+    );
+    assert.deepEqual(late, []);
+    await assertAllHolds();
+    const attempts = site
+      .events()
+      .filter(
+        (event) => event.event === 'released' && event.jobId === long.jobId,
+      );
+    assert.equal(attempts.length, 1, 'the running task was cut');
+    await site.setVmState(worker.vm, 'live');
+  });
+
+  it('of an entry VM is taken from the load balancer and ends', async () => {
+    const [leaving, ...others] = site.daemonsOf(ZONE_A);
+    assert.ok(leaving);
+    const caller = newCaller(ZONE_A);
+    const load = repeat(40, () => caller.send(scan(300)));
+    await site.setVmState(
+      {
+        role: 'entry',
+        vmId: leaving.vmId,
+        availabilityZone: leaving.availabilityZone,
+        address: leaving.peers,
+        state: 'leaving',
+      },
+      'leaving',
+    );
+    const leftAt = Date.now();
+    while (await isReady(leaving)) {
+      const passedMs = Date.now() - leftAt;
+      assert.ok(passedMs <= NO_NEW_WORK_AFTER_MS, 'it is still ready');
+      await scope.sleep(50);
+    }
+    caller.useAddresses(others.map((daemon) => daemon.callers));
+    const exit = await leaving.process.ended;
+    assert.equal(exit.code, 0);
+    await load;
+    await assertAllHolds();
+  });
+});
+
+describe('a zone that is cut off from the platform', () => {
+  it('serves requests and jobs, and the store has all jobs later', async () => {
+    const zone = site.daemonsOf(ZONE_B);
+    const setFaults = (freeze: 'both' | 'none') =>
+      Promise.all(
+        zone.map(({vmId}) =>
+          site.faults.setFaults(`platform-${vmId}`, {freeze}),
+        ),
+      );
+    const caller = newCaller(ZONE_B);
+    await setFaults('both');
+    const requests = await Promise.all(
+      Array.from({length: 20}, () => caller.send(check(20))),
+    );
+    for (const {outcome} of requests) {
+      assert.equal(outcome?.outcome, 'answered', JSON.stringify(outcome));
+    }
+    const jobs = await Promise.all(
+      Array.from({length: 6}, () =>
+        submitUntilAccepted(scope, caller, job(ZONE_B, 300, 'pair')),
+      ),
+    );
+    for (const {durability} of jobs) assert.equal(durability, 'memory');
+    const [first] = jobs;
+    assert.ok(first);
+    // Jobs start before the zone is back.
+    await Promise.any(
+      site.workers.map(({process}) =>
+        process.waitForEvent(
+          (event) => event.event === 'finished' && event.jobId === first.jobId,
+        ),
+      ),
+    );
+    const scheduler = await schedulerOf(site, ZONE_B);
+    await scheduler.process.kill();
+    await setFaults('none');
+    await assertAllHolds();
+  });
+});
