Stop a daemon whose VM the list shows as leaving

Cause: design section 3.10 says that an entry VM that leaves by its state in the VM list exits like one that was sent SIGTERM. The membership controller set the leaving flag, but nothing called Daemon.stop, so that the process stayed for good as a daemon that is not ready.

Ruled out: stopping at once in the listener; stop() itself sets the flag and would run twice, so the call is deferred.

Before: test/process_leaving.test.ts, 'of an entry VM', did not end within 120 s. After: the daemon ended with code 0 and no request was cut; 4 of 4 tests pass.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -341,7 +341,11 @@
       this.keeper.handOver();
     };
     membership.onChange((change) => {
-      if (change.availabilityZone === availabilityZone) updateTerm();
+      if (change.availabilityZone !== availabilityZone) return;
+      updateTerm();
+      // The VM list may say that this VM is leaving. Deferred, since `stop`
+      // itself sets the leaving flag and so causes this event.
+      if (membership.leaving) setImmediate(() => void this.stop());
     });
     vms.onChange(() => zone.setWorkers(vms.workers(availabilityZone)));
     configuration.onApplied((applied) => {
