Add npm run prove, the whole system under seeded faults

A schedule chosen by a seed kills, freezes and cuts daemons, breaks the store, minions and workers, often with a second fault during the recovery from the first, under a mixed load from callers in two zones. Afterwards all is healed and every request, job and change is reconciled with the stand-ins' run logs and the store. At most one daemon of a zone is killed while a job is only in memory, since two daemons hold such a job and losing both loses it.

--- /dev/null
+++ b/src/prove/main.ts
@@ -0,0 +1,49 @@
+/**
+ * Runs the whole system under faults chosen by `--seed` and prints what was
+ * promised against what ran. Exits with 0 only if every promise held.
+ */
+
+import {parseArgs} from 'node:util';
+import {CleanupScope} from '../lifecycle/cleanup_scope.js';
+import {proveSite} from './prove_site.js';
+import type {ProveReport} from './prove_site.js';
+
+const DEFAULT_FAULT_SECONDS = '35';
+const MILLISECONDS_PER_SECOND = 1_000;
+
+function printLine(line: string): void {
+  process.stdout.write(`${line}\n`);
+}
+
+function print(seed: number, report: ProveReport): void {
+  const {faults, requests, jobs, changes, violations} = report;
+  printLine(`seed ${seed}: ${faults.join('; ')}`);
+  printLine(
+    `  requests   ${requests.answered} answered, ${requests.notRun} not run, ` +
+      `${requests.unknown} unknown, ${requests.unanswered} interrupted`,
+  );
+  printLine(`  gang jobs  ${jobs} accepted, all accounted for if no violation`);
+  printLine(`  changes    ${changes} accepted`);
+  printLine(`  violations ${violations.length || 'none'}`);
+  for (const violation of violations) printLine(`    ${violation}`);
+}
+
+const {values} = parseArgs({
+  options: {
+    seed: {type: 'string', default: '1'},
+    seconds: {type: 'string', default: DEFAULT_FAULT_SECONDS},
+  },
+});
+const seed = Number(values.seed);
+const faultMs = Number(values.seconds) * MILLISECONDS_PER_SECOND;
+const scope = new CleanupScope();
+const interrupt = () => void scope.close().then(() => process.exit(1));
+process.once('SIGINT', interrupt);
+process.once('SIGTERM', interrupt);
+try {
+  const report = await proveSite(scope, {seed, faultMs});
+  print(seed, report);
+  process.exitCode = report.violations.length === 0 ? 0 : 1;
+} finally {
+  await scope.close();
+}
--- a/test/process_leaving.test.ts
+++ b/test/process_leaving.test.ts
@@ -17,6 +17,7 @@
   isRepeatable,
   schedulerOf,
   startSmallSite,
+  waitUntil,
 } from '../src/harness/example_site.js';
 import {
   findJobViolations,
@@ -110,6 +111,14 @@
   }
 }
 
+function waitForTask(event: 'released' | 'finished', jobId: string) {
+  return waitUntil(`a task of ${jobId} is ${event}`, () =>
+    site
+      .events()
+      .some((entry) => entry.event === event && entry.jobId === jobId),
+  );
+}
+
 async function assertAllHolds(): Promise<void> {
   await waitForJobEnds(site, callers);
   const records = callers.flatMap(({requests}) => requests);
@@ -151,14 +160,13 @@
       caller,
       job(ZONE_A, LOAD_MS - 1_000),
     );
-    const worker = await Promise.any(
-      site.workers.map(async (candidate) => {
-        await candidate.process.waitForEvent(
-          (event) => event.event === 'released' && event.jobId === long.jobId,
-        );
-        return candidate;
-      }),
+    await waitForTask('released', long.jobId);
+    const worker = site.workers.find(({process}) =>
+      process.events.some(
+        (event) => event.event === 'released' && event.jobId === long.jobId,
+      ),
     );
+    assert.ok(worker);
     const leftAt = Date.now();
     await site.setVmState(worker.vm, 'leaving');
     await repeat(250, () =>
@@ -233,13 +241,7 @@
     const [first] = jobs;
     assert.ok(first);
     // Jobs start before the zone is back.
-    await Promise.any(
-      site.workers.map(({process}) =>
-        process.waitForEvent(
-          (event) => event.event === 'finished' && event.jobId === first.jobId,
-        ),
-      ),
-    );
+    await waitForTask('finished', first.jobId);
     const scheduler = await schedulerOf(site, ZONE_B);
     await scheduler.process.kill();
     await setFaults('none');
