--- a/src/bench/baselines.ts
+++ b/src/bench/baselines.ts
@@ -73,6 +73,10 @@
   private readonly busy = new Set<number>();
   /** The customer's cell that includes an accelerator, if partitioned. */
   private readonly cells: Array<{owner: CustomerId} | undefined> = [];
+  /** Accelerators of each customer in order, if partitioned. */
+  private readonly owned = new Map<CustomerId, number[]>();
+  /** Accelerators that each customer's gangs use. */
+  private readonly inUse = new Map<CustomerId, number>();
   private queue: JobRecord[] = [];
 
   constructor(private readonly options: BaselineOptions) {
@@ -138,6 +142,7 @@
     const gang = this.gangs.get(jobId);
     if (gang === undefined) return false;
     this.gangs.delete(jobId);
+    this.countUse(gang.record, -1);
     for (const position of this.positionsOf(gang.placement)) {
       this.busy.delete(position);
     }
@@ -209,13 +214,14 @@
   }
 
   private ceilingAllows({customerId, shape}: JobRecord): boolean {
-    let inUse = shape.tasks * shape.acceleratorsPerTask;
-    for (const {record} of this.gangs.values()) {
-      if (record.customerId !== customerId) continue;
-      inUse += record.shape.tasks * record.shape.acceleratorsPerTask;
-    }
+    const inUse = this.inUse.get(customerId) ?? 0;
     const ceiling = this.customers.get(customerId)?.acceleratorCeiling;
-    return inUse <= (ceiling ?? Infinity);
+    return inUse + acceleratorsOf(shape) <= (ceiling ?? Infinity);
+  }
+
+  private countUse({customerId, shape}: JobRecord, sign: 1 | -1): void {
+    const before = this.inUse.get(customerId) ?? 0;
+    this.inUse.set(customerId, before + sign * acceleratorsOf(shape));
   }
 
   private place(record: JobRecord): readonly TaskPlacement[] | undefined {
@@ -258,28 +264,33 @@
   }
 
   private *freeRuns(record: JobRecord): Generator<Run> {
-    const end = this.racks.rackCount * ACCELERATORS_PER_RACK;
-    let start: number | undefined;
-    for (let at = 0; at <= end; at += 1) {
+    let run: {start: number; end: number} | undefined;
+    for (const at of this.positionsFor(record.customerId)) {
       const continues =
-        start !== undefined &&
+        run?.end === at &&
         at % ACCELERATORS_PER_RACK !== 0 &&
-        this.cells[at] === this.cells[start];
-      const isFree = at < end && this.isFreeFor(record, at);
-      if (start !== undefined && !(continues && isFree)) {
-        yield {start, end: at};
-        start = undefined;
+        this.cells[at] === this.cells[run.start];
+      const isFree = this.isFreeFor(record, at);
+      if (run !== undefined && continues && isFree) {
+        run.end = at + 1;
+        continue;
       }
-      if (isFree) start ??= at;
+      if (run !== undefined) yield run;
+      run = isFree ? {start: at, end: at + 1} : undefined;
     }
+    if (run !== undefined) yield run;
+  }
+
+  private positionsFor(customerId: CustomerId): Iterable<number> {
+    if (this.options.isPartitioned) return this.owned.get(customerId) ?? [];
+    const length = this.racks.rackCount * ACCELERATORS_PER_RACK;
+    return Array.from({length}, (_, position) => position);
   }
 
   private isFreeFor(record: JobRecord, position: number): boolean {
     if (this.busy.has(position) || !this.racks.isUsable(position)) return false;
-    if (this.options.isPartitioned) {
-      // A customer with one worker has no other to avoid it with.
-      return this.cells[position]?.owner === record.customerId;
-    }
+    // A customer with one worker has no other to avoid it with.
+    if (this.options.isPartitioned) return true;
     const failedOn = this.failedOn.get(record.jobId);
     if (failedOn === undefined) return true;
     const worker = this.racks.workerAt(position);
@@ -288,6 +299,7 @@
 
   private occupy(record: JobRecord, placement: GangPlacement): void {
     this.gangs.set(record.jobId, {record, placement, startedAt: undefined});
+    this.countUse(record, 1);
     for (const position of this.positionsOf(placement)) {
       this.busy.add(position);
     }
@@ -315,6 +327,7 @@
   private partition(): void {
     if (!this.options.isPartitioned) return;
     this.cells.length = 0;
+    this.owned.clear();
     const free = new FreeCells(new VisitCounter());
     for (const {workerId} of this.workers.values()) {
       const place = this.racks.placeOf(workerId);
@@ -345,8 +358,15 @@
     const cell = cellAround(around.position, size);
     free.take(cell);
     const region = {owner};
+    const owned = this.owned.get(owner) ?? [];
+    this.owned.set(owner, owned);
     for (let at = cell.position; at < cell.position + size; at += 1) {
       this.cells[at] = region;
+      owned.push(at);
     }
   }
 }
+
+function acceleratorsOf({tasks, acceleratorsPerTask}: GangShape): number {
+  return tasks * acceleratorsPerTask;
+}
