Keep a daemon alive when a worker refuses the connection

Cause: the connector that counts bytes asked "socket !== null", but undici calls back without a socket (undefined) when a connect fails. Every scheduler whose worker process was gone ended with a TypeError, and so did its successor. Ruled out: a fault in the takeover or in the watch of unchanged lists; the daemons' standard error showed the trace. Conclusion: the connector looks at the error; a test lists the tasks of a worker whose process is gone through a counting client.

--- a/src/transport/http_connections.ts
+++ b/src/transport/http_connections.ts
@@ -160,8 +160,9 @@
     if (traffic === undefined) return connect;
     return (options, callback) =>
       connect(options, (...result) => {
-        const [, socket] = result;
-        if (socket !== null) traffic.addSocket(socket);
+        // A failed connect has an error and no socket, whatever the type says.
+        const [error, socket] = result;
+        if (error === null && socket) traffic.addSocket(socket);
         callback(...result);
       });
   }
--- a/test/transport_worker.test.ts
+++ b/test/transport_worker.test.ts
@@ -17,6 +17,7 @@
 import {WorkerAdmin} from '../src/standins/admin_client.js';
 import {StandinProcess} from '../src/standins/launcher.js';
 import {HttpWorkerClient} from '../src/transport/http_worker_client.js';
+import {TrafficCounter} from '../src/transport/traffic_counter.js';
 import {
   LONG_MS,
   SHORT_MS,
@@ -291,3 +292,15 @@
     assert.deepEqual(list.tasks, []);
   });
 });
+
+describe('a client that counts its traffic', () => {
+  it('reports a worker whose process is gone and stays alive', async () => {
+    const counted = new HttpWorkerClient(scope, {
+      callTimeoutMs: LONG_MS,
+      traffic: new TrafficCounter(),
+    });
+    await standin.kill();
+    const error = await expectError(counted.listTasks(worker));
+    assert.equal(error.kind, 'unavailable');
+  });
+});
