--- a/src/harness/caller.ts
+++ b/src/harness/caller.ts
@@ -178,6 +178,7 @@
   const answer = minionAnswerSchema.safeParse(parseJson(outcome.answer));
   if (!answer.success) return false;
   const digest = createHash('sha256').update(payload).digest('hex');
+  if (answer.data.requestId !== outcome.requestId) return false;
   return answer.data.sha256 === digest;
 }
 
--- a/src/harness/site_fixture.ts
+++ b/src/harness/site_fixture.ts
@@ -29,6 +29,7 @@
 
 /** Processes that start at once; more only compete for the processors. */
 const START_CONCURRENCY = 10;
+const START_TRIES = 5;
 const DAEMON_PROGRAM = '../daemon/main.js';
 const ANY_PORT = '127.0.0.1:0';
 
@@ -155,6 +156,21 @@
 
   /** Starts one more daemon, or one again on the same VM. */
   async startDaemon(vmId: string, zone: string): Promise<DaemonProcess> {
+    for (let attempt = 1; ; attempt += 1) {
+      try {
+        return await this.startDaemonOnce(vmId, zone);
+      } catch (error) {
+        // Another process may take the free port before the daemon does.
+        const isTaken = String(error).includes('EADDRINUSE');
+        if (!isTaken || attempt === START_TRIES) throw error;
+      }
+    }
+  }
+
+  private async startDaemonOnce(
+    vmId: string,
+    zone: string,
+  ): Promise<DaemonProcess> {
     const settings = await this.daemonSettings(vmId, zone);
     const path = join(this.directory, `${vmId}.json`);
     await writeFile(path, JSON.stringify(settings));
--- a/test/process_gangs.test.ts
+++ b/test/process_gangs.test.ts
@@ -56,7 +56,7 @@
 before(async () => {
   site = await startSmallSite(
     scope,
-    {timings: TIMINGS},
+    {timings: TIMINGS, proxied: true},
     {
       ...SMALL_FLEET,
       zones: [
@@ -220,6 +220,35 @@
   });
 });
 
+describe('schedulers of one zone that cannot hear each other', () => {
+  it('never run two tasks on one accelerator', async () => {
+    const setFreeze = (freeze: 'both' | 'none') =>
+      Promise.all(
+        running().map(({vmId}) =>
+          site.faults.setFaults(`peers-${vmId}`, {freeze}),
+        ),
+      );
+    await setFreeze('both');
+    await waitUntil('each daemon is a scheduler', async () => {
+      const states = await Promise.all(
+        running().map(({operators}) => new OperatorClient(operators).status()),
+      );
+      return states.every(
+        (status) =>
+          status.isOk &&
+          status.value.zones.some(
+            (zone) => zone.scheduler === status.value.vmId,
+          ),
+      );
+    });
+    await submitMixed(24, 500);
+    await waitForJobEnds(site, [caller]);
+    await setFreeze('none');
+    await schedulerOf(site, ZONE_A);
+    await assertAllHolds(TAKEOVER_BOUND_MS);
+  });
+});
+
 describe('a cancellation during the start of a gang', () => {
   it('leaves no task behind and every job ended', async () => {
     await slowOneWorker();
