Keep a finished job out of the queue when its gang is taken off

Cause: a successor knows from the store that a job has ended, without an entry for it. When it took the rest of the ended gang off a worker, takeOff added an entry made from the task, in state running, and the job was queued and ran a second time.

Ruled out: a loss of the end's record, since ended tasks are only removed once it is stored.

--- a/src/controllers/gang_table.ts
+++ b/src/controllers/gang_table.ts
@@ -193,7 +193,9 @@
       (member) => member.status !== undefined && occupies(member.status),
     );
     const now = this.parts.clock.now();
-    if (!this.endedGangs.has(gangId)) this.entryFor(gang, now);
+    // An entry would queue a job again whose end only the store has told.
+    const ended = this.endedGangs.has(gangId) || this.jobs.hasEnded(jobId);
+    if (!ended) this.entryFor(gang, now);
     if (!mayBeOn) {
       this.endedGangs.set(gangId, now);
       return;
