--- a/src/controllers/zone_options.ts
+++ b/src/controllers/zone_options.ts
@@ -47,6 +47,8 @@
    * again later starts a new job.
    */
   readonly endedRecordMemoryMs: number;
+  /** Time between two passes over what may be forgotten. */
+  readonly forgetIntervalMs: number;
 }
 
 /** Values for a site of today; the daemon's settings may replace them. */
@@ -68,6 +70,7 @@
   longestRetryMs: 5_000,
   endedJobMemoryMs: 3_600_000,
   endedRecordMemoryMs: 86_400_000,
+  forgetIntervalMs: 60_000,
 };
 
 /** A decision, or a change that caused one. */
--- a/src/controllers/zone_session.ts
+++ b/src/controllers/zone_session.ts
@@ -34,9 +34,6 @@
 /** Longest time that a Node.js timer takes. */
 const LONGEST_TIMER_MS = 2 ** 31 - 1;
 
-/** Interval at which ended jobs and gangs are forgotten. */
-const FORGET_INTERVAL_MS = 60_000;
-
 export interface ZoneSessionParts {
   readonly zone: AvailabilityZone;
   readonly planner: ZonePlanner;
@@ -107,7 +104,7 @@
     };
     jobStore.listen(listener);
     scope.add(() => jobStore.unlisten(listener));
-    scope.every(FORGET_INTERVAL_MS, () => this.forget());
+    scope.every(this.parts.options.forgetIntervalMs, () => this.forget());
     void this.records.run();
   }
 
--- a/test/zone_controller_start.test.ts
+++ b/test/zone_controller_start.test.ts
@@ -3,6 +3,7 @@
 import assert from 'node:assert/strict';
 import {afterEach, beforeEach, test} from 'node:test';
 import type {ZoneControllerOptions} from '../src/controllers/zone_options.js';
+import {instant, trustedId} from '../src/model/ids.js';
 import {FakeStore, FakeWorkers, until} from './zone_fakes.js';
 import type {Fault} from './zone_fakes.js';
 import {TestScheduler, jobRecord, workerVm} from './zone_fixture.js';
@@ -159,3 +160,21 @@
   await until('it fails', () => store.record(jobId)?.state === 'failed');
   await until('no task is left', () => workers.tasksOf(jobId).length === 0);
 });
+
+// Guards against a store that fills with the records of ended jobs, and
+// against the deletion of a record that is still needed.
+test('records of jobs that ended long ago are deleted', async () => {
+  const ended = {...jobRecord('job-old', 1), state: 'finished'} as const;
+  store.seed({...ended, endedAt: instant(1)});
+  store.seed({...ended, jobId: trustedId('job-new'), endedAt: soon()});
+  await startJob({forgetIntervalMs: 5, endedRecordMemoryMs: 600_000});
+  await until('the old record is deleted', () => {
+    return store.record(ended.jobId) === undefined;
+  });
+  assert.ok(store.record(trustedId('job-new')));
+  assert.ok(store.record(jobId));
+});
+
+function soon() {
+  return instant(Date.now());
+}
