Say in explanations that a guarantee is too small for the job

Cause: a job of 16 accelerators whose customer holds cells of 8 was told that "the customer's guarantee is in use", which sends operators the wrong way; seen while following docs/operations.md on a running site. The page also named an exit code for wrong command lines that the tool does not use. Ruled out: nothing. Conclusion: the sentence names the largest guaranteed cell; a test guards it.

--- a/src/cli/command.ts
+++ b/src/cli/command.ts
@@ -12,8 +12,6 @@
 const DEFAULT_ADDRESS = '127.0.0.1:7300';
 
 export const EXIT_SUCCESS = 0;
-/** The command line or a file that it names is wrong. */
-export const EXIT_USAGE = 2;
 
 export abstract class OperatorCommand extends Command {
   daemon = Option.String(
--- a/src/scheduling/explanation.ts
+++ b/src/scheduling/explanation.ts
@@ -5,6 +5,8 @@
 import type {Instant} from '../model/ids.js';
 import {cellSizeFor} from '../model/shapes.js';
 import type {JobExplanation} from '../platform/peer_client.js';
+import {sizeOfLevel} from './cells.js';
+import type {CellCounts} from './packing.js';
 import type {PlannedJob} from './planned_job.js';
 import type {ZoneState} from './zone_state.js';
 
@@ -114,15 +116,14 @@
     `the end of gangs so that ${job.cellSize} adjacent accelerators are free`,
   ];
   const share = state.guarantees.share(customerId);
-  const isGuaranteed = share?.guaranteed.some((count) => count > 0) ?? false;
-  if (isGuaranteed) {
+  const guarantee = describeGuarantee(share?.guaranteed ?? [], job);
+  if (guarantee === 'is in use') {
     freedBy.push(`the end of a guaranteed gang of customer ${customerId}`);
   }
   const quarantined = state.health.quarantined();
   if (quarantined.length > 0) {
     freedBy.push(`the end of the quarantine of ${quarantined.join(', ')}`);
   }
-  const guarantee = isGuaranteed ? 'is in use' : 'does not cover this zone';
   return {
     ...only(
       job,
@@ -134,6 +135,15 @@
   };
 }
 
+/** Says why the customer's guarantee does not help the job now. */
+function describeGuarantee(guaranteed: CellCounts, job: PlannedJob): string {
+  const largest = guaranteed.findLastIndex((count) => count > 0);
+  if (largest < 0) return 'does not cover this zone';
+  const size = sizeOfLevel(largest);
+  if (size < job.cellSize) return `has cells of ${size} at most`;
+  return 'is in use';
+}
+
 /** The customer's own gangs, then others that are as large as the job. */
 function namedGangsOf(state: ZoneState, job: PlannedJob): string[] {
   const placed = [...state.jobs.values()].filter((other) => other.placed);
--- a/test/planner_takeover.test.ts
+++ b/test/planner_takeover.test.ts
@@ -76,3 +76,13 @@
   assert.match(reclaiming?.freedBy.join() ?? '', /checkpointed and stopped/);
   assert.equal(world.planner.explain(trustedId('other'), world.now), undefined);
 });
+
+test('an explanation does not call a guarantee used that is too small', () => {
+  const world = new PlannerWorld([customer('b', [[8, 4]])], workers(2));
+  world.submit('b', 2, 8);
+  world.settle();
+  const waiting = world.submit('b', 2, 8);
+  world.settle();
+  const explained = world.planner.explain(waiting, world.now);
+  assert.match(explained?.summary ?? '', /guarantee has cells of 8 at most/);
+});
