Keep the form and the decoding of reported errors in one place

Cause: the schema of an error report stood three times and the switch that turns it back into an error twice, in the HTTP client, the peers' protocol and the operators' messages. Ruled out: one class with a kind field instead of typed errors (callers switch on the classes' kinds and get their types). Conclusion: errorReportSchema and errorFromReport are in model/errors.ts.

--- a/src/daemon/operator_messages.ts
+++ b/src/daemon/operator_messages.ts
@@ -10,6 +10,7 @@
   configurationSchema,
   powerStateSchema,
 } from '../model/configuration.js';
+import {errorReportSchema} from '../model/errors.js';
 import {
   availabilityZoneSchema,
   changeIdSchema,
@@ -116,10 +117,4 @@
 
 export const configurationReplySchema = configurationSchema;
 
-export const errorReplySchema = z.object({
-  error: z.object({
-    kind: z.string(),
-    message: z.string(),
-    remedy: z.string(),
-  }),
-});
+export const errorReplySchema = z.object({error: errorReportSchema});
--- a/src/model/errors.ts
+++ b/src/model/errors.ts
@@ -4,23 +4,28 @@
  * returned in a `Result`; only programming errors are thrown.
  */
 
+import {z} from 'zod';
+
+export const errorKindSchema = z.enum([
+  'invalid-input',
+  'not-found',
+  'conflict',
+  'refused',
+  'unavailable',
+  'timeout',
+  'unknown-effect',
+  'protocol',
+]);
 /** Kinds that callers and operators can switch on. */
-export type ErrorKind =
-  | 'invalid-input'
-  | 'not-found'
-  | 'conflict'
-  | 'refused'
-  | 'unavailable'
-  | 'timeout'
-  | 'unknown-effect'
-  | 'protocol';
+export type ErrorKind = z.infer<typeof errorKindSchema>;
 
+export const errorReportSchema = z.object({
+  kind: errorKindSchema,
+  message: z.string(),
+  remedy: z.string(),
+});
 /** An error as it is sent to a caller, an operator or a peer. */
-export interface ErrorReport {
-  readonly kind: ErrorKind;
-  readonly message: string;
-  readonly remedy: string;
-}
+export type ErrorReport = Readonly<z.infer<typeof errorReportSchema>>;
 
 /** Base of all errors of the system. */
 export abstract class SystemError extends Error {
@@ -100,6 +105,35 @@
   | UnknownEffectError
   | ProtocolError;
 
+/** Returns the error that the other side of a call reported. */
+export function errorFromReport(report: ErrorReport): CallError {
+  const {kind, message, remedy} = report;
+  switch (kind) {
+    case 'invalid-input':
+      return invalidInput(message, remedy);
+    case 'not-found':
+      return new NotFoundError(message, remedy);
+    case 'conflict':
+      return new ConflictError(message, remedy);
+    case 'refused':
+      return new RefusedError(message, remedy);
+    case 'unavailable':
+      return new UnavailableError(message, remedy);
+    case 'timeout':
+      return new TimeoutError(message, remedy);
+    case 'unknown-effect':
+      return new UnknownEffectError(message, remedy);
+    case 'protocol':
+      return new ProtocolError(message, remedy);
+  }
+}
+
+/** The message of an `InvalidInputError` begins with its field. */
+function invalidInput(message: string, remedy: string): InvalidInputError {
+  const [field = 'message', ...rest] = message.split(': ');
+  return new InvalidInputError(field, rest.join(': '), remedy);
+}
+
 /** True if the failed call certainly had no effect on the other side. */
 export function hadNoEffect(error: CallError): boolean {
   switch (error.kind) {
--- a/src/transport/http_call.ts
+++ b/src/transport/http_call.ts
@@ -7,14 +7,13 @@
 import type {z} from 'zod';
 import type {CallError} from '../model/errors.js';
 import {
-  ConflictError,
-  InvalidInputError,
-  NotFoundError,
   ProtocolError,
   RefusedError,
   TimeoutError,
   UnavailableError,
   UnknownEffectError,
+  errorFromReport,
+  errorReportSchema,
 } from '../model/errors.js';
 import type {
   ExchangeFailure,
@@ -22,7 +21,6 @@
   HttpCall,
   HttpConnections,
 } from './http_connections.js';
-import {errorReportSchema} from './http_protocol.js';
 
 const SUCCESS_STATUS = 200;
 const FIRST_ERROR_STATUS = 400;
@@ -98,23 +96,5 @@
       ? new RefusedError(problem, 'send fewer calls')
       : new ProtocolError(problem, 'read back whether it took effect');
   }
-  const {kind, message, remedy} = report.data;
-  switch (kind) {
-    case 'invalid-input':
-      return new InvalidInputError(subject, message, remedy);
-    case 'not-found':
-      return new NotFoundError(message, remedy);
-    case 'conflict':
-      return new ConflictError(message, remedy);
-    case 'refused':
-      return new RefusedError(message, remedy);
-    case 'unavailable':
-      return new UnavailableError(message, remedy);
-    case 'timeout':
-      return new TimeoutError(message, remedy);
-    case 'protocol':
-      return new ProtocolError(message, remedy);
-    case 'unknown-effect':
-      return new UnknownEffectError(message, remedy);
-  }
+  return errorFromReport(report.data);
 }
--- a/src/transport/http_protocol.ts
+++ b/src/transport/http_protocol.ts
@@ -23,21 +23,6 @@
 import {vmSchema} from '../platform/vm_list.js';
 import {NO_LIST_VERSION} from '../platform/worker_client.js';
 
-export const errorReportSchema = z.object({
-  kind: z.enum([
-    'invalid-input',
-    'not-found',
-    'conflict',
-    'refused',
-    'unavailable',
-    'timeout',
-    'unknown-effect',
-    'protocol',
-  ]),
-  message: z.string(),
-  remedy: z.string(),
-});
-
 const storeEntrySchema = z.object({
   key: z.string(),
   value: z.string(),
--- a/src/transport/peer_protocol.ts
+++ b/src/transport/peer_protocol.ts
@@ -7,15 +7,11 @@
 import {Result} from 'true-myth';
 import {ZodError, z} from 'zod';
 import {
-  ConflictError,
-  InvalidInputError,
-  NotFoundError,
   ProtocolError,
   RefusedError,
   SystemError,
-  TimeoutError,
-  UnavailableError,
-  UnknownEffectError,
+  errorFromReport,
+  errorReportSchema,
 } from '../model/errors.js';
 import type {CallError, ErrorReport} from '../model/errors.js';
 import {jobIdSchema} from '../model/ids.js';
@@ -48,21 +44,6 @@
 export const jobQuerySchema = z.object({jobId: jobIdSchema});
 export const jobReportsSchema = z.array(jobReportSchema);
 
-const errorReportSchema = z.object({
-  kind: z.enum([
-    'invalid-input',
-    'not-found',
-    'conflict',
-    'refused',
-    'unavailable',
-    'timeout',
-    'unknown-effect',
-    'protocol',
-  ]),
-  message: z.string(),
-  remedy: z.string(),
-});
-
 /** What the server keeps for one connection. */
 export interface PeerConnection {
   /** Last heartbeat of the peer on this connection, and the answer to it. */
@@ -186,29 +167,5 @@
       'run the same version on all daemons',
     );
   }
-  const {kind, message, remedy} = parsed.data.report;
-  switch (kind) {
-    case 'invalid-input':
-      return invalidInput(message, remedy);
-    case 'not-found':
-      return new NotFoundError(message, remedy);
-    case 'conflict':
-      return new ConflictError(message, remedy);
-    case 'refused':
-      return new RefusedError(message, remedy);
-    case 'unavailable':
-      return new UnavailableError(message, remedy);
-    case 'timeout':
-      return new TimeoutError(message, remedy);
-    case 'unknown-effect':
-      return new UnknownEffectError(message, remedy);
-    case 'protocol':
-      return new ProtocolError(message, remedy);
-  }
-}
-
-/** The message of an `InvalidInputError` begins with its field. */
-function invalidInput(message: string, remedy: string): InvalidInputError {
-  const [field = 'message', ...rest] = message.split(': ');
-  return new InvalidInputError(field, rest.join(': '), remedy);
+  return errorFromReport(parsed.data.report);
 }
