--- a/src/lifecycle/cleanup_scope.ts
+++ b/src/lifecycle/cleanup_scope.ts
@@ -3,6 +3,8 @@
  * with the scope of its owner; closing the scope closes everything in it.
  */
 
+import {setMaxListeners} from 'node:events';
+
 type Cleanup = () => void | Promise<void>;
 
 /** Closes what was registered, last first, and aborts its signal. */
@@ -10,6 +12,12 @@
   private readonly cleanups: Cleanup[] = [];
   private readonly controller = new AbortController();
 
+  constructor() {
+    // Each loop that sleeps and each call that waits adds a listener, so more
+    // than the default of ten is no sign of a leak.
+    setMaxListeners(0, this.controller.signal);
+  }
+
   /** Aborted when the scope closes; pass it to calls that wait. */
   get signal(): AbortSignal {
     return this.controller.signal;
