Answer "unknown" for a job whose record may be in the store

Cause: when the answer to the record's write was lost, the read back failed and no scheduler was reachable, the caller was told 503, "not accepted", although the job may be in the store and run. Ruled out: waiting for the store within the call (outages are long). Conclusion: such a submission is answered with unknown-effect (504) and the remedy to submit it again with the same key. Found while reading the code.

--- a/src/controllers/job_router.ts
+++ b/src/controllers/job_router.ts
@@ -16,6 +16,7 @@
   NotFoundError,
   RefusedError,
   UnavailableError,
+  UnknownEffectError,
 } from '../model/errors.js';
 import type {CallError} from '../model/errors.js';
 import {hasEnded, jobRecordSchema} from '../model/jobs.js';
@@ -156,9 +157,13 @@
     record: JobRecord,
   ): Promise<Result<AcceptedJob, CallError>> {
     const stored = await this.readStored(record.jobId);
-    if (stored.isErr) return this.keepInMemory(record);
-    if (stored.value === undefined) return this.keepInMemory(record);
-    return this.keptInStore(stored.value);
+    if (stored.isOk && stored.value !== undefined) {
+      return this.keptInStore(stored.value);
+    }
+    const kept = await this.keepInMemory(record);
+    // The write may have happened, or may yet, so that "not accepted" could
+    // be untrue.
+    return kept.mapErr((error) => mayBeAccepted(error));
   }
 
   private async keepInMemory(
@@ -356,6 +361,13 @@
   );
 }
 
+function mayBeAccepted(cause: CallError): CallError {
+  return new UnknownEffectError(
+    `the job may have been accepted: ${cause.problem}`,
+    'submit it again with the same key',
+  );
+}
+
 function noScheduler(zone: AvailabilityZone): UnavailableError {
   return new UnavailableError(
     `no daemon of zone ${zone} can be reached`,
--- a/test/job_router.test.ts
+++ b/test/job_router.test.ts
@@ -24,7 +24,12 @@
 import {KeyValueStore} from '../src/platform/key_value_store.js';
 import type {StoreEntry} from '../src/platform/key_value_store.js';
 
-type Fault = 'none' | 'down' | 'answer lost after write';
+type Fault =
+  | 'none'
+  | 'down'
+  | 'answer lost after write'
+  /** The write's answer is lost, and reads fail too. */
+  | 'lost and down';
 
 /** Keeps entries in memory; `fault` decides what a write comes to. */
 class MemoryStore extends KeyValueStore {
@@ -32,7 +37,9 @@
   fault: Fault = 'none';
 
   override async get(key: string) {
-    if (this.fault === 'down') return Result.err(down());
+    if (this.fault === 'down' || this.fault === 'lost and down') {
+      return Result.err(down());
+    }
     return Result.ok(this.entries.get(key));
   }
 
@@ -42,7 +49,7 @@
       return Result.err(new ConflictError('exists', 'read it'));
     }
     this.entries.set(key, {key, value, revision: this.entries.size + 1});
-    if (this.fault === 'answer lost after write') {
+    if (this.fault !== 'none') {
       return Result.err(new UnknownEffectError('lost', 'read it back'));
     }
     return Result.ok(this.entries.size);
@@ -199,6 +206,16 @@
   });
 });
 
+describe('a job whose record may be in the store', () => {
+  test('is not called "not accepted" when nobody else takes it', async () => {
+    const {store, holders, router} = setUp();
+    store.fault = 'lost and down';
+    holders.schedulerHolder.reachable = false;
+    const submitted = await router.submit(submission());
+    assert.ok(submitted.isErr && submitted.error.kind === 'unknown-effect');
+  });
+});
+
 describe('a keyed job', () => {
   test('is the same job when a retry reaches a daemon of another zone', async () => {
     const first = setUp('zone-1');
