Do not let a waiting decision replace another scheduler's record

While a scheduler's "starting" waited to be written, its watch showed the other scheduler's "starting" of the same sequence and noted its revision; the waiting write then replaced that record by compare-and-swap, and both gangs ran. Ruled out: the skew bound (600 s in that test); a lost conflict in write itself, which reads back and compares. Conclusion: an entry that a watch shows is compared with a waiting record as after a failed write; the echo of an own write is recognised by its value.

--- a/src/controllers/job_store.ts
+++ b/src/controllers/job_store.ts
@@ -158,6 +158,25 @@
     return record;
   }
 
+  /**
+   * Takes an entry that a watch returned. If a record of the job waits to be
+   * written, the two are compared as after a failed write: the revision that
+   * the entry brings would let the waiting record replace it unseen.
+   */
+  seen(entry: StoreEntry): JobRecord | undefined {
+    const parsed = validateJson(jobRecordSchema, entry.value, entry.key);
+    if (parsed.isErr) return undefined;
+    const {jobId} = parsed.value;
+    const known = this.known.get(jobId)?.revision ?? ABSENT_REVISION;
+    const own = this.unwritten.get(jobId);
+    const isOwn = own !== undefined && JSON.stringify(own) === entry.value;
+    if (own === undefined || isOwn || entry.revision <= known) {
+      return this.takeEntry(entry);
+    }
+    this.resolveConflict(entry);
+    return parsed.value;
+  }
+
   /**
    * Writes the record as soon as possible, in place of an older one. Returns
    * it with a sequence above that of every record known of the job.
--- a/src/controllers/record_watcher.ts
+++ b/src/controllers/record_watcher.ts
@@ -91,7 +91,7 @@
     const batch = result.value;
     this.revision = batch.compacted ? undefined : batch.revision;
     for (const entry of batch.changed) {
-      const record = this.parts.jobStore.takeEntry(entry);
+      const record = this.parts.jobStore.seen(entry);
       if (record !== undefined) this.listener.recordSeen(record);
     }
     return true;
