Make the test of contested records place the interleaving

The first write took no time, so that the second one was already under way when the foreign record appeared, and the ordinary conflict resolved it. Ruled out: a fault in the comparison itself. Figures: with the comparison switched off, 1 of 2 tests is red ("stored" instead of "overruled"); with it, both pass. Conclusion: the first write takes 200 ms now and keeps the second one waiting.

--- a/test/job_store.test.ts
+++ b/test/job_store.test.ts
@@ -30,6 +30,7 @@
   await jobs.readAll();
 
   // The write of the first record keeps the second one waiting.
+  store.writeMs = 200;
   jobs.put(other);
   jobs.put(starting(contested, 'gang-own'));
   const settled = jobs.settled(contested.jobId, 60_000);
