--- a/src/cli/operator_client.ts
+++ b/src/cli/operator_client.ts
@@ -24,8 +24,8 @@
   Status,
 } from '../daemon/operator_messages.js';
 import type {Configuration} from '../model/configuration.js';
-import {jobReportSchema} from '../platform/peer_client.js';
-import type {JobReport} from '../platform/peer_client.js';
+import {jobReportSchema} from '../parties/peer_client.js';
+import type {JobReport} from '../parties/peer_client.js';
 
 const CALL_TIMEOUT_MS = 10_000;
 
--- a/src/controllers/audit_trail.ts
+++ b/src/controllers/audit_trail.ts
@@ -24,8 +24,8 @@
   KeyValueStore,
   StoreReadError,
   StoreWriteError,
-} from '../platform/key_value_store.js';
-import {ABSENT_REVISION} from '../platform/key_value_store.js';
+} from '../parties/key_value_store.js';
+import {ABSENT_REVISION} from '../parties/key_value_store.js';
 import {
   CHANGES_PER_SEGMENT,
   ConfigurationStore,
--- a/src/controllers/configuration_store.ts
+++ b/src/controllers/configuration_store.ts
@@ -26,11 +26,11 @@
   StoreEntry,
   StoreReadError,
   StoreWriteError,
-} from '../platform/key_value_store.js';
+} from '../parties/key_value_store.js';
 import {
   ABSENT_REVISION,
   MAXIMUM_VALUE_BYTES,
-} from '../platform/key_value_store.js';
+} from '../parties/key_value_store.js';
 
 export const HEAD_KEY = 'configuration/head';
 /** Most changes in the head. */
--- a/src/controllers/job_router.ts
+++ b/src/controllers/job_router.ts
@@ -25,9 +25,9 @@
 import type {AvailabilityZone, Instant, JobId} from '../model/ids.js';
 import type {Clock} from '../lifecycle/clock.js';
 import type {CleanupScope} from '../lifecycle/cleanup_scope.js';
-import {ABSENT_REVISION} from '../platform/key_value_store.js';
-import type {KeyValueStore} from '../platform/key_value_store.js';
-import type {JobReport} from '../platform/peer_client.js';
+import {ABSENT_REVISION} from '../parties/key_value_store.js';
+import type {KeyValueStore} from '../parties/key_value_store.js';
+import type {JobReport} from '../parties/peer_client.js';
 import {jobKey} from './job_store.js';
 
 /** A waiting caller's job is read again after this time. */
--- a/src/controllers/job_store.ts
+++ b/src/controllers/job_store.ts
@@ -18,8 +18,8 @@
   StoreEntry,
   StoreReadError,
   StoreWriteError,
-} from '../platform/key_value_store.js';
-import {ABSENT_REVISION} from '../platform/key_value_store.js';
+} from '../parties/key_value_store.js';
+import {ABSENT_REVISION} from '../parties/key_value_store.js';
 import type {ZoneControllerOptions} from './zone_options.js';
 
 /** What became of the latest record of a job. */
--- a/src/controllers/peer_table.ts
+++ b/src/controllers/peer_table.ts
@@ -4,7 +4,7 @@
 
 import {after} from '../model/ids.js';
 import type {AvailabilityZone, DaemonId, Instant, VmId} from '../model/ids.js';
-import type {Heartbeat} from '../platform/peer_client.js';
+import type {Heartbeat} from '../parties/peer_client.js';
 
 /** Time without a heartbeat after which a peer is forgotten. */
 const FORGET_AFTER_MS = 60_000;
--- a/src/controllers/power_controller.ts
+++ b/src/controllers/power_controller.ts
@@ -8,7 +8,7 @@
 import {after} from '../model/ids.js';
 import type {Instant, JobId} from '../model/ids.js';
 import type {JobRecord, TaskList} from '../model/jobs.js';
-import type {JobExplanation} from '../platform/peer_client.js';
+import type {JobExplanation} from '../parties/peer_client.js';
 import {occupies} from '../scheduling/gang_adoption.js';
 import {planForFuel} from '../scheduling/power_plan.js';
 import type {PowerPlan, PoweredJob} from '../scheduling/power_plan.js';
--- a/src/controllers/vm_controller.ts
+++ b/src/controllers/vm_controller.ts
@@ -14,7 +14,7 @@
   VmList,
   VmListBatch,
   WorkerVm,
-} from '../platform/vm_list.js';
+} from '../parties/vm_list.js';
 import {Listeners} from './listeners.js';
 import type {Listener, LogLine} from './listeners.js';
 
--- a/src/harness/job_reconciler.ts
+++ b/src/harness/job_reconciler.ts
@@ -6,7 +6,7 @@
 import type {GangId, JobId, TaskId, VmId} from '../model/ids.js';
 import {hasEnded, jobRecordSchema} from '../model/jobs.js';
 import type {JobRecord} from '../model/jobs.js';
-import type {StoreEntry} from '../platform/key_value_store.js';
+import type {StoreEntry} from '../parties/key_value_store.js';
 import type {RunEvent, TaskEvent} from '../standins/run_log.js';
 
 /** When each killed worker died, in milliseconds since the Unix epoch. */
--- a/src/requests/claim_bucket.ts
+++ b/src/requests/claim_bucket.ts
@@ -19,7 +19,7 @@
 import {
   ABSENT_REVISION,
   MAXIMUM_VALUE_BYTES,
-} from '../platform/key_value_store.js';
+} from '../parties/key_value_store.js';
 import type {ClaimStore} from './directory.js';
 
 /** Leaves room below the store's limit for the value's own brackets. */
--- a/src/scheduling/cell_zone_planner.ts
+++ b/src/scheduling/cell_zone_planner.ts
@@ -11,7 +11,7 @@
 import type {JobRecord} from '../model/jobs.js';
 import type {CellSize} from '../model/shapes.js';
 import {ACCELERATORS_PER_RACK, cellSizeFor} from '../model/shapes.js';
-import type {JobExplanation} from '../platform/peer_client.js';
+import type {JobExplanation} from '../parties/peer_client.js';
 import {explainJob} from './explanation.js';
 import {PlannedJob} from './planned_job.js';
 import {PlanningPass, canBeReserved} from './planning_pass.js';
--- a/src/standins/vm_list_state.ts
+++ b/src/standins/vm_list_state.ts
@@ -4,7 +4,7 @@
  */
 
 import type {VmId} from '../model/ids.js';
-import type {Vm, VmListBatch} from '../platform/vm_list.js';
+import type {Vm, VmListBatch} from '../parties/vm_list.js';
 
 /** Watches from version 0 return at once, so the list starts above it. */
 const FIRST_VERSION = 1;
--- a/src/transport/heartbeat_delta.ts
+++ b/src/transport/heartbeat_delta.ts
@@ -4,8 +4,8 @@
  */
 
 import {z} from 'zod';
-import {heartbeatSchema} from '../platform/peer_client.js';
-import type {Heartbeat} from '../platform/peer_client.js';
+import {heartbeatSchema} from '../parties/peer_client.js';
+import type {Heartbeat} from '../parties/peer_client.js';
 
 /** One of the two is given; a union would hide which field is malformed. */
 export const heartbeatMessageSchema = z.strictObject({
--- a/src/transport/trpc_peer_client.ts
+++ b/src/transport/trpc_peer_client.ts
@@ -23,13 +23,13 @@
   PeerClient,
   configurationUpdateSchema,
   jobReportSchema,
-} from '../platform/peer_client.js';
+} from '../parties/peer_client.js';
 import type {
   ConfigurationUpdate,
   Dispatch,
   Heartbeat,
   JobReport,
-} from '../platform/peer_client.js';
+} from '../parties/peer_client.js';
 import {
   decodeHeartbeat,
   encodeHeartbeat,
--- a/test/control_fakes.ts
+++ b/test/control_fakes.ts
@@ -18,13 +18,13 @@
 } from '../src/model/errors.js';
 import {instant, trustedId} from '../src/model/ids.js';
 import type {CustomerId} from '../src/model/ids.js';
-import {KeyValueStore} from '../src/platform/key_value_store.js';
+import {KeyValueStore} from '../src/parties/key_value_store.js';
 import type {
   StoreEntry,
   StoreReadError,
   StoreWatchBatch,
   StoreWriteError,
-} from '../src/platform/key_value_store.js';
+} from '../src/parties/key_value_store.js';
 
 /** `lost-write`: neither write nor answer; `lost-answer`: write, no answer. */
 export type StoreFault = 'none' | 'down' | 'lost-write' | 'lost-answer';
--- a/test/standins_support.ts
+++ b/test/standins_support.ts
@@ -5,7 +5,7 @@
 import type {TaskId} from '../src/model/ids.js';
 import type {TaskSpecification} from '../src/model/jobs.js';
 import type {ServiceRequest} from '../src/model/requests.js';
-import type {MinionVm, WorkerVm} from '../src/platform/vm_list.js';
+import type {MinionVm, WorkerVm} from '../src/parties/vm_list.js';
 
 /** Far above any time that a healthy run takes, also on a busy machine. */
 export const LONG_MS = 20_000;
--- a/test/zone_fakes.ts
+++ b/test/zone_fakes.ts
@@ -22,10 +22,10 @@
   TaskState,
   TaskStatus,
 } from '../src/model/jobs.js';
-import {KeyValueStore} from '../src/platform/key_value_store.js';
-import type {StoreEntry} from '../src/platform/key_value_store.js';
-import type {WorkerVm} from '../src/platform/vm_list.js';
-import {WorkerClient} from '../src/platform/worker_client.js';
+import {KeyValueStore} from '../src/parties/key_value_store.js';
+import type {StoreEntry} from '../src/parties/key_value_store.js';
+import type {WorkerVm} from '../src/parties/vm_list.js';
+import {WorkerClient} from '../src/parties/worker_client.js';
 
 const REMEDY = 'this is a fault of the test';
 const WAIT_LIMIT_MS = 20_000;
