Run on the hosting platform: entry daemon, elected leader, adapter

Causes: the age of the configuration was counted from the start of a 2 s poll, so daemons held it for too old half of the time; tasks placed in the same round did not count towards a step's limit per worker.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -3,10 +3,10 @@
 // The rules follow the Google TypeScript Style Guide. Formatting is left to
 // prettier.
 export default tseslint.config(
-  {ignores: ['dist/**', 'node_modules/**']},
+  {ignores: ['dist/**', 'target/**', 'node_modules/**']},
   ...tseslint.configs.recommended,
   {
-    files: ['src/**/*.ts', 'test/**/*.ts'],
+    files: ['src/**/*.ts', 'platform/**/*.ts', 'test/**/*.ts'],
     languageOptions: {
       parserOptions: {
         projectService: true,
--- a/src/daemon/log.ts
+++ b/src/daemon/log.ts
@@ -11,11 +11,16 @@
   | 'callers'
   | 'configuration'
   | 'daemon'
+  | 'entry'
+  | 'jobs'
+  | 'leader'
   | 'membership'
   | 'operators'
   | 'peers'
   | 'requests'
+  | 'store'
   | 'vms'
+  | 'workers'
   | 'zone';
 
 /** Ids that tie the lines of one request or job together across daemons. */
--- /dev/null
+++ b/src/entry/configuration_feed.ts
@@ -0,0 +1,69 @@
+/**
+ * The configuration in force on this daemon: the newest version that it ever
+ * saw, and how old that knowledge is.
+ */
+
+import type {CleanupScope} from '../lifecycle/cleanup_scope.js';
+import type {SteadyTime} from '../lifecycle/clock.js';
+import type {PartLog} from '../daemon/log.js';
+import {PrefixFollower} from '../leader/prefix_follower.js';
+import type {HostedConfiguration} from '../model/queues.js';
+import type {ConfigurationSource} from '../parties/configuration_source.js';
+
+export class ConfigurationFeed {
+  private newest: HostedConfiguration | undefined;
+  private readonly follower: PrefixFollower<
+    HostedConfiguration | undefined,
+    HostedConfiguration
+  >;
+  private readonly listeners: Array<() => void> = [];
+
+  constructor(
+    source: ConfigurationSource,
+    scope: CleanupScope,
+    private readonly log: PartLog,
+  ) {
+    this.follower = new PrefixFollower(
+      {
+        list: async () =>
+          (await source.list()).map(({configuration, revision}) => ({
+            state: configuration,
+            revision,
+          })),
+        watch: (revision, waitMs, signal) =>
+          source.watch(revision, waitMs, signal),
+      },
+      scope,
+      (reason) => log.warn(`cannot follow the configuration: ${reason}`),
+    );
+  }
+
+  async start(): Promise<void> {
+    await this.follower.start(
+      (configuration) => this.apply(configuration),
+      (changes) => changes.forEach((change) => this.apply(change)),
+    );
+  }
+
+  get configuration(): HostedConfiguration | undefined {
+    return this.newest;
+  }
+
+  ageMs(now: SteadyTime): number {
+    return this.follower.ageMs(now);
+  }
+
+  onChange(listener: () => void): void {
+    this.listeners.push(listener);
+  }
+
+  /** A version that is not newer is not applied, whatever its source. */
+  private apply(configuration: HostedConfiguration | undefined): void {
+    if (configuration === undefined) return;
+    const {version} = configuration;
+    if (this.newest !== undefined && version <= this.newest.version) return;
+    this.newest = configuration;
+    this.log.info(`version ${version} is in force`, {version});
+    for (const listener of this.listeners) listener();
+  }
+}
--- /dev/null
+++ b/src/entry/entry_metrics.ts
@@ -0,0 +1,53 @@
+/**
+ * Metrics of the entry daemon in the Prometheus format. Labels are closed
+ * lists; no id is a label.
+ */
+
+import {Counter, Gauge, Histogram, Registry} from 'prom-client';
+import type {LeaderSession} from '../leader/session.js';
+
+const NAME_PREFIX = 'bramleystep_entry_';
+const MILLISECONDS_PER_SECOND = 1_000;
+
+/** From an answer out of memory to the longest wait for the store. */
+const ANSWER_BUCKETS_SECONDS = [
+  0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2,
+];
+
+export class EntryMetrics {
+  private readonly registry = new Registry();
+  private readonly answers = new Counter({
+    name: `${NAME_PREFIX}answers_total`,
+    help: 'Answers to callers by method and kind',
+    labelNames: ['method', 'kind'],
+    registers: [this.registry],
+  });
+  private readonly answerSeconds = new Histogram({
+    name: `${NAME_PREFIX}answer_seconds`,
+    help: 'Time from a whole call to its answer',
+    labelNames: ['method'],
+    buckets: ANSWER_BUCKETS_SECONDS,
+    registers: [this.registry],
+  });
+  private readonly leads = new Gauge({
+    name: `${NAME_PREFIX}leads`,
+    help: '1 while this daemon leads',
+    registers: [this.registry],
+  });
+  private readonly openJobs = new Gauge({
+    name: `${NAME_PREFIX}open_jobs`,
+    help: 'Accepted jobs that have not ended, on the leader',
+    registers: [this.registry],
+  });
+
+  answered(method: string, kind: string, tookMs: number): void {
+    this.answers.inc({method, kind});
+    this.answerSeconds.observe({method}, tookMs / MILLISECONDS_PER_SECOND);
+  }
+
+  text(session: LeaderSession | undefined): Promise<string> {
+    this.leads.set(session === undefined ? 0 : 1);
+    this.openJobs.set(session?.openJobCount ?? 0);
+    return this.registry.metrics();
+  }
+}
--- /dev/null
+++ b/src/leader/commit_queue.ts
@@ -0,0 +1,167 @@
+/**
+ * Writes changed job records in groups, one transaction at a time. Each
+ * transaction holds only while this leader's key and each record have the
+ * revisions that this leader last saw, so a write that is carried out late
+ * cannot replace a newer record.
+ */
+
+import type {CleanupScope} from '../lifecycle/cleanup_scope.js';
+import type {
+  CoordinationStore,
+  StorePut,
+  StoreTransaction,
+} from '../parties/coordination_store.js';
+import type {Job} from './jobs.js';
+import {LEADER_KEY, progressKey} from './records.js';
+
+/**
+ * Records per transaction: the store takes 32 entries, of which one is the
+ * condition on the leader's key and each record needs a condition and a put.
+ */
+const RECORDS_PER_TRANSACTION = 15;
+
+/** Wait between attempts to write while the store does not answer. */
+const RETRY_MS = 150;
+
+export interface CommitReport {
+  /** Another leader was elected. */
+  deposed(): void;
+  /** The store did not take the transaction; it is tried again. */
+  delayed(reason: string): void;
+}
+
+interface PendingRecord {
+  readonly job: Job;
+  readonly put: StorePut;
+}
+
+export class CommitQueue {
+  private changed = new Set<Job>();
+  private callbacks: Array<() => void> = [];
+  private isRunning = false;
+
+  constructor(
+    private readonly store: CoordinationStore,
+    private readonly leaderRevision: number,
+    private readonly scope: CleanupScope,
+    private readonly report: CommitReport,
+  ) {}
+
+  /** True if nothing waits for the store. */
+  get isIdle(): boolean {
+    return !this.isRunning && this.changed.size === 0;
+  }
+
+  /** Queues the job's record; `then` runs once it is durable. */
+  write(job: Job, then?: () => void): void {
+    this.changed.add(job);
+    if (then !== undefined) this.callbacks.push(then);
+    this.start();
+  }
+
+  /** Runs `then` once everything queued so far is durable. */
+  afterPending(then: () => void): void {
+    this.callbacks.push(then);
+    this.start();
+  }
+
+  private start(): void {
+    if (this.isRunning) return;
+    this.isRunning = true;
+    // Changes of the same turn of the event loop share one transaction.
+    setImmediate(() => void this.run());
+  }
+
+  private async run(): Promise<void> {
+    while (
+      !this.scope.closed &&
+      (this.changed.size > 0 || this.callbacks.length > 0)
+    ) {
+      const jobs = [...this.changed];
+      const callbacks = this.callbacks;
+      this.changed = new Set();
+      this.callbacks = [];
+      const records = jobs.map((job) => pendingRecord(job));
+      for (let i = 0; i < records.length; i += RECORDS_PER_TRANSACTION) {
+        const chunk = records.slice(i, i + RECORDS_PER_TRANSACTION);
+        if (!(await this.commit(chunk))) return;
+      }
+      for (const callback of callbacks) callback();
+    }
+    this.isRunning = false;
+  }
+
+  /** Returns false if this leader may write no more. */
+  private async commit(records: PendingRecord[]): Promise<boolean> {
+    let remaining = records;
+    while (!this.scope.closed) {
+      const outcome = await this.store.transact(this.transaction(remaining));
+      if (outcome.isErr) {
+        this.report.delayed(outcome.error.message);
+        await this.scope.sleep(RETRY_MS);
+        continue;
+      }
+      if (outcome.value.kind === 'committed') {
+        for (const {job} of remaining) {
+          job.recordRevision = outcome.value.revision;
+        }
+        return true;
+      }
+      const left = this.resolveConflict(remaining, outcome.value.items);
+      if (left === undefined) {
+        this.report.deposed();
+        return false;
+      }
+      if (left.length === 0) return true;
+      remaining = left;
+    }
+    return false;
+  }
+
+  /**
+   * Returns the records that are still to be written, or undefined if this
+   * leader was replaced. An earlier attempt without an answer may have written
+   * some of them.
+   */
+  private resolveConflict(
+    records: readonly PendingRecord[],
+    items: ReadonlyArray<{key: string; value: string; revision: number}>,
+  ): PendingRecord[] | undefined {
+    const byKey = new Map(items.map((item) => [item.key, item]));
+    if (byKey.get(LEADER_KEY)?.revision !== this.leaderRevision) {
+      return undefined;
+    }
+    const left: PendingRecord[] = [];
+    for (const record of records) {
+      const item = byKey.get(record.put.key);
+      if (item?.value === record.put.value) {
+        record.job.recordRevision = item.revision;
+        continue;
+      }
+      // Only this leader writes records, so its own view of the job is newer.
+      record.job.recordRevision = item?.revision ?? 0;
+      left.push(record);
+    }
+    return left;
+  }
+
+  private transaction(records: readonly PendingRecord[]): StoreTransaction {
+    return {
+      conditions: [
+        {key: LEADER_KEY, revision: this.leaderRevision},
+        ...records.map(({job, put}) => ({
+          key: put.key,
+          revision: job.recordRevision,
+        })),
+      ],
+      puts: records.map(({put}) => put),
+      removals: [],
+    };
+  }
+}
+
+function pendingRecord(job: Job): PendingRecord {
+  job.isChanged = false;
+  const value = JSON.stringify(job.record());
+  return {job, put: {key: progressKey(job.id), value}};
+}
--- /dev/null
+++ b/src/leader/leader_log.ts
@@ -0,0 +1,147 @@
+/**
+ * Log lines of the leader: one for each decision that touches a job, a run or
+ * a belief about a worker.
+ */
+
+import type {DaemonLog, PartLog} from '../daemon/log.js';
+import type {Instant} from '../model/ids.js';
+import type {EndedRun, LookOutcome} from '../parties/task_worker.js';
+import type {Job, Run, Unit} from './jobs.js';
+import type {WorkerState} from './worker_state.js';
+
+export class LeaderLog {
+  private readonly leader: PartLog;
+  private readonly jobs: PartLog;
+  private readonly workers: PartLog;
+
+  constructor(log: DaemonLog) {
+    this.leader = log.part('leader');
+    this.jobs = log.part('jobs');
+    this.workers = log.part('workers');
+  }
+
+  elected(term: number): void {
+    this.leader.info(`elected for term ${term}`);
+  }
+
+  resigned(term: number, reason: string): void {
+    this.leader.warn(`term ${term} ended: ${reason}`);
+  }
+
+  uncertain(term: number, reason: string): void {
+    this.leader.warn(`term ${term} is not certain: ${reason}`);
+  }
+
+  certainAgain(term: number): void {
+    this.leader.info(`term ${term} is certain again`);
+  }
+
+  adopted(jobs: number, runs: number, tookMs: number): void {
+    const took = Math.round(tookMs);
+    this.leader.info(`adopted ${jobs} jobs and ${runs} runs in ${took} ms`);
+  }
+
+  storeUnanswered(what: string, reason: string): void {
+    this.leader.warn(`cannot follow ${what}: ${reason}`);
+  }
+
+  commitDelayed(reason: string): void {
+    this.leader.warn(`records are not durable yet: ${reason}`);
+  }
+
+  unreadableRecord(reason: string): void {
+    this.leader.error(`left out a record: ${reason}`);
+  }
+
+  jobEnded(job: Job, now: Instant): void {
+    const ageMs = now - job.acceptedAt;
+    this.jobs.info(`${job.state} after ${ageMs} ms`, {jobId: job.id});
+  }
+
+  placed(
+    unit: Unit,
+    run: number,
+    workers: readonly WorkerState[],
+    now: Instant,
+  ): void {
+    const waitedMs = now - (unit.readySince ?? now);
+    const names = workers.map(({workerId}) => workerId).join(',');
+    this.jobs.info(
+      `placed ${unit.occurrence}.${unit.stepIndex}.${unit.firstIndex} as run ` +
+        `${run} on ${names}, waited ${waitedMs} ms`,
+      {jobId: unit.job.id},
+    );
+  }
+
+  started(run: Run, now: Instant): void {
+    const tookMs = now - run.plannedAt;
+    this.run(run, `${run.task} run ${run.run} confirmed after ${tookMs} ms`);
+  }
+
+  runEnded(run: Run, ending: string, failures: number): void {
+    this.run(
+      run,
+      `${run.task} run ${run.run} ended ${ending}, ${failures} failures`,
+    );
+  }
+
+  runLost(run: Run, reason: string): void {
+    this.run(run, `${run.task} run ${run.run} is gone: ${reason}`);
+  }
+
+  preempted(run: Run): void {
+    this.run(run, `${run.task} run ${run.run} makes room for guaranteed work`);
+  }
+
+  stopped(run: Run, reason: string): void {
+    this.run(run, `${run.task} run ${run.run} is stopped: ${reason}`);
+  }
+
+  orderUnanswered(run: Run): void {
+    this.run(run, `${run.task} run ${run.run}: no answer, voiding the order`);
+  }
+
+  workerSilent(
+    worker: WorkerState,
+    outcome: LookOutcome & {kind: 'otherLife' | 'unanswered'},
+  ): void {
+    const reason =
+      outcome.kind === 'unanswered' ? outcome.detail : 'other life';
+    this.workers.warn(`no answer: ${reason}`, {workerId: worker.workerId});
+  }
+
+  workerBack(worker: WorkerState): void {
+    this.workers.info('answers again', {workerId: worker.workerId});
+  }
+
+  leasesLapsed(worker: WorkerState): void {
+    this.workers.warn(`all leases lapsed, ${worker.runs.size} runs are gone`, {
+      workerId: worker.workerId,
+    });
+  }
+
+  quarantined(worker: WorkerState, reason: string): void {
+    this.workers.warn(`gets no new runs for a while: ${reason}`, {
+      workerId: worker.workerId,
+    });
+  }
+
+  unknownEnd(worker: WorkerState, end: EndedRun): void {
+    this.workers.debug(`listed an end of no known run: ${end.task}`, {
+      workerId: worker.workerId,
+    });
+  }
+
+  unknownRun(worker: WorkerState, task: string, run: number): void {
+    this.workers.warn(`runs ${task} run ${run} of no record, stopping it`, {
+      workerId: worker.workerId,
+    });
+  }
+
+  private run(run: Run, sentence: string): void {
+    this.jobs.info(sentence, {
+      jobId: run.unit.job.id,
+      workerId: run.workerId,
+    });
+  }
+}
--- /dev/null
+++ b/src/leader/placement.ts
@@ -0,0 +1,317 @@
+/**
+ * Decides which units start where, and which runs are stopped for a customer's
+ * guaranteed work. Pure: it reads the beliefs of the leader and returns a plan.
+ */
+
+import type {SteadyTime} from '../lifecycle/clock.js';
+import type {CustomerId, Instant} from '../model/ids.js';
+import type {HostedConfiguration, Queue} from '../model/queues.js';
+import type {Job, Run, Unit} from './jobs.js';
+import {cheapestVictims} from './preemption.js';
+import type {Room} from './rooms.js';
+import {RoomTable} from './rooms.js';
+import type {WorkerState} from './worker_state.js';
+
+/** A unit and the worker of each of its tasks, in order of index. */
+export interface Placement {
+  readonly unit: Unit;
+  readonly workers: readonly WorkerState[];
+}
+
+export interface RoundPlan {
+  readonly placements: readonly Placement[];
+  /** Runs to stop, whole units of them. */
+  readonly preemptions: readonly Run[];
+  /** Earliest time at which a waiting unit becomes ready by time alone. */
+  readonly nextDueAt: Instant | undefined;
+}
+
+export interface PlanningView {
+  readonly jobs: Iterable<Job>;
+  readonly workers: ReadonlyMap<string, WorkerState>;
+  readonly configuration: HostedConfiguration;
+  readonly now: Instant;
+  readonly steady: SteadyTime;
+}
+
+/**
+ * A gang that waits longer gets a rack to itself as it empties. Shorter than
+ * the objective of the shortest jobs, longer than most of their runs.
+ */
+const STARVATION_MS = 4_000;
+
+/** Racks that waiting gangs may hold at once, so that small jobs go on. */
+const MAXIMUM_RESERVED_RACKS = 2;
+
+/**
+ * Guaranteed work that found no rack in this time is spread over racks, which
+ * still leaves time to preempt within the bound for guaranteed work (2.9 s).
+ */
+const GUARANTEED_RACK_WAIT_MS = 1_000;
+
+/** Waiting for the rack with the data pays up to this many run times. */
+const DATA_RACK_PATIENCE = 1.5;
+
+/**
+ * - `guaranteed`: within the customer's guarantee, may preempt borrowers;
+ * - `urgent`: most urgent priority beyond the guarantee;
+ * - `other`: everything else.
+ */
+type Rank = 'guaranteed' | 'urgent' | 'other';
+
+interface RankedUnit {
+  readonly unit: Unit;
+  readonly rank: Rank;
+  readonly priority: number;
+}
+
+export function planRound(view: PlanningView): RoundPlan {
+  return new Round(view).plan();
+}
+
+class Round {
+  private readonly placements: Placement[] = [];
+  private readonly preemptions = new Set<Run>();
+  private readonly tables = new Map<string, RoomTable>();
+  private nextDueAt: Instant | undefined;
+
+  constructor(private readonly view: PlanningView) {}
+
+  plan(): RoundPlan {
+    for (const ranked of this.rankedUnits()) this.place(ranked);
+    return {
+      placements: this.placements,
+      preemptions: [...this.preemptions],
+      nextDueAt: this.nextDueAt,
+    };
+  }
+
+  /** Ready units, most urgent first. */
+  private rankedUnits(): RankedUnit[] {
+    const {jobs, configuration} = this.view;
+    const needed = new Map<CustomerId, number>();
+    const ranked: RankedUnit[] = [];
+    for (const job of jobs) {
+      if (job.isEnded) continue;
+      const queue = configuration.queue(job.queueId);
+      const priority = queue?.priority ?? Infinity;
+      const rank = this.rankOf(job, queue, needed);
+      for (const unit of job.openUnits) {
+        if (this.isReady(job, unit)) ranked.push({unit, rank, priority});
+      }
+    }
+    return ranked.sort(compareRanked);
+  }
+
+  /** Counts the customer's need in order of acceptance. */
+  private rankOf(
+    job: Job,
+    queue: Queue | undefined,
+    needed: Map<CustomerId, number>,
+  ): Rank {
+    if (queue === undefined || queue.priority > 0) return 'other';
+    const {customerId} = job;
+    if (customerId === undefined) return 'urgent';
+    const customer = this.view.configuration.customer(customerId);
+    const sum = (needed.get(customerId) ?? 0) + openAccelerators(job);
+    needed.set(customerId, sum);
+    const guaranteed = customer?.guaranteedAccelerators ?? 0;
+    return sum <= guaranteed ? 'guaranteed' : 'urgent';
+  }
+
+  private isReady(job: Job, unit: Unit): boolean {
+    const {now} = this.view;
+    if (job.isReady(unit, now)) {
+      unit.readySince ??= now;
+      return true;
+    }
+    const wakeAt = Math.max(
+      unit.retryAt,
+      job.isScheduled ? job.dueAt(unit.occurrence) : 0,
+    ) as Instant;
+    const waitsForTime = wakeAt > now && unit.runs.length === 0;
+    if (waitsForTime && wakeAt < (this.nextDueAt ?? Infinity)) {
+      this.nextDueAt = wakeAt;
+    }
+    return false;
+  }
+
+  private place(ranked: RankedUnit): void {
+    const {unit} = ranked;
+    const table = this.tableFor(unit);
+    const rooms = this.candidateGroups(ranked, table);
+    for (const group of rooms) {
+      const chosen = chooseRooms(unit, table.usable(group, unit));
+      if (chosen === undefined) continue;
+      for (const room of chosen) room.take(unit, 1);
+      this.placements.push({
+        unit,
+        workers: chosen.map(({worker}) => worker),
+      });
+      return;
+    }
+    if (ranked.rank !== 'other') this.preempt(ranked, table, rooms);
+    else this.reserveRack(unit, table);
+  }
+
+  private tableFor(unit: Unit): RoomTable {
+    const {configuration, workers, steady} = this.view;
+    const serviceId =
+      configuration.queue(unit.job.queueId)?.serviceId ?? unit.job.serviceId;
+    let table = this.tables.get(serviceId);
+    if (table === undefined) {
+      table = new RoomTable(workers.values(), serviceId, steady);
+      this.tables.set(serviceId, table);
+    }
+    return table;
+  }
+
+  /** Groups of rooms to try in order; the unit goes into one of them. */
+  private candidateGroups(ranked: RankedUnit, table: RoomTable): Room[][] {
+    const {unit} = ranked;
+    const {step} = unit;
+    const waitedMs = this.view.now - (unit.readySince ?? this.view.now);
+    if (step.dataRack !== undefined) {
+      const near = table.rooms.filter(
+        ({worker}) => worker.entry.rackId === step.dataRack,
+      );
+      const patient =
+        ranked.rank === 'guaranteed'
+          ? waitedMs < GUARANTEED_RACK_WAIT_MS
+          : waitedMs < DATA_RACK_PATIENCE * step.estimatedMs;
+      return near.length > 0 && patient ? [near] : [near, table.rooms];
+    }
+    if (step.sameRack !== true || unit.width <= 1) return [table.rooms];
+    const racks = byLeastRoomLeft(unit, table);
+    const couldFit = racks.some((rack) => this.couldFit(unit, rack));
+    const mustSpread =
+      !couldFit ||
+      (ranked.rank === 'guaranteed' && waitedMs >= GUARANTEED_RACK_WAIT_MS);
+    return mustSpread ? [...racks, table.rooms] : racks;
+  }
+
+  /** True if the rack could hold the unit if it were empty. */
+  private couldFit(unit: Unit, rack: readonly Room[]): boolean {
+    let slots = 0;
+    for (const {worker} of rack) {
+      const {capacity} = worker.entry;
+      const {shape} = unit.step;
+      slots += Math.min(
+        shape.accelerators > 0
+          ? Math.floor(capacity.accelerators / shape.accelerators)
+          : Infinity,
+        shape.processorMillicores > 0
+          ? Math.floor(capacity.processorMillicores / shape.processorMillicores)
+          : Infinity,
+        unit.step.maximumPerWorker ?? Infinity,
+      );
+    }
+    return slots >= unit.width;
+  }
+
+  /** Stops the cheapest borrowers and keeps their room for the unit. */
+  private preempt(
+    ranked: RankedUnit,
+    table: RoomTable,
+    groups: readonly Room[][],
+  ): void {
+    const {unit, rank} = ranked;
+    const choice = cheapestVictims(
+      unit,
+      groups.map((group) => table.usable(group, unit)),
+      (run) => this.isBorrower(run, rank),
+      this.view.now,
+    );
+    if (choice === undefined) return;
+    for (const run of choice.victims) this.preemptions.add(run);
+    for (const {room, count} of choice.taken) room.take(unit, count);
+  }
+
+  private isBorrower(run: Run, rank: Rank): boolean {
+    const {job, step} = run.unit;
+    const queue = this.view.configuration.queue(job.queueId);
+    if (queue !== undefined && queue.priority === 0) return false;
+    if (step.longRunning === true) return false;
+    return rank === 'guaranteed' || step.checkpointing === true;
+  }
+
+  private reserveRack(unit: Unit, table: RoomTable): void {
+    const {now} = this.view;
+    const waitedMs = now - (unit.readySince ?? now);
+    if (unit.width <= 1 || waitedMs < STARVATION_MS) return;
+    if (table.reservedCount >= MAXIMUM_RESERVED_RACKS) return;
+    let best: readonly Room[] | undefined;
+    let bestSlots = -1;
+    for (const rack of table.racks()) {
+      if (!this.couldFit(unit, rack)) continue;
+      const slots = totalSlots(unit, table.usable(rack, unit));
+      if (slots > bestSlots) [best, bestSlots] = [rack, slots];
+    }
+    const [room] = best ?? [];
+    if (room !== undefined) table.reserve(room.worker.entry.rackId);
+  }
+}
+
+const RANK_ORDER: Readonly<Record<Rank, number>> = {
+  guaranteed: 0,
+  urgent: 1,
+  other: 2,
+};
+
+function compareRanked(a: RankedUnit, b: RankedUnit): number {
+  return (
+    RANK_ORDER[a.rank] - RANK_ORDER[b.rank] ||
+    a.priority - b.priority ||
+    a.unit.job.acceptedAt - b.unit.job.acceptedAt ||
+    a.unit.firstIndex - b.unit.firstIndex
+  );
+}
+
+/** Accelerators that the job needs at once until it ends. */
+function openAccelerators(job: Job): number {
+  const byStep = new Map<string, number>();
+  let most = 0;
+  for (const unit of job.openUnits) {
+    const key = `${unit.occurrence}.${unit.stepIndex}`;
+    const needed = unit.width * unit.step.shape.accelerators;
+    const sum = (byStep.get(key) ?? 0) + needed;
+    byStep.set(key, sum);
+    most = Math.max(most, sum);
+  }
+  return most;
+}
+
+function totalSlots(unit: Unit, rooms: readonly Room[]): number {
+  return rooms.reduce((sum, room) => sum + room.slots(unit), 0);
+}
+
+/** Racks in which the unit leaves the fewest slots come first. */
+function byLeastRoomLeft(unit: Unit, table: RoomTable): Room[][] {
+  return table
+    .racks()
+    .map((rack) => ({rack, slots: totalSlots(unit, table.usable(rack, unit))}))
+    .sort((a, b) => a.slots - b.slots)
+    .map(({rack}) => rack);
+}
+
+/**
+ * Returns one room per task, or undefined if the unit does not fit. Fuller
+ * rooms are used first, so that empty workers stay whole for large gangs.
+ */
+function chooseRooms(unit: Unit, rooms: readonly Room[]): Room[] | undefined {
+  const sorted = rooms
+    .map((room) => ({room, slots: room.slots(unit)}))
+    .filter(({slots}) => slots > 0)
+    .sort(
+      (a, b) =>
+        a.room.freeAccelerators - b.room.freeAccelerators ||
+        a.room.freeProcessor - b.room.freeProcessor,
+    );
+  const chosen: Room[] = [];
+  for (const {room, slots} of sorted) {
+    const count = Math.min(slots, unit.width - chosen.length);
+    for (let i = 0; i < count; i += 1) chosen.push(room);
+    if (chosen.length === unit.width) return chosen;
+  }
+  return undefined;
+}
--- /dev/null
+++ b/src/leader/record_cleaner.ts
@@ -0,0 +1,59 @@
+/**
+ * Removes the records of jobs that ended long ago, so that the store and a
+ * takeover stay small.
+ */
+
+import type {CleanupScope} from '../lifecycle/cleanup_scope.js';
+import {instant} from '../model/ids.js';
+import {
+  LEADER_KEY,
+  cancelledKey,
+  progressKey,
+  submittedKey,
+} from './records.js';
+import type {LeaderSession, SessionParties} from './session.js';
+
+const CLEANING_INTERVAL_MS = 5_000;
+
+/** Kept longer than callers may ask, as clocks of daemons differ. */
+const RETENTION_MARGIN_MS = 30_000;
+
+/** Three keys a job and one condition; a transaction takes 32 entries. */
+const JOBS_PER_TRANSACTION = 10;
+
+export function keepRecordsFor(
+  retentionMs: number,
+  session: LeaderSession,
+  {store, clock, log}: SessionParties,
+  leaderRevision: number,
+  scope: CleanupScope,
+): void {
+  let isCleaning = false;
+  const clean = async () => {
+    const oldest = clock.now() - retentionMs - RETENTION_MARGIN_MS;
+    const jobs = session
+      .endedBefore(instant(oldest))
+      .slice(0, JOBS_PER_TRANSACTION);
+    if (jobs.length === 0) return;
+    const outcome = await store.transact({
+      conditions: [{key: LEADER_KEY, revision: leaderRevision}],
+      puts: [],
+      removals: jobs.flatMap(({id}) => [
+        submittedKey(id),
+        cancelledKey(id),
+        progressKey(id),
+      ]),
+    });
+    if (outcome.isErr) log.storeUnanswered('cleaning', outcome.error.message);
+    else if (outcome.value.kind === 'committed') {
+      for (const job of jobs) session.forget(job);
+    }
+  };
+  scope.every(CLEANING_INTERVAL_MS, () => {
+    if (isCleaning) return;
+    isCleaning = true;
+    void clean().finally(() => {
+      isCleaning = false;
+    });
+  });
+}
--- /dev/null
+++ b/src/leader/site_view.ts
@@ -0,0 +1,117 @@
+/**
+ * What a daemon knows of the others: the leader and the members, both read
+ * from the store. A record may name a VM that is gone; calls to it fail.
+ */
+
+import type {CleanupScope} from '../lifecycle/cleanup_scope.js';
+import type {SteadyTime} from '../lifecycle/clock.js';
+import type {PartLog} from '../daemon/log.js';
+import type {
+  CoordinationStore,
+  StoreEvent,
+} from '../parties/coordination_store.js';
+import {PrefixFollower} from './prefix_follower.js';
+import type {LeaderRecord} from './records.js';
+import {
+  LEADER_KEY,
+  MEMBER_PREFIX,
+  SITE_PREFIX,
+  decodeRecord,
+  leaderSchema,
+  memberSchema,
+} from './records.js';
+
+export class SiteView {
+  private leaderRecord: LeaderRecord | undefined;
+  private readonly members = new Map<string, string>();
+  private readonly listeners: Array<() => void> = [];
+  private readonly follower: PrefixFollower<readonly StoreEvent[], StoreEvent>;
+
+  constructor(
+    store: CoordinationStore,
+    scope: CleanupScope,
+    private readonly log: PartLog,
+  ) {
+    this.follower = new PrefixFollower(
+      {
+        list: async () =>
+          (await store.list(SITE_PREFIX)).map(({items, revision}) => ({
+            state: items.map((item) => ({kind: 'written' as const, item})),
+            revision,
+          })),
+        watch: async (revision, waitMs, signal) =>
+          (await store.watch(SITE_PREFIX, revision, waitMs, signal)).map(
+            (answer) =>
+              answer.kind === 'historyLost'
+                ? answer
+                : {
+                    kind: 'changes' as const,
+                    changes: answer.events,
+                    revision: answer.revision,
+                  },
+          ),
+      },
+      scope,
+      (reason) => log.warn(`cannot follow the site: ${reason}`),
+    );
+  }
+
+  async start(): Promise<void> {
+    await this.follower.start(
+      (items) => {
+        this.leaderRecord = undefined;
+        this.members.clear();
+        this.apply(items);
+      },
+      (events) => this.apply(events),
+    );
+  }
+
+  get leader(): LeaderRecord | undefined {
+    return this.leaderRecord;
+  }
+
+  ageMs(now: SteadyTime): number {
+    return this.follower.ageMs(now);
+  }
+
+  /** Peer addresses of the members, without `own`. */
+  memberAddresses(own: string): string[] {
+    return [...this.members.values()].filter((address) => address !== own);
+  }
+
+  onLeaderChange(listener: () => void): void {
+    this.listeners.push(listener);
+  }
+
+  private apply(events: readonly StoreEvent[]): void {
+    for (const event of events) {
+      const key = event.kind === 'written' ? event.item.key : event.key;
+      const value = event.kind === 'written' ? event.item.value : undefined;
+      if (key === LEADER_KEY) this.applyLeader(value);
+      else if (key.startsWith(MEMBER_PREFIX)) this.applyMember(key, value);
+    }
+    for (const listener of this.listeners) listener();
+  }
+
+  private applyLeader(value: string | undefined): void {
+    this.leaderRecord = undefined;
+    if (value === undefined) return;
+    const decoded = decodeRecord(LEADER_KEY, value, leaderSchema);
+    if (decoded.isErr) {
+      this.log.error(decoded.error.message);
+      return;
+    }
+    this.leaderRecord = decoded.value;
+  }
+
+  private applyMember(key: string, value: string | undefined): void {
+    if (value === undefined) {
+      this.members.delete(key);
+      return;
+    }
+    const decoded = decodeRecord(key, value, memberSchema);
+    if (decoded.isOk) this.members.set(key, decoded.value.address);
+    else this.log.error(decoded.error.message);
+  }
+}
--- a/src/lifecycle/clock.ts
+++ b/src/lifecycle/clock.ts
@@ -16,3 +16,18 @@
     return instant(Date.now());
   }
 }
+
+/**
+ * Milliseconds that pass evenly, from an unspecified start. The clock stands
+ * still while the VM is suspended.
+ */
+export type SteadyTime = number & {readonly steadyTime: unique symbol};
+
+export function steadyTime(milliseconds: number): SteadyTime {
+  return milliseconds as SteadyTime;
+}
+
+/** The VM's steady clock. */
+export function steadyNow(): SteadyTime {
+  return performance.now() as SteadyTime;
+}
--- a/src/model/ids.ts
+++ b/src/model/ids.ts
@@ -29,6 +29,9 @@
 export const requestIdSchema = idString.brand<'RequestId'>();
 export const callerKeySchema = idString.brand<'CallerKey'>();
 export const changeIdSchema = idString.brand<'ChangeId'>();
+export const queueIdSchema = idString.brand<'QueueId'>();
+export const serviceIdSchema = idString.brand<'ServiceId'>();
+export const workerIdSchema = idString.brand<'WorkerId'>();
 /** Milliseconds since the Unix epoch. */
 export const instantSchema = z.number().nonnegative().brand<'Instant'>();
 
@@ -51,6 +54,12 @@
 /** The caller's idempotency key, unique per customer. */
 export type CallerKey = z.infer<typeof callerKeySchema>;
 export type ChangeId = z.infer<typeof changeIdSchema>;
+/** A queue of a hosted site, to which callers submit jobs. */
+export type QueueId = z.infer<typeof queueIdSchema>;
+/** A group of workers that run the jobs of certain queues. */
+export type ServiceId = z.infer<typeof serviceIdSchema>;
+/** A worker of a hosted site; it may start again under its id. */
+export type WorkerId = z.infer<typeof workerIdSchema>;
 /** Milliseconds since the Unix epoch. */
 export type Instant = z.infer<typeof instantSchema>;
 
@@ -66,7 +75,10 @@
   | TaskId
   | RequestId
   | CallerKey
-  | ChangeId;
+  | ChangeId
+  | QueueId
+  | ServiceId
+  | WorkerId;
 
 /** Creates a random id with a readable prefix, for example `job-<uuid>`. */
 export function randomId<T extends BrandedId>(prefix: string): T {
--- a/src/transport/http_connections.ts
+++ b/src/transport/http_connections.ts
@@ -233,6 +233,13 @@
     return connections;
   }
 
+  /** Breaks the connections to an address that is gone. */
+  close(address: string): void {
+    const kept = this.kept.get(address);
+    this.kept.delete(address);
+    void kept?.connections.destroy();
+  }
+
   private closeUnused(): void {
     const oldest = performance.now() - UNUSED_ADDRESS_MS;
     for (const [address, {connections, lastUse}] of this.kept) {
