--- a/src/leader/jobs.ts
+++ b/src/leader/jobs.ts
@@ -43,6 +43,8 @@
    * asked for later and does not name the run shows that it is gone.
    */
   settledAt: SteadyTime | undefined;
+  /** An attempt to start it got no answer and may be carried out later. */
+  mayArriveLate = false;
 
   constructor(
     readonly unit: Unit,
@@ -279,8 +281,9 @@
       const unit = this.unitsOf(saved.occurrence, saved.step).find(
         ({firstIndex}) => firstIndex === saved.firstIndex,
       );
-      if (unit !== undefined)
+      if (unit !== undefined) {
         placed.push(...this.restoreUnit(unit, saved, now));
+      }
     }
     if (isEnded(record.state)) {
       this.state = record.state;
--- a/src/leader/leadership.ts
+++ b/src/leader/leadership.ts
@@ -5,7 +5,7 @@
  */
 
 import {randomUUID} from 'node:crypto';
-import {CleanupScope} from '../lifecycle/cleanup_scope.js';
+import type {CleanupScope} from '../lifecycle/cleanup_scope.js';
 import type {SteadyTime} from '../lifecycle/clock.js';
 import {steadyNow, steadyTime} from '../lifecycle/clock.js';
 import type {RandomSource} from '../lifecycle/random.js';
@@ -86,8 +86,9 @@
 
   private consider(): void {
     const {site, scope} = this;
-    if (this.current !== undefined || this.isElecting || this.isResigning)
+    if (this.current !== undefined || this.isElecting || this.isResigning) {
       return;
+    }
     // A site view that is not current would name a leader that is gone.
     if (site.leader !== undefined || scope.closed) return;
     if (site.ageMs(steadyNow()) === Infinity) return;
--- a/src/leader/rooms.ts
+++ b/src/leader/rooms.ts
@@ -106,8 +106,9 @@
     now: SteadyTime,
   ) {
     for (const worker of workers) {
-      if (worker.entry.serviceId !== serviceId || !worker.accepts(now))
+      if (worker.entry.serviceId !== serviceId || !worker.accepts(now)) {
         continue;
+      }
       const room = new Room(worker);
       this.rooms.push(room);
       const {rackId} = worker.entry;
--- a/src/leader/session.ts
+++ b/src/leader/session.ts
@@ -6,27 +6,26 @@
 
 import type {CleanupScope} from '../lifecycle/cleanup_scope.js';
 import type {Clock, SteadyTime} from '../lifecycle/clock.js';
-import {steadyNow, steadyTime} from '../lifecycle/clock.js';
-import type {Instant, JobId, QueueId, WorkerId} from '../model/ids.js';
-import {instant, trustedId} from '../model/ids.js';
+import {steadyNow} from '../lifecycle/clock.js';
+import type {Instant, JobId, QueueId} from '../model/ids.js';
+import {instant} from '../model/ids.js';
 import type {HostedConfiguration} from '../model/queues.js';
-import type {JobStateName, Submission} from '../model/submissions.js';
+import type {JobStateName} from '../model/submissions.js';
 import {submissionSchema} from '../model/submissions.js';
 import type {
   CoordinationStore,
   StoredItem,
 } from '../parties/coordination_store.js';
-import type {
-  RunEnding,
-  TaskWorkerClient,
-  WorkerEntry,
-} from '../parties/task_worker.js';
+import type {RunEnding, TaskWorkerClient} from '../parties/task_worker.js';
 import type {WorkerDirectory} from '../parties/worker_directory.js';
 import {CommitQueue} from './commit_queue.js';
-import type {Unit} from './jobs.js';
 import {Job, Run} from './jobs.js';
+import type {Unit} from './jobs.js';
+import type {LeaderLog} from './leader_log.js';
 import {planRound} from './placement.js';
 import type {Placement} from './placement.js';
+import type {FollowedSource} from './prefix_follower.js';
+import {PrefixFollower} from './prefix_follower.js';
 import {
   INBOX_PREFIX,
   PROGRESS_PREFIX,
@@ -35,10 +34,8 @@
   progressKey,
   progressSchema,
 } from './records.js';
-import {PrefixFollower} from './prefix_follower.js';
-import type {LeaderLog} from './leader_log.js';
-import {WorkerLink} from './worker_link.js';
-import {WorkerState, longestLapseMs} from './worker_state.js';
+import type {WorkerState} from './worker_state.js';
+import {WorkerTable} from './worker_table.js';
 
 /** Attempts of a task whose queue is in no configuration any more. */
 const ATTEMPTS_WITHOUT_QUEUE = 3;
@@ -46,17 +43,14 @@
 /** How often lapses, drains and standstills are looked for. */
 const TICK_MS = 200;
 
-/** A worker that answers progresses by a percent far more often than this. */
-const STANDSTILL_MS = 3_500;
-
 /** A failed task waits this long, times its failures, before the next run. */
 const RETRY_WAIT_MS = 100;
 
-/** Time that a checkpointing task is stopped before its worker leaves. */
-const EVACUATION_MS = 900;
+/** Longest sleep until the next round; a longer timer would overflow. */
+const LONGEST_SLEEP_MS = 60_000;
 
 export interface SessionSettings {
-  /** Longest lease that a worker grants. */
+  /** Longest lease that a worker grants, in milliseconds. */
   readonly holdMaximumMs: number;
 }
 
@@ -82,8 +76,9 @@
   private readonly jobs = new Map<JobId, Job>();
   /** Jobs that have not ended, in order of acceptance. */
   private readonly openJobs = new Set<Job>();
-  private readonly workers = new Map<WorkerId, WorkerState>();
-  private readonly links = new Map<WorkerId, WorkerLink>();
+  /** Ended jobs whose final record is in the store. */
+  private readonly durableEnds = new Set<JobId>();
+  private readonly table: WorkerTable;
   private readonly commits: CommitQueue;
   private roundTimer: NodeJS.Timeout | undefined;
   private isRoundQueued = false;
@@ -91,7 +86,7 @@
 
   constructor(
     private readonly parties: SessionParties,
-    private readonly settings: SessionSettings,
+    settings: SessionSettings,
     private readonly authority: Authority,
     private readonly configuration: () => HostedConfiguration | undefined,
     private readonly scope: CleanupScope,
@@ -101,6 +96,22 @@
       deposed: () => authority.lose('another leader holds the key'),
       delayed: (reason) => log.commitDelayed(reason),
     });
+    this.table = new WorkerTable({
+      client: parties.workers,
+      authority,
+      holdMaximumMs: settings.holdMaximumMs,
+      scope,
+      log,
+      events: {
+        runEnded: (run, ending, checkpoint) =>
+          this.runEnded(run, ending, checkpoint),
+        runLost: (run, reason) => this.runLost(run, reason),
+        runStarted: (run) => this.runStarted(run),
+        whenDurable: (then) => this.commits.afterPending(then),
+        changed: () => this.queueRound(),
+        now: () => this.now(),
+      },
+    });
     scope.add(() => clearTimeout(this.roundTimer));
   }
 
@@ -115,65 +126,32 @@
 
   /** Reads everything, then follows changes until the scope closes. */
   async run(): Promise<void> {
-    const started = steadyNow();
-    const {store, directory, log} = this.parties;
-    const workers = new PrefixFollower(
-      {
-        list: async () =>
-          (await directory.list()).map(({entries, revision}) => ({
-            state: entries,
-            revision,
-          })),
-        watch: (revision, waitMs, signal) =>
-          directory.watch(revision, waitMs, signal),
-      },
-      this.scope,
-      (reason) => log.storeUnanswered('workers', reason),
-    );
-    const inbox = new PrefixFollower(
-      {
-        list: async () =>
-          (await store.list(INBOX_PREFIX)).map(({items, revision}) => ({
-            state: items,
-            revision,
-          })),
-        watch: async (revision, waitMs, signal) =>
-          (await store.watch(INBOX_PREFIX, revision, waitMs, signal)).map(
-            (answer) =>
-              answer.kind === 'historyLost'
-                ? answer
-                : {
-                    kind: 'changes' as const,
-                    changes: answer.events.flatMap((event) =>
-                      event.kind === 'written' ? [event.item] : [],
-                    ),
-                    revision: answer.revision,
-                  },
-          ),
-      },
-      this.scope,
-      (reason) => log.storeUnanswered('jobs', reason),
-    );
+    const startedAt = steadyNow();
+    const {log} = this.parties;
     const progress = await this.readProgress();
     if (progress === undefined) return;
-    await workers.start(
-      (entries) => this.replaceWorkers(entries),
+    await new PrefixFollower(this.workerSource(), this.scope, (reason) =>
+      log.storeUnanswered('workers', reason),
+    ).start(
+      (entries) => {
+        this.table.replace(entries);
+        this.queueRound();
+      },
       (changes) => {
-        for (const change of changes) {
-          if (change.kind === 'present') this.workerPresent(change.entry);
-          else this.workerAbsent(change.workerId);
-        }
+        this.table.apply(changes);
         this.queueRound();
       },
     );
-    await inbox.start(
-      (items) => this.readInbox(items, progress),
-      (items) => this.readInbox(items, progress),
-    );
+    const readItems = (items: readonly StoredItem[]) =>
+      this.readInbox(items, progress);
+    await new PrefixFollower(this.inboxSource(), this.scope, (reason) =>
+      log.storeUnanswered('jobs', reason),
+    ).start(readItems, readItems);
     if (this.scope.closed) return;
     progress.clear();
     this.isAdopted = true;
-    log.adopted(this.jobs.size, this.placedRuns(), steadyNow() - started);
+    const tookMs = steadyNow() - startedAt;
+    log.adopted(this.jobs.size, this.table.runCount, tookMs);
     this.scope.every(TICK_MS, () => this.tick());
     this.queueRound();
   }
@@ -186,6 +164,10 @@
     return job.state;
   }
 
+  customerOf(jobId: JobId): string | undefined {
+    return this.jobs.get(jobId)?.customerId;
+  }
+
   /** Accepted jobs of the queue of which no task has started. */
   pendingOf(queueId: QueueId): number {
     let count = 0;
@@ -195,28 +177,58 @@
     return count;
   }
 
-  customerOf(jobId: JobId): string | undefined {
-    return this.jobs.get(jobId)?.customerId;
-  }
-
-  private readonly durableEnds = new Set<JobId>();
-
-  /** Removes jobs that ended before `endedBefore`, with their records. */
-  endedBefore(endedBefore: Instant): Job[] {
-    const old: Job[] = [];
-    for (const job of this.jobs.values()) {
-      const isOld = job.endedAt !== undefined && job.endedAt < endedBefore;
-      if (isOld && !job.hasRuns && this.durableEnds.has(job.id)) old.push(job);
-    }
-    return old;
+  /** Jobs whose records say that they ended before the time given. */
+  endedBefore(time: Instant): Job[] {
+    return [...this.jobs.values()].filter(
+      (job) =>
+        job.endedAt !== undefined &&
+        job.endedAt < time &&
+        !job.hasRuns &&
+        this.durableEnds.has(job.id),
+    );
   }
 
+  /** Forgets a job whose records were removed. */
   forget(job: Job): void {
     this.jobs.delete(job.id);
     this.durableEnds.delete(job.id);
   }
 
-  // Reading records.
+  // Records.
+
+  private workerSource() {
+    const {directory} = this.parties;
+    return {
+      list: async () =>
+        (await directory.list()).map(({entries, revision}) => ({
+          state: entries,
+          revision,
+        })),
+      watch: (revision: number, waitMs: number, signal: AbortSignal) =>
+        directory.watch(revision, waitMs, signal),
+    };
+  }
+
+  private inboxSource(): FollowedSource<readonly StoredItem[], StoredItem> {
+    const {store} = this.parties;
+    return {
+      list: async () =>
+        (await store.list(INBOX_PREFIX)).map(({items, revision}) => ({
+          state: items,
+          revision,
+        })),
+      watch: async (revision, waitMs, signal) =>
+        (await store.watch(INBOX_PREFIX, revision, waitMs, signal)).map(
+          (answer) => {
+            if (answer.kind === 'historyLost') return answer;
+            const changes = answer.events.flatMap((event) =>
+              event.kind === 'written' ? [event.item] : [],
+            );
+            return {kind: 'changes', changes, revision: answer.revision};
+          },
+        ),
+    };
+  }
 
   private async readProgress(): Promise<Map<string, StoredItem> | undefined> {
     while (!this.scope.closed) {
@@ -234,15 +246,14 @@
     items: readonly StoredItem[],
     progress: ReadonlyMap<string, StoredItem>,
   ): void {
+    const cancelled: JobId[] = [];
     for (const item of items) {
       const parsed = parseInboxKey(item.key);
-      if (parsed?.kind === 'submitted')
-        this.submitted(item, parsed.jobId, progress);
-    }
-    for (const item of items) {
-      const parsed = parseInboxKey(item.key);
-      if (parsed?.kind === 'cancelled') this.cancelled(parsed.jobId);
+      if (parsed === undefined) continue;
+      if (parsed.kind === 'cancelled') cancelled.push(parsed.jobId);
+      else this.submitted(item, parsed.jobId, progress);
     }
+    for (const jobId of cancelled) this.cancelled(jobId);
     this.queueRound();
   }
 
@@ -257,17 +268,13 @@
       this.parties.log.unreadableRecord(decoded.error.message);
       return;
     }
-    const submission: Submission = decoded.value;
-    const job = new Job(submission, instant(submission.submittedAt));
+    const job = new Job(decoded.value, instant(decoded.value.submittedAt));
     this.jobs.set(jobId, job);
     const record = progress.get(progressKey(jobId));
     if (record !== undefined) this.restore(job, record);
-    if (job.isEnded) {
-      if (record === undefined) this.writeEnd(job);
-      else this.durableEnds.add(jobId);
-    } else {
-      this.openJobs.add(job);
-    }
+    if (!job.isEnded) this.openJobs.add(job);
+    else if (record === undefined) this.writeEnd(job);
+    else this.durableEnds.add(jobId);
   }
 
   private restore(job: Job, record: StoredItem): void {
@@ -277,92 +284,8 @@
       this.parties.log.unreadableRecord(decoded.error.message);
       return;
     }
-    for (const run of job.restore(decoded.value, this.now())) {
-      this.adoptRun(run);
-    }
-  }
-
-  /** The run may be on its worker until the worker says otherwise. */
-  private adoptRun(run: Run): void {
-    let worker = this.workers.get(run.workerId);
-    if (worker === undefined) {
-      worker = new WorkerState(absentEntry(run));
-      worker.isListed = false;
-      this.workers.set(run.workerId, worker);
-    }
-    if (worker.isKnown) this.assumeLeases(worker);
-    worker.add(run);
-    if (worker.isListed) this.linkTo(worker).watch();
-  }
-
-  private assumeLeases(worker: WorkerState): void {
-    const lapseMs = longestLapseMs(this.settings.holdMaximumMs);
-    worker.assumeLeasesUntil(steadyTime(steadyNow() + lapseMs));
-  }
-
-  // Workers.
-
-  private replaceWorkers(entries: readonly WorkerEntry[]): void {
-    const present = new Set(entries.map(({workerId}) => workerId));
-    for (const workerId of this.workers.keys()) {
-      if (!present.has(workerId)) this.workerAbsent(workerId);
-    }
-    for (const entry of entries) this.workerPresent(entry);
-    this.queueRound();
-  }
-
-  private workerPresent(entry: WorkerEntry): void {
-    const worker = this.workers.get(entry.workerId);
-    if (worker === undefined) {
-      this.workers.set(entry.workerId, new WorkerState(entry));
-      return;
-    }
-    const steady = steadyNow();
-    const reborn = worker.update(entry, steady);
-    if (worker.runs.size === 0) return;
-    const link = this.linkTo(worker);
-    if (reborn) {
-      // An order may have reached the new life already; its list decides.
-      this.assumeLeases(worker);
-      link.lookAgain();
-    }
-    link.watch();
-  }
-
-  private workerAbsent(workerId: WorkerId): void {
-    const worker = this.workers.get(workerId);
-    if (worker === undefined) return;
-    worker.isListed = false;
-    if (worker.runs.size > 0) return;
-    this.workers.delete(workerId);
-    this.links.get(workerId)?.close();
-    this.links.delete(workerId);
-    this.parties.workers.forget(worker.entry);
-  }
-
-  private linkTo(worker: WorkerState): WorkerLink {
-    let link = this.links.get(worker.workerId);
-    if (link === undefined) {
-      link = new WorkerLink(
-        worker,
-        this.parties.workers,
-        this.authority,
-        this.settings.holdMaximumMs,
-        this.scope,
-        {
-          runEnded: (run, ending, checkpoint) =>
-            this.runEnded(run, ending, checkpoint),
-          runLost: (run, reason) => this.runLost(run, reason),
-          runStarted: (run) => this.runStarted(run),
-          whenDurable: (then) => this.commits.afterPending(then),
-          changed: () => this.queueRound(),
-          now: () => this.now(),
-        },
-        this.parties.log,
-      );
-      this.links.set(worker.workerId, link);
-    }
-    return link;
+    const placed = job.restore(decoded.value, this.now());
+    for (const run of placed) this.table.adopt(run);
   }
 
   // Runs.
@@ -370,23 +293,18 @@
   private runStarted(run: Run): void {
     const {job} = run.unit;
     if (job.state === 'queued') job.state = 'running';
-    if (job.isEnded || run.unit.isDone) this.stopRun(run);
+    if (job.isEnded || run.unit.isDone) this.table.stop(run);
   }
 
   private runEnded(run: Run, ending: RunEnding, checkpoint: string): void {
-    const worker = this.workers.get(run.workerId);
+    const worker = this.table.get(run.workerId);
     worker?.remove(run);
     const {unit} = run;
     const {job} = unit;
     const wasEnded = job.isEnded;
     const now = this.now();
-    const failed = job.runEnded(
-      run,
-      ending,
-      checkpoint,
-      this.maximumAttempts(job),
-      now,
-    );
+    const limit = this.maximumAttempts(job);
+    const failed = job.runEnded(run, ending, checkpoint, limit, now);
     this.parties.log.runEnded(run, ending, unit.failures);
     if (failed) {
       unit.retryAt = instant(now + RETRY_WAIT_MS * unit.failures);
@@ -400,10 +318,10 @@
   }
 
   private runLost(run: Run, reason: string): void {
-    const {unit} = run;
-    const wasEnded = unit.job.isEnded;
+    const {job} = run.unit;
+    const wasEnded = job.isEnded;
     this.parties.log.runLost(run, reason);
-    unit.job.runEnded(run, 'lost', run.checkpoint, Infinity, this.now());
+    job.runEnded(run, 'lost', run.checkpoint, Infinity, this.now());
     this.settle(run, wasEnded);
   }
 
@@ -412,11 +330,11 @@
     const {unit} = run;
     const {job} = unit;
     unit.readySince = undefined;
-    if (!wasEnded && job.isEnded) this.jobEnded(job);
-    else {
+    if (!wasEnded && job.isEnded) {
+      this.jobEnded(job);
+    } else {
       // The rest of a gang cannot go on without the member that ended.
-      if (!unit.isDone)
-        for (const member of [...unit.runs]) this.stopRun(member);
+      if (!unit.isDone) this.table.stopUnit(run);
       this.commits.write(job);
     }
     this.queueRound();
@@ -426,7 +344,7 @@
     this.openJobs.delete(job);
     this.parties.log.jobEnded(job, this.now());
     for (const unit of job.openUnits) {
-      for (const run of [...unit.runs]) this.stopRun(run);
+      for (const run of [...unit.runs]) this.table.stop(run);
     }
     this.writeEnd(job);
   }
@@ -435,24 +353,9 @@
     this.commits.write(job, () => this.durableEnds.add(job.id));
   }
 
-  private stopRun(run: Run): void {
-    if (run.phase === 'stopping') return;
-    const worker = this.workers.get(run.workerId);
-    if (worker === undefined) return;
-    if (run.phase === 'planned') {
-      // Nothing was sent; the start is dropped when its commit returns.
-      worker.remove(run);
-      run.unit.removeRun(run);
-      return;
-    }
-    this.linkTo(worker).stop(run);
-  }
-
   private cancelled(jobId: JobId): void {
     const job = this.jobs.get(jobId);
-    if (job === undefined || job.isCancelRequested) return;
-    job.isCancelRequested = true;
-    if (job.isEnded) return;
+    if (job === undefined || job.isEnded) return;
     job.end('cancelled', this.now());
     this.jobEnded(job);
   }
@@ -464,6 +367,11 @@
 
   // Rounds.
 
+  private tick(): void {
+    this.table.tick(this.now(), steadyNow());
+    if (this.openJobs.size > 0) this.queueRound();
+  }
+
   private queueRound(): void {
     if (this.isRoundQueued || this.scope.closed) return;
     this.isRoundQueued = true;
@@ -482,14 +390,14 @@
     const now = this.now();
     const plan = planRound({
       jobs: this.openJobs,
-      workers: this.workers,
+      workers: this.table.workers,
       configuration,
       now,
       steady,
     });
     for (const run of plan.preemptions) {
       this.parties.log.preempted(run);
-      this.stopRun(run);
+      this.table.stop(run);
     }
     for (const placement of plan.placements) this.start(placement, now);
     this.wakeAt(plan.nextDueAt, now);
@@ -498,106 +406,36 @@
   private wakeAt(dueAt: Instant | undefined, now: Instant): void {
     clearTimeout(this.roundTimer);
     if (dueAt === undefined) return;
-    const waitMs = Math.min(Math.max(1, dueAt - now), 60_000);
+    const waitMs = Math.min(Math.max(1, dueAt - now), LONGEST_SLEEP_MS);
     this.roundTimer = setTimeout(() => this.queueRound(), waitMs);
   }
 
   /** Records the placement; the starts are sent once it is durable. */
   private start({unit, workers}: Placement, now: Instant): void {
-    const {job} = unit;
     const number = unit.nextRun(this.authority.term);
     unit.lastRun = number;
-    const runs = workers.map((worker, offset) => {
-      const run = newRun(unit, offset, number, worker, now);
-      unit.runs.push(run);
-      worker.add(run);
-      return run;
-    });
+    const runs = workers.map((worker, offset) =>
+      plannedRun(unit, offset, number, worker, now),
+    );
     this.parties.log.placed(unit, number, workers, now);
-    this.commits.write(job, () => this.sendStarts(runs));
+    this.commits.write(unit.job, () => this.sendStarts(runs));
   }
 
   private sendStarts(runs: readonly Run[]): void {
     for (const run of runs) {
-      const worker = this.workers.get(run.workerId);
       const isCurrent = run.unit.runs.includes(run);
-      if (worker === undefined || !isCurrent || run.phase !== 'planned')
-        continue;
-      if (run.unit.job.isEnded) this.stopRun(run);
-      else this.linkTo(worker).start(run);
+      if (!isCurrent || run.phase !== 'planned') continue;
+      if (run.unit.job.isEnded) this.table.stop(run);
+      else this.table.start(run);
     }
   }
 
-  // Time.
-
-  private tick(): void {
-    const steady = steadyNow();
-    const now = this.now();
-    for (const worker of [...this.workers.values()]) {
-      if (worker.runs.size === 0) {
-        if (!worker.isListed) this.workerAbsent(worker.workerId);
-        else if (!worker.isKnown) worker.becomeKnown(0);
-        continue;
-      }
-      if (steady >= worker.lapsesAt()) this.lapse(worker);
-      else this.inspect(worker, now, steady);
-    }
-    if (this.openJobs.size > 0) this.queueRound();
-  }
-
-  /** All leases on the worker have lapsed, so nothing of ours runs there. */
-  private lapse(worker: WorkerState): void {
-    const confirmed = [...worker.runs.values()].filter(
-      ({phase}) => phase !== 'planned',
-    );
-    if (confirmed.length === 0) return;
-    this.parties.log.leasesLapsed(worker);
-    worker.becomeUnknown();
-    for (const run of confirmed) {
-      worker.remove(run);
-      this.runLost(run, 'its lease has lapsed');
-    }
-  }
-
-  private inspect(worker: WorkerState, now: Instant, steady: SteadyTime): void {
-    const remainingMs = worker.remainingMs(steady);
-    for (const run of [...worker.runs.values()]) {
-      if (run.phase !== 'running') continue;
-      const leaves = remainingMs !== undefined && remainingMs < EVACUATION_MS;
-      if (leaves && run.step.checkpointing === true) {
-        this.stopUnit(run, 'its worker leaves');
-      } else if (this.standsStill(run, now)) {
-        worker.quarantine(steady);
-        run.unit.avoided.add(worker.workerId);
-        this.parties.log.quarantined(worker, `${run.task} stands still`);
-        this.stopUnit(run, 'it makes no progress');
-      }
-    }
-  }
-
-  private standsStill(run: Run, now: Instant): boolean {
-    if (run.step.longRunning === true) return false;
-    if (now - run.percentChangedAt < STANDSTILL_MS) return false;
-    return run.unit.runs.every(({phase}) => phase === 'running');
-  }
-
-  private stopUnit(run: Run, reason: string): void {
-    this.parties.log.stopped(run, reason);
-    for (const member of [...run.unit.runs]) this.stopRun(member);
-  }
-
-  private placedRuns(): number {
-    let runs = 0;
-    for (const worker of this.workers.values()) runs += worker.runs.size;
-    return runs;
-  }
-
   private now(): Instant {
     return this.parties.clock.now();
   }
 }
 
-function newRun(
+function plannedRun(
   unit: Unit,
   offset: number,
   number: number,
@@ -605,21 +443,9 @@
   now: Instant,
 ): Run {
   const {workerId, life} = worker;
-  return new Run(unit, unit.firstIndex + offset, number, workerId, life, now);
-}
-
-/** Stands for a worker that a record names and the directory does not. */
-function absentEntry(run: Run): WorkerEntry {
-  return {
-    workerId: run.workerId,
-    life: run.life,
-    address: '',
-    serviceId: run.unit.job.serviceId,
-    zone: trustedId('unknown'),
-    rackId: undefined,
-    labels: new Set(),
-    capacity: {processorMillicores: 0, memoryMegabytes: 0, accelerators: 0},
-    isDraining: false,
-    remainingMs: undefined,
-  };
+  const index = unit.firstIndex + offset;
+  const run = new Run(unit, index, number, workerId, life, now);
+  unit.runs.push(run);
+  worker.add(run);
+  return run;
 }
--- a/src/leader/worker_link.ts
+++ b/src/leader/worker_link.ts
@@ -291,13 +291,12 @@
       if (!this.isCurrent(run) || run.phase !== 'ordered') return;
       const now = steadyNow();
       if (!authority.isCertain(now)) {
-        if (attempt === 0) this.drop(run, 'leadership is not certain');
-        else this.stop(run);
+        this.withdraw(run, 'leadership is not certain');
         return;
       }
       const leaseUntilMs = worker.extendLease(this.holdMaximumMs, now);
       if (leaseUntilMs === undefined) {
-        this.drop(run, 'its worker started again');
+        this.withdraw(run, 'its worker started again');
         return;
       }
       const outcome = await this.client.start(worker.entry, {
@@ -341,20 +340,30 @@
       case 'rejected':
         worker.quarantine(now);
         this.log.quarantined(worker, `it refused a start: ${outcome.kind}`);
-        this.drop(run, `its worker refused it: ${outcome.kind}`);
+        this.withdraw(run, `its worker refused it: ${outcome.kind}`);
         return true;
       case 'superseded':
         this.authority.lose(`${worker.workerId} has seen a higher term`);
         return true;
       case 'otherLife':
-        this.drop(run, 'another life of its worker answered');
+        this.withdraw(run, 'another life of its worker answered');
         return true;
       case 'unknown':
+        run.mayArriveLate = true;
         this.watch();
         return false;
     }
   }
 
+  /**
+   * Gives the start up. A refusal covers one attempt only: after one without
+   * an answer, a stop has to void the run.
+   */
+  private withdraw(run: Run, reason: string): void {
+    if (run.mayArriveLate) this.stop(run);
+    else this.drop(run, reason);
+  }
+
   /** The run was never started; its unit is placed again. */
   private drop(run: Run, reason: string): void {
     if (!this.isCurrent(run)) return;
--- a/src/parties/task_worker.ts
+++ b/src/parties/task_worker.ts
@@ -17,7 +17,8 @@
   readonly workerId: WorkerId;
   /** Unix milliseconds of its start; another value is another life. */
   readonly life: number;
-  readonly address: string;
+  /** Undefined for a worker that is known from records only. */
+  readonly address: string | undefined;
   readonly serviceId: ServiceId;
   readonly zone: AvailabilityZone;
   readonly rackId: RackId | undefined;
