Let leases of a silent worker lapse; emulate the platform in one process

Ruled out: lost ends, a job missing from the watch. Looks extend a lease only while the worker answers. The emulator holds store, workers and a ledger of the users' rules behind the abstract classes; 18 tests bring about takeovers, late orders, cuts, lost writes and dropped history. Test 7 fails without the change.

--- /dev/null
+++ b/emulator/ledger.ts
@@ -0,0 +1,276 @@
+/**
+ * Judges a run of the emulator by what its workers and callers saw: each
+ * broken rule becomes one line. The rules are those of the users' pages that
+ * the emulator can observe.
+ */
+
+import type {Submission} from '../src/model/submissions.js';
+import {taskName} from '../src/model/submissions.js';
+import type {RunEnding, RunName} from '../src/parties/task_worker.js';
+import type {
+  EmulatedWorker,
+  TaskBehaviour,
+  WorkerObserver,
+} from './worker_state.js';
+
+/** After this, a cancelled job must not start anything (users' bound). */
+const CANCEL_BOUND_MS = 3_000;
+
+interface LedgerTask {
+  readonly submission: Submission;
+  readonly stepIndex: number;
+  readonly occurrence: number;
+  readonly behaviour: TaskBehaviour;
+  /** Workers on which runs are present, by run number. */
+  readonly present: Map<number, Set<EmulatedWorker>>;
+  isDone: boolean;
+  /** Runs that ended as done, and what came after. */
+  readonly doneRuns: Map<number, DoneRun>;
+  failures: number;
+}
+
+interface DoneRun {
+  /** Its end was taken note of. */
+  isNoted: boolean;
+  /** The task started again after it. */
+  isRepeated: boolean;
+}
+
+export interface LedgerCounts {
+  readonly starts: number;
+  readonly done: number;
+  /** Task milliseconds of runs that ended without being done. */
+  readonly wastedRuns: number;
+}
+
+export class Ledger implements WorkerObserver {
+  readonly violations: string[] = [];
+  private readonly tasks = new Map<string, LedgerTask>();
+  private readonly cancelledAt = new Map<string, number>();
+  private readonly failedRuns = new Map<string, Set<number>>();
+  private starts = 0;
+  private done = 0;
+  private wastedRuns = 0;
+
+  get counts(): LedgerCounts {
+    const {starts, done, wastedRuns} = this;
+    return {starts, done, wastedRuns};
+  }
+
+  /** Registers a job that a caller sends, with how its tasks behave. */
+  submitted(
+    submission: Submission,
+    workMs: number,
+    failingTask?: number,
+  ): void {
+    const occurrences = Math.max(1, submission.occurrences);
+    for (let occurrence = 0; occurrence < occurrences; occurrence += 1) {
+      submission.steps.forEach((step, stepIndex) => {
+        for (let index = 0; index < step.taskCount; index += 1) {
+          const name = taskName(submission.jobId, occurrence, stepIndex, index);
+          this.tasks.set(name, {
+            submission,
+            stepIndex,
+            occurrence,
+            behaviour: {
+              workMs,
+              gangWidth: step.gang === true ? step.taskCount : 1,
+              checkpoints: step.checkpointing === true,
+              // The first member to end then ends the whole gang.
+              fails:
+                step.gang === true
+                  ? failingTask !== undefined
+                  : index === failingTask,
+            },
+            present: new Map(),
+            isDone: false,
+            doneRuns: new Map(),
+            failures: 0,
+          });
+        }
+      });
+    }
+  }
+
+  cancelled(jobId: string, at: number): void {
+    this.cancelledAt.set(jobId, at);
+  }
+
+  /** True if every task of the job has ended as done. */
+  isJobDone(jobId: string): boolean {
+    for (const task of this.tasks.values()) {
+      if (task.submission.jobId === jobId && !task.isDone) return false;
+    }
+    return true;
+  }
+
+  /** Checks a state that a caller was shown. */
+  shown(jobId: string, state: string): void {
+    if (state === 'complete' && !this.isJobDone(jobId)) {
+      this.violations.push(`MIXED: ${jobId} is shown as complete too early`);
+    }
+  }
+
+  behaviour(task: string): TaskBehaviour {
+    const known = this.tasks.get(task);
+    if (known === undefined) {
+      this.violations.push(`UNASKED: ${task} was never submitted`);
+      return {workMs: 1, gangWidth: 1, checkpoints: false, fails: false};
+    }
+    return known.behaviour;
+  }
+
+  started(worker: EmulatedWorker, {task, run}: RunName, at: number): void {
+    this.starts += 1;
+    const known = this.tasks.get(task);
+    if (known === undefined) return;
+    this.checkTwice(known, task, worker);
+    this.checkLimit(worker, task);
+    this.checkOrder(known, task);
+    const cancelledAt = this.cancelledAt.get(known.submission.jobId);
+    if (cancelledAt !== undefined && at - cancelledAt > CANCEL_BOUND_MS) {
+      this.violations.push(`UNASKED: ${task} starts after its cancellation`);
+    }
+    const holders = known.present.get(run) ?? new Set();
+    holders.add(worker);
+    known.present.set(run, holders);
+  }
+
+  ended(
+    worker: EmulatedWorker,
+    {task, run}: RunName,
+    ending: RunEnding,
+    at: number,
+  ): void {
+    const known = this.tasks.get(task);
+    if (known === undefined) return;
+    known.present.get(run)?.delete(worker);
+    if (ending === 'done') this.taskDone(known, run, at);
+    else this.wastedRuns += 1;
+    if (ending === 'failed') this.countFailure(known, task, run);
+    const breaks = ending !== 'done' && known.behaviour.gangWidth > 1;
+    if (breaks) this.endGang(known, run, 'broken', at);
+  }
+
+  noted({task, run}: RunName, ending: RunEnding): void {
+    const doneRun = this.tasks.get(task)?.doneRuns.get(run);
+    if (doneRun === undefined || ending !== 'done') return;
+    if (doneRun.isRepeated && !doneRun.isNoted) {
+      this.violations.push(`TWICE: ${task} was started again after an end`);
+    }
+    doneRun.isNoted = true;
+  }
+
+  gangPresent({task, run}: RunName): number {
+    const known = this.tasks.get(task);
+    if (known === undefined) return 0;
+    let present = 0;
+    for (const member of this.gangOf(known)) {
+      present += member.present.get(run)?.size ?? 0;
+    }
+    return present;
+  }
+
+  private taskDone(known: LedgerTask, run: number, at: number): void {
+    known.doneRuns.set(run, {isNoted: false, isRepeated: false});
+    if (!known.isDone) this.done += 1;
+    known.isDone = true;
+    if (known.behaviour.gangWidth === 1) return;
+    for (const member of this.gangOf(known)) member.isDone = true;
+    this.endGang(known, run, 'done', at);
+  }
+
+  private endGang(
+    known: LedgerTask,
+    run: number,
+    ending: 'done' | 'broken',
+    at: number,
+  ): void {
+    for (const [name, member] of this.tasks) {
+      if (!this.isSameGang(known, member)) continue;
+      for (const holder of [...(member.present.get(run) ?? [])]) {
+        holder.breakRun(name, ending, at);
+      }
+    }
+  }
+
+  private countFailure(known: LedgerTask, task: string, run: number): void {
+    const gang = `${known.submission.jobId}.${known.occurrence}.${known.stepIndex}`;
+    const key = known.behaviour.gangWidth > 1 ? gang : task;
+    const runs = this.failedRuns.get(key) ?? new Set();
+    runs.add(run);
+    this.failedRuns.set(key, runs);
+    known.failures = runs.size;
+  }
+
+  private checkTwice(
+    known: LedgerTask,
+    task: string,
+    worker: EmulatedWorker,
+  ): void {
+    for (const doneRun of known.doneRuns.values()) {
+      doneRun.isRepeated = true;
+      if (doneRun.isNoted) {
+        this.violations.push(`TWICE: ${task} starts again after it was done`);
+      }
+    }
+    for (const holders of known.present.values()) {
+      for (const holder of holders) {
+        // Work whose time is up has ended before the new start.
+        if (holder !== worker && holder.isUp) {
+          this.violations.push(`TWICE: ${task} runs on two workers`);
+        }
+      }
+    }
+  }
+
+  private checkLimit(worker: EmulatedWorker, starting: string): void {
+    let accelerators = 0;
+    let processor = 0;
+    const names = new Set(worker.runNames.map(({task}) => task));
+    names.add(starting);
+    for (const name of names) {
+      const task = this.tasks.get(name);
+      const step = task?.submission.steps[task.stepIndex];
+      accelerators += step?.shape.accelerators ?? 0;
+      processor += step?.shape.processorMillicores ?? 0;
+    }
+    const {capacity, workerId} = worker.entry;
+    if (
+      accelerators > capacity.accelerators ||
+      processor > capacity.processorMillicores
+    ) {
+      this.violations.push(`LIMIT: ${workerId} is over its capacity`);
+    }
+  }
+
+  private checkOrder(known: LedgerTask, task: string): void {
+    const {submission, stepIndex, occurrence} = known;
+    const before = submission.steps[stepIndex]?.after ?? [];
+    for (const other of this.tasks.values()) {
+      if (
+        other.submission === submission &&
+        other.occurrence === occurrence &&
+        before.includes(other.stepIndex) &&
+        !other.isDone
+      ) {
+        this.violations.push(`ORDER: ${task} starts before an earlier step`);
+        return;
+      }
+    }
+  }
+
+  private gangOf(known: LedgerTask): LedgerTask[] {
+    return [...this.tasks.values()].filter((member) =>
+      this.isSameGang(known, member),
+    );
+  }
+
+  private isSameGang(known: LedgerTask, member: LedgerTask): boolean {
+    return (
+      member.submission === known.submission &&
+      member.occurrence === known.occurrence &&
+      member.stepIndex === known.stepIndex
+    );
+  }
+}
--- /dev/null
+++ b/emulator/site.ts
@@ -0,0 +1,427 @@
+/**
+ * An emulated site within one process: store, workers, directory and
+ * configuration behind the product's abstract classes, with faults of the
+ * kinds that the platform has. `http_platform.ts` serves the same state to
+ * real daemons.
+ */
+
+import {Result} from 'true-myth';
+import {
+  RefusedError,
+  TimeoutError,
+  UnavailableError,
+  UnknownEffectError,
+  NotFoundError,
+} from '../src/model/errors.js';
+import {trustedId} from '../src/model/ids.js';
+import type {RackId, WorkerId} from '../src/model/ids.js';
+import type {RandomSource} from '../src/lifecycle/random.js';
+import {CoordinationStore} from '../src/parties/coordination_store.js';
+import type {
+  StoreLease,
+  StoreListing,
+  StoreReadFailure,
+  StoreTransaction,
+  StoreWatchAnswer,
+  StoreWriteFailure,
+  StoredItem,
+  TransactionOutcome,
+} from '../src/parties/coordination_store.js';
+import {TaskWorkerClient} from '../src/parties/task_worker.js';
+import type {
+  LookOutcome,
+  LookRequest,
+  OrderOutcome,
+  RunName,
+  StartOrder,
+  WorkerEntry,
+} from '../src/parties/task_worker.js';
+import {
+  WorkerDirectory,
+  type WorkerListing,
+  type WorkerWatchAnswer,
+} from '../src/parties/worker_directory.js';
+import {Ledger} from './ledger.js';
+import {StoreState} from './store_state.js';
+import {EmulatedWorker} from './worker_state.js';
+
+const REMEDY = 'this is a fault of the emulator';
+
+/** Time until a lost call is reported as unanswered. */
+const LOST_ANSWER_MS = 40;
+
+/** Where the emulated directory keeps its entries. */
+const WORKER_PREFIX = 'workers/';
+
+/** Faults of the store, as one daemon meets them. */
+export interface StoreFaults {
+  /** Every call fails. */
+  down: 'silent' | 'refused' | undefined;
+  /** Share of writes that are done and not answered. */
+  loseAnswers: number;
+  /** A lost write is carried out this much later instead of at once. */
+  lateMs: number;
+  /** Time added to each call. */
+  slowMs: number;
+}
+
+export function noStoreFaults(): StoreFaults {
+  return {down: undefined, loseAnswers: 0, lateMs: 0, slowMs: 0};
+}
+
+/** Faults of the orders to workers, as one daemon meets them. */
+export interface OrderFaults {
+  /** Share of orders without an answer, carried out later. */
+  late: number;
+  lateMs: number;
+  /** Workers that the daemon cannot reach. */
+  readonly cut: Set<WorkerId>;
+}
+
+export function noOrderFaults(): OrderFaults {
+  return {late: 0, lateMs: 0, cut: new Set()};
+}
+
+export function pause(milliseconds: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, milliseconds));
+}
+
+/** The store as one daemon reaches it. */
+export class EmulatedStore extends CoordinationStore {
+  constructor(
+    private readonly state: StoreState,
+    private readonly faults: StoreFaults,
+    private readonly random: RandomSource,
+  ) {
+    super();
+  }
+
+  override async get(
+    key: string,
+  ): Promise<Result<StoredItem | undefined, StoreReadFailure>> {
+    const failure = await this.readFailure();
+    return failure ?? Result.ok(this.state.get(key));
+  }
+
+  override async list(
+    prefix: string,
+  ): Promise<Result<StoreListing, StoreReadFailure>> {
+    const failure = await this.readFailure();
+    return failure ?? Result.ok(this.state.list(prefix));
+  }
+
+  override async watch(
+    prefix: string,
+    afterRevision: number,
+    waitMs: number,
+    signal: AbortSignal,
+  ): Promise<Result<StoreWatchAnswer, StoreReadFailure>> {
+    const failure = await this.readFailure();
+    if (failure !== undefined) return failure;
+    const until = Date.now() + waitMs;
+    for (;;) {
+      const answer = this.state.eventsAfter(prefix, afterRevision);
+      const isOver = Date.now() >= until || signal.aborted;
+      if (answer.kind === 'historyLost' || answer.events.length > 0 || isOver) {
+        return Result.ok(answer);
+      }
+      await this.nextChange(until - Date.now(), signal);
+    }
+  }
+
+  override async transact(
+    transaction: StoreTransaction,
+  ): Promise<Result<TransactionOutcome, StoreWriteFailure>> {
+    const failure = await this.writeFailure();
+    if (failure !== undefined) return Result.err(failure);
+    if (this.random.next() < this.faults.loseAnswers) {
+      setTimeout(() => this.state.transact(transaction), this.faults.lateMs);
+      await pause(LOST_ANSWER_MS);
+      return Result.err(new UnknownEffectError('answer lost', REMEDY));
+    }
+    const outcome = this.state.transact(transaction);
+    return outcome.kind === 'noSuchLease'
+      ? Result.err(new NotFoundError('no such lease', REMEDY))
+      : Result.ok(outcome);
+  }
+
+  override async grantLease(
+    ttlMs: number,
+  ): Promise<Result<StoreLease, StoreWriteFailure>> {
+    const failure = await this.writeFailure();
+    if (failure !== undefined) return Result.err(failure);
+    return Result.ok({
+      lease: this.state.grantLease(ttlMs, Date.now()),
+      ttlMs,
+    });
+  }
+
+  override async renewLease(
+    lease: number,
+  ): Promise<Result<void, StoreWriteFailure>> {
+    const failure = await this.writeFailure();
+    if (failure !== undefined) return Result.err(failure);
+    return this.state.renewLease(lease, Date.now())
+      ? Result.ok(undefined)
+      : Result.err(new NotFoundError('the lease has ended', REMEDY));
+  }
+
+  override async endLease(
+    lease: number,
+  ): Promise<Result<void, StoreWriteFailure>> {
+    const failure = await this.writeFailure();
+    if (failure !== undefined) return Result.err(failure);
+    this.state.endLease(lease);
+    return Result.ok(undefined);
+  }
+
+  private async nextChange(waitMs: number, signal: AbortSignal): Promise<void> {
+    await new Promise<void>((resolve) => {
+      const finish = () => {
+        clearTimeout(timer);
+        stop();
+        signal.removeEventListener('abort', finish);
+        resolve();
+      };
+      const timer = setTimeout(finish, Math.max(0, waitMs));
+      const stop = this.state.onChange(finish);
+      signal.addEventListener('abort', finish);
+    });
+  }
+
+  private async readFailure(): Promise<
+    Result<never, StoreReadFailure> | undefined
+  > {
+    await pause(this.faults.slowMs);
+    switch (this.faults.down) {
+      case undefined:
+        return undefined;
+      case 'refused':
+        return Result.err(new UnavailableError('status 503', REMEDY));
+      case 'silent':
+        await pause(LOST_ANSWER_MS);
+        return Result.err(new TimeoutError('no answer', REMEDY));
+    }
+  }
+
+  private async writeFailure(): Promise<StoreWriteFailure | undefined> {
+    await pause(this.faults.slowMs);
+    switch (this.faults.down) {
+      case undefined:
+        return undefined;
+      case 'refused':
+        return new RefusedError('status 429', REMEDY);
+      case 'silent':
+        await pause(LOST_ANSWER_MS);
+        return new UnavailableError('no connection', REMEDY);
+    }
+  }
+}
+
+/** Orders to the emulated workers as one daemon sends them. */
+export class EmulatedWorkers extends TaskWorkerClient {
+  constructor(
+    private readonly site: EmulatedSite,
+    private readonly faults: OrderFaults,
+    private readonly random: RandomSource,
+  ) {
+    super();
+  }
+
+  override start(
+    worker: WorkerEntry,
+    order: StartOrder,
+  ): Promise<OrderOutcome> {
+    return this.order(worker, (held) => held.start(order, Date.now()));
+  }
+
+  override stop(
+    worker: WorkerEntry,
+    run: RunName,
+    term: number,
+  ): Promise<OrderOutcome> {
+    return this.order(worker, (held) => held.stop(run, term, Date.now()));
+  }
+
+  override async look(
+    worker: WorkerEntry,
+    request: LookRequest,
+    signal: AbortSignal,
+  ): Promise<LookOutcome> {
+    const until = Date.now() + request.waitMs;
+    for (;;) {
+      await pause(1);
+      const held = this.reach(worker);
+      if (held === undefined || signal.aborted) {
+        return {kind: 'unanswered', detail: 'the worker is cut off'};
+      }
+      const outcome = held.look(request, Date.now());
+      const hasNews = outcome.kind !== 'seen' || outcome.ended.length > 0;
+      if (hasNews || Date.now() >= until) return outcome;
+      await pause(4);
+    }
+  }
+
+  override forget(): void {
+    // Nothing is kept per worker.
+  }
+
+  private async order(
+    worker: WorkerEntry,
+    carryOut: (held: EmulatedWorker) => OrderOutcome,
+  ): Promise<OrderOutcome> {
+    await pause(1);
+    const held = this.reach(worker);
+    if (held === undefined) {
+      await pause(LOST_ANSWER_MS);
+      return {kind: 'unknown', detail: 'the worker is cut off'};
+    }
+    if (this.random.next() >= this.faults.late) return carryOut(held);
+    setTimeout(() => carryOut(held), this.faults.lateMs);
+    return {kind: 'unknown', detail: 'no answer'};
+  }
+
+  private reach(worker: WorkerEntry): EmulatedWorker | undefined {
+    if (this.faults.cut.has(worker.workerId)) return undefined;
+    const held = this.site.workers.get(worker.workerId);
+    return held?.isUp === true ? held : undefined;
+  }
+}
+
+class EmulatedDirectory extends WorkerDirectory {
+  constructor(
+    private readonly store: CoordinationStore,
+    private readonly site: EmulatedSite,
+  ) {
+    super();
+  }
+
+  override async list(): Promise<Result<WorkerListing, StoreReadFailure>> {
+    const listed = await this.store.list(WORKER_PREFIX);
+    return listed.map(({items, revision}) => ({
+      entries: items.flatMap(({key}) => this.entryOf(key) ?? []),
+      revision,
+    }));
+  }
+
+  override async watch(
+    afterRevision: number,
+    waitMs: number,
+    signal: AbortSignal,
+  ): Promise<Result<WorkerWatchAnswer, StoreReadFailure>> {
+    const answer = await this.store.watch(
+      WORKER_PREFIX,
+      afterRevision,
+      waitMs,
+      signal,
+    );
+    return answer.map((value): WorkerWatchAnswer => {
+      if (value.kind === 'historyLost') return value;
+      const changes = value.events.map((event) => {
+        const key = event.kind === 'written' ? event.item.key : event.key;
+        const entry = event.kind === 'written' ? this.entryOf(key) : undefined;
+        return entry === undefined
+          ? {kind: 'absent' as const, workerId: workerIdOf(key)}
+          : {kind: 'present' as const, entry};
+      });
+      return {kind: 'changes', changes, revision: value.revision};
+    });
+  }
+
+  private entryOf(key: string): WorkerEntry | undefined {
+    return this.site.workers.get(workerIdOf(key))?.entry;
+  }
+}
+
+function workerIdOf(key: string): WorkerId {
+  return trustedId(key.slice(WORKER_PREFIX.length));
+}
+
+export interface EmulatedSiteOptions {
+  readonly racks: number;
+  readonly workersPerRack: number;
+  readonly acceleratorsPerWorker: number;
+  /** Longest lease that a worker grants. */
+  readonly holdMaximumMs: number;
+}
+
+const SERVICE = 'service';
+
+/** Interval at which leases of the store and work are brought up to date. */
+const STEP_MS = 5;
+
+export class EmulatedSite {
+  readonly store = new StoreState();
+  readonly ledger = new Ledger();
+  readonly workers = new Map<WorkerId, EmulatedWorker>();
+  private readonly timer: NodeJS.Timeout;
+
+  constructor(options: EmulatedSiteOptions) {
+    const {racks, workersPerRack, acceleratorsPerWorker} = options;
+    for (let rack = 0; rack < racks; rack += 1) {
+      for (let index = 0; index < workersPerRack; index += 1) {
+        const workerId = trustedId<WorkerId>(`worker-${rack}-${index}`);
+        const rackName = `rack-${rack}`;
+        const entry: WorkerEntry = {
+          workerId,
+          life: 1,
+          address: `${workerId}:1`,
+          serviceId: trustedId(SERVICE),
+          zone: trustedId('zone-1'),
+          rackId: trustedId<RackId>(rackName),
+          labels: new Set(['kind', rackName]),
+          capacity: {
+            processorMillicores: 32_000,
+            memoryMegabytes: 65_536,
+            accelerators: acceleratorsPerWorker,
+          },
+          isDraining: false,
+          remainingMs: undefined,
+        };
+        this.workers.set(
+          workerId,
+          new EmulatedWorker(
+            entry,
+            Date.now(),
+            options.holdMaximumMs,
+            this.ledger,
+          ),
+        );
+        this.register(workerId);
+      }
+    }
+    this.timer = setInterval(() => this.step(), STEP_MS);
+  }
+
+  /** Writes the worker's entry, as its heartbeat does after a change. */
+  register(workerId: WorkerId): void {
+    const life = this.workers.get(workerId)?.entry.life ?? 0;
+    this.store.put(`${WORKER_PREFIX}${workerId}`, String(life));
+  }
+
+  /** Removes the worker's entry, as the platform does after its silence. */
+  unregister(workerId: WorkerId): void {
+    this.store.removeKey(`${WORKER_PREFIX}${workerId}`);
+  }
+
+  restart(workerId: WorkerId): void {
+    this.workers.get(workerId)?.restart(Date.now());
+    this.register(workerId);
+  }
+
+  directoryFor(store: CoordinationStore): WorkerDirectory {
+    return new EmulatedDirectory(store, this);
+  }
+
+  close(): void {
+    clearInterval(this.timer);
+  }
+
+  private step(): void {
+    const now = Date.now();
+    this.store.expireLeases(now);
+    for (const worker of this.workers.values()) {
+      if (worker.isUp) worker.advance(now);
+    }
+  }
+}
--- /dev/null
+++ b/emulator/worker_state.ts
@@ -0,0 +1,250 @@
+/**
+ * State of one emulated worker: runs under a lease on its own clock, fencing
+ * tokens, run numbers that a stop voids, gangs and checkpoints. Times are
+ * arguments; `advance` lets the work of the time that passed happen.
+ */
+
+import type {
+  EndedRun,
+  LookOutcome,
+  LookRequest,
+  OrderOutcome,
+  RunEnding,
+  RunName,
+  RunningTask,
+  StartOrder,
+  WorkerEntry,
+} from '../src/parties/task_worker.js';
+
+/** How the tasks of a job behave; the ledger knows it from the load. */
+export interface TaskBehaviour {
+  readonly workMs: number;
+  readonly gangWidth: number;
+  readonly checkpoints: boolean;
+  /** The task fails whenever it ran its work. */
+  readonly fails: boolean;
+}
+
+/** Told of every start and end, for the ledger and for gangs. */
+export interface WorkerObserver {
+  behaviour(task: string): TaskBehaviour;
+  started(worker: EmulatedWorker, run: RunName, at: number): void;
+  ended(
+    worker: EmulatedWorker,
+    run: RunName,
+    ending: RunEnding,
+    at: number,
+  ): void;
+  /**
+   * The worker was told to forget an end, and no lease lapsed in between: the
+   * end stands for good.
+   */
+  noted(run: RunName, ending: RunEnding): void;
+  /** Members of the run's gang that are present anywhere. */
+  gangPresent(run: RunName): number;
+}
+
+interface HeldRun extends RunName {
+  doneMs: number;
+  checkpointMs: number;
+  readonly behaviour: TaskBehaviour;
+}
+
+/** How a worker misbehaves. */
+export interface WorkerFaults {
+  /** Starts end as failed at once. */
+  failsAll: boolean;
+  /** Runs make no progress. */
+  hangs: boolean;
+  /** Share of full speed. */
+  speed: number;
+}
+
+export class EmulatedWorker {
+  readonly faults: WorkerFaults = {failsAll: false, hangs: false, speed: 1};
+  private readonly runs = new Map<string, HeldRun>();
+  private readonly voidedRuns = new Map<string, number>();
+  private ends: EndedRun[] = [];
+  /** Ends up to this sequence were listed before a lease lapsed. */
+  private lapsedSequence = 0;
+  private nextSequence = 1;
+  private term = 0;
+  private leaseUntilMs = 0;
+  private advancedAt: number;
+  private bornAt: number;
+  isUp = true;
+
+  constructor(
+    private current: WorkerEntry,
+    now: number,
+    private readonly holdMaximumMs: number,
+    private readonly observer: WorkerObserver,
+  ) {
+    this.advancedAt = now;
+    this.bornAt = now;
+  }
+
+  get entry(): WorkerEntry {
+    return this.current;
+  }
+
+  get runNames(): RunName[] {
+    return [...this.runs.values()];
+  }
+
+  get hasEnds(): boolean {
+    return this.ends.length > 0;
+  }
+
+  /** The worker crashes and starts again under its id. */
+  restart(now: number): void {
+    for (const run of [...this.runs.values()]) {
+      this.observer.ended(this, run, 'lapsed', now);
+    }
+    this.runs.clear();
+    this.voidedRuns.clear();
+    this.ends = [];
+    this.lapsedSequence = 0;
+    this.nextSequence = 1;
+    this.term = 0;
+    this.leaseUntilMs = 0;
+    this.bornAt = now;
+    this.advancedAt = now;
+    this.current = {...this.current, life: this.current.life + 1};
+  }
+
+  drain(remainingMs: number): void {
+    this.current = {...this.current, isDraining: true, remainingMs};
+  }
+
+  start(order: StartOrder, now: number): OrderOutcome {
+    this.advance(now);
+    const clockMs = this.clockMs(now);
+    if (order.term < this.term) return {kind: 'superseded'};
+    this.term = order.term;
+    const held = this.runs.get(order.task);
+    const highest = Math.max(
+      held?.run ?? 0,
+      this.voidedRuns.get(order.task) ?? 0,
+    );
+    this.extendLease(order.leaseUntilMs, clockMs);
+    if (held?.run === order.run) return {kind: 'started', clockMs};
+    if (order.run <= highest) return {kind: 'outdated', clockMs};
+    if (order.leaseUntilMs <= clockMs) return {kind: 'leasePassed', clockMs};
+    const behaviour = this.observer.behaviour(order.task);
+    const saved = Number(order.checkpoint === '' ? 0 : order.checkpoint);
+    this.runs.set(order.task, {
+      task: order.task,
+      run: order.run,
+      doneMs: saved,
+      checkpointMs: saved,
+      behaviour,
+    });
+    this.observer.started(this, order, now);
+    if (this.faults.failsAll) this.end(order.task, 'failed', now);
+    return {kind: 'started', clockMs};
+  }
+
+  stop({task, run}: RunName, term: number, now: number): OrderOutcome {
+    this.advance(now);
+    if (term < this.term) return {kind: 'superseded'};
+    this.term = term;
+    this.void(task, run);
+    const held = this.runs.get(task);
+    if (held !== undefined && held.run <= run) this.end(task, 'stopped', now);
+    return {kind: 'stopped', clockMs: this.clockMs(now)};
+  }
+
+  look(request: LookRequest, now: number): LookOutcome {
+    this.advance(now);
+    if (request.term < this.term) return {kind: 'superseded'};
+    this.term = request.term;
+    const clockMs = this.clockMs(now);
+    if (request.leaseUntilMs !== undefined) {
+      this.extendLease(request.leaseUntilMs, clockMs);
+    }
+    this.forgetEnds(request.acknowledgedSequence);
+    return {
+      kind: 'seen',
+      clockMs,
+      life: this.current.life,
+      running: [...this.runs.values()].map((run) => this.running(run)),
+      ended: [...this.ends],
+    };
+  }
+
+  /** Lets the work since the last call happen. */
+  advance(now: number): void {
+    const elapsedMs = now - this.advancedAt;
+    this.advancedAt = now;
+    if (this.clockMs(now) > this.leaseUntilMs) {
+      this.lapsedSequence = this.nextSequence - 1;
+      for (const task of [...this.runs.keys()]) this.end(task, 'lapsed', now);
+      return;
+    }
+    if (this.faults.hangs) return;
+    for (const run of [...this.runs.values()]) {
+      const {gangWidth, workMs, fails} = run.behaviour;
+      if (this.observer.gangPresent(run) < gangWidth) continue;
+      run.doneMs += elapsedMs * this.faults.speed;
+      if (run.doneMs >= workMs) {
+        this.end(run.task, fails ? 'failed' : 'done', now);
+      }
+    }
+  }
+
+  /** Ends a run because another member of its gang ended. */
+  breakRun(task: string, ending: 'done' | 'broken', now: number): void {
+    if (this.runs.has(task)) this.end(task, ending, now);
+  }
+
+  private end(task: string, ending: RunEnding, now: number): void {
+    const run = this.runs.get(task);
+    if (run === undefined) return;
+    this.runs.delete(task);
+    this.void(task, run.run);
+    this.ends.push({
+      sequence: this.nextSequence,
+      task,
+      run: run.run,
+      ending,
+      checkpoint: run.behaviour.checkpoints
+        ? String(Math.floor(run.doneMs))
+        : '',
+    });
+    this.nextSequence += 1;
+    this.observer.ended(this, run, ending, now);
+  }
+
+  private forgetEnds(acknowledged: number): void {
+    for (const end of this.ends) {
+      const {sequence} = end;
+      if (sequence > acknowledged || sequence <= this.lapsedSequence) continue;
+      this.observer.noted(end, end.ending);
+    }
+    this.ends = this.ends.filter(({sequence}) => sequence > acknowledged);
+  }
+
+  private void(task: string, run: number): void {
+    this.voidedRuns.set(task, Math.max(run, this.voidedRuns.get(task) ?? 0));
+  }
+
+  private extendLease(untilMs: number, clockMs: number): void {
+    const until = Math.min(untilMs, clockMs + this.holdMaximumMs);
+    this.leaseUntilMs = Math.max(this.leaseUntilMs, until);
+  }
+
+  private clockMs(now: number): number {
+    return Math.floor(now - this.bornAt) + 1;
+  }
+
+  private running(run: HeldRun): RunningTask {
+    const {workMs, checkpoints} = run.behaviour;
+    return {
+      task: run.task,
+      run: run.run,
+      checkpoint: checkpoints ? String(Math.floor(run.doneMs)) : '',
+      percent: Math.min(100, Math.floor((run.doneMs / workMs) * 100)),
+    };
+  }
+}
--- a/src/leader/worker_link.ts
+++ b/src/leader/worker_link.ts
@@ -23,6 +23,9 @@
 /** Longest wait of a look that the platform allows. */
 const LOOK_WAIT_MS = 2_000;
 
+/** Share of a lease that a look may wait, so that two may fail in a row. */
+const LOOK_SHARE_OF_LEASE = 1 / 3;
+
 /** Wait between looks that failed. */
 const LOOK_RETRY_MS = 250;
 const LONGEST_LOOK_RETRY_MS = 2_000;
@@ -120,6 +123,11 @@
   /** Highest end that the worker was told to forget. */
   private acknowledged = 0;
 
+  private get lookWaitMs(): number {
+    const share = Math.floor(this.holdMaximumMs * LOOK_SHARE_OF_LEASE);
+    return Math.min(LOOK_WAIT_MS, share);
+  }
+
   private hasSentRuns(): boolean {
     for (const {phase} of this.worker.runs.values()) {
       if (phase !== 'planned') return true;
@@ -135,7 +143,7 @@
         continue;
       }
       const answered = await this.look(
-        this.hasSentRuns() && this.worker.isKnown ? LOOK_WAIT_MS : 0,
+        this.hasSentRuns() && this.worker.isKnown ? this.lookWaitMs : 0,
       );
       if (answered) {
         retryMs = LOOK_RETRY_MS;
@@ -170,7 +178,7 @@
       {
         term: authority.term,
         acknowledgedSequence,
-        leaseUntilMs: worker.extendLease(this.holdMaximumMs, sentAt),
+        leaseUntilMs: this.extension(sentAt),
         waitMs,
       },
       this.lookAbort.signal,
@@ -192,6 +200,16 @@
     }
   }
 
+  /**
+   * Only a worker that answers gets its lease extended. Otherwise the time at
+   * which all leases on a silent worker have lapsed would never come.
+   */
+  private extension(now: SteadyTime): number | undefined {
+    const {worker} = this;
+    if (worker.silentLooks > 0) return undefined;
+    return worker.extendLease(this.holdMaximumMs, now);
+  }
+
   private seen(
     outcome: LookOutcome & {kind: 'seen'},
     sentAt: SteadyTime,
--- a/src/leader/worker_table.ts
+++ b/src/leader/worker_table.ts
@@ -173,7 +173,7 @@
       if (leaves && run.step.checkpointing === true) {
         log.stopped(run, 'its worker leaves');
         this.stopUnit(run);
-      } else if (standsStill(run, now)) {
+      } else if (worker.silentLooks === 0 && standsStill(run, now)) {
         worker.quarantine(steady);
         run.unit.avoided.add(worker.workerId);
         log.quarantined(worker, `${run.task} stands still`);
--- /dev/null
+++ b/test/leader_faults.test.ts
@@ -0,0 +1,306 @@
+/**
+ * Leadership, adoption and orders under faults, on an emulated site whose
+ * ledger checks the users' rules.
+ */
+
+import assert from 'node:assert/strict';
+import {afterEach, beforeEach, describe, it} from 'node:test';
+import {setTimeout as delay} from 'node:timers/promises';
+import {trustedId} from '../src/model/ids.js';
+import type {CustomerId, JobId, WorkerId} from '../src/model/ids.js';
+import {progressKey, progressSchema} from '../src/leader/records.js';
+import type {TestDaemon} from './leader_fixture.js';
+import {LeaderFixture, step, submission, until} from './leader_fixture.js';
+
+describe('a leader', () => {
+  let fixture: LeaderFixture;
+
+  beforeEach(() => {
+    fixture = new LeaderFixture();
+  });
+
+  afterEach(async () => {
+    const {violations} = fixture.site.ledger;
+    await fixture.close();
+    assert.deepEqual(violations, []);
+  });
+
+  const untilState = (daemon: TestDaemon, jobId: JobId, state: string) =>
+    until(`${jobId} is ${state}`, () => {
+      const shown = daemon.leadership.session?.stateOf(jobId);
+      if (shown !== undefined) fixture.site.ledger.shown(jobId, shown);
+      return shown === state;
+    });
+
+  it('runs steps in order and shows a job as complete at its end', async () => {
+    const leader = await fixture.leader();
+    const jobId = fixture.submit(
+      submission({
+        steps: [
+          step({taskCount: 6}),
+          step({taskCount: 3, gang: true, after: [0]}),
+        ],
+      }),
+      60,
+    );
+    await untilState(leader, jobId, 'complete');
+  });
+
+  it('keeps a limit per worker among tasks placed in one round', async () => {
+    // Once, 11 tasks of one round went to workers that may hold 2 of them.
+    const leader = await fixture.leader();
+    const jobId = fixture.submit(
+      submission({steps: [step({taskCount: 11, maximumPerWorker: 2})]}),
+      150,
+    );
+    let most = 0;
+    const watch = setInterval(() => {
+      for (const worker of fixture.site.workers.values()) {
+        most = Math.max(most, worker.runNames.length);
+      }
+    }, 2);
+    await untilState(leader, jobId, 'complete');
+    clearInterval(watch);
+    assert.ok(most <= 2, `${most} tasks ran on one worker`);
+  });
+
+  it('is replaced after a kill, and its runs are taken over', async () => {
+    const first = await fixture.leader('first');
+    const second = fixture.add('second');
+    const jobId = fixture.submit(
+      submission({steps: [step({taskCount: 8, gang: true})]}),
+      6_000,
+    );
+    await until('all tasks run', () => runCount(fixture) === 8);
+    await first.kill();
+    await until('the second leads', () => second.leads);
+    await untilState(second, jobId, 'complete');
+    assert.equal(fixture.site.ledger.counts.starts, 8, 'starts');
+  });
+
+  it('hands over at once when it resigns', async () => {
+    const first = await fixture.leader('first');
+    const second = fixture.add('second');
+    await until('the second sees the first', () => second.site.leader != null);
+    const startedAt = Date.now();
+    await first.leadership.resign();
+    await until('the second leads', () => second.leads);
+    const tookMs = Date.now() - startedAt;
+    assert.ok(tookMs < 1_000, `the takeover took ${tookMs} ms`);
+  });
+
+  it('loses its term when the store refuses it, and starts nothing twice', async () => {
+    const first = await fixture.leader('first');
+    const second = fixture.add('second');
+    const jobId = fixture.submit(
+      submission({steps: [step({taskCount: 12})]}),
+      500,
+    );
+    await until('tasks run', () => runCount(fixture) > 0);
+    first.storeFaults.down = 'refused';
+    await until('the second leads', () => second.leads);
+    await untilState(second, jobId, 'complete');
+    first.storeFaults.down = undefined;
+    await until('the first follows', () => !first.leads);
+  });
+
+  it('voids a start whose first attempt got no answer', async () => {
+    // The second attempt was refused, the unit was placed elsewhere, and the
+    // first attempt was carried out seconds later.
+    const leader = await fixture.leader();
+    leader.orderFaults.late = 0.5;
+    leader.orderFaults.lateMs = 900;
+    const jobs = Array.from({length: 12}, () =>
+      fixture.submit(submission({steps: [step({taskCount: 3})]}), 80),
+    );
+    await delay(1_500);
+    leader.orderFaults.late = 0;
+    for (const jobId of jobs) await untilState(leader, jobId, 'complete');
+    await delay(1_000);
+  });
+
+  it('waits for the leases of a worker that it cannot reach', async () => {
+    const leader = await fixture.leader();
+    const jobId = fixture.submit(
+      submission({steps: [step({taskCount: 4})]}),
+      1_200,
+    );
+    await until('all tasks run', () => runCount(fixture) === 4);
+    const [workerId] = busyWorkers(fixture);
+    assert.ok(workerId !== undefined);
+    leader.orderFaults.cut.add(workerId);
+    await untilState(leader, jobId, 'complete');
+    leader.orderFaults.cut.clear();
+  });
+
+  it('adopts no run of a worker that the new leader cannot reach', async () => {
+    const first = await fixture.leader('first');
+    const second = fixture.add('second');
+    const jobId = fixture.submit(
+      submission({steps: [step({taskCount: 4})]}),
+      1_200,
+    );
+    await until('all tasks run', () => runCount(fixture) === 4);
+    for (const workerId of busyWorkers(fixture)) {
+      second.orderFaults.cut.add(workerId);
+      fixture.site.unregister(workerId);
+    }
+    await first.kill();
+    await untilState(second, jobId, 'complete');
+  });
+
+  it('starts the runs of a restarted worker again', async () => {
+    const leader = await fixture.leader();
+    const jobId = fixture.submit(
+      submission({steps: [step({taskCount: 4})]}),
+      700,
+    );
+    await until('all tasks run', () => runCount(fixture) === 4);
+    for (const workerId of busyWorkers(fixture)) fixture.site.restart(workerId);
+    await untilState(leader, jobId, 'complete');
+  });
+
+  it('keeps records from going back when lost writes come late', async () => {
+    const first = await fixture.leader('first');
+    first.storeFaults.loseAnswers = 0.4;
+    first.storeFaults.lateMs = 700;
+    const jobs = Array.from({length: 6}, () =>
+      fixture.submit(submission({steps: [step({taskCount: 4})]}), 100),
+    );
+    for (const jobId of jobs) await untilState(first, jobId, 'complete');
+    await delay(1_500);
+    for (const jobId of jobs) {
+      const text = fixture.site.store.get(progressKey(jobId))?.value ?? '{}';
+      const record = progressSchema.parse(JSON.parse(text));
+      assert.equal(record.state, 'complete');
+    }
+  });
+
+  it('misses no job when the history of the store is dropped', async () => {
+    const leader = await fixture.leader();
+    const jobs: JobId[] = [];
+    for (let i = 0; i < 10; i += 1) {
+      fixture.site.store.dropHistory();
+      jobs.push(fixture.submit(submission(), 20));
+      fixture.site.store.dropHistory();
+      await delay(10);
+    }
+    for (const jobId of jobs) await untilState(leader, jobId, 'complete');
+  });
+
+  it('starts nothing and keeps what runs while the store is away', async () => {
+    const leader = await fixture.leader();
+    const jobId = fixture.submit(
+      submission({steps: [step({taskCount: 4})]}),
+      1_500,
+    );
+    await until('all tasks run', () => runCount(fixture) === 4);
+    leader.storeFaults.down = 'silent';
+    await delay(1_000);
+    leader.storeFaults.down = undefined;
+    await untilState(leader, jobId, 'complete');
+    assert.equal(fixture.site.ledger.counts.starts, 4, 'starts');
+  });
+
+  it('stops a cancelled job and starts nothing of it again', async () => {
+    const leader = await fixture.leader();
+    const jobId = fixture.submit(
+      submission({steps: [step({taskCount: 6, gang: true})]}),
+      60_000,
+    );
+    await until('all tasks run', () => runCount(fixture) === 6);
+    fixture.cancel(jobId);
+    await untilState(leader, jobId, 'cancelled');
+    await until('nothing runs', () => runCount(fixture) === 0);
+  });
+
+  it('shows a job as failed after the attempts of its queue', async () => {
+    const leader = await fixture.leader();
+    const jobId = fixture.submit(
+      submission({steps: [step({taskCount: 3, gang: true})]}),
+      20,
+      1,
+    );
+    await untilState(leader, jobId, 'failed');
+    assert.equal(fixture.site.ledger.counts.starts, 9, '3 tasks, 3 attempts');
+  });
+
+  it('starts a schedule no earlier than its occurrences are due', async () => {
+    const leader = await fixture.leader();
+    const firstDueAt = Date.now() + 400;
+    const jobId = fixture.submit(
+      submission({occurrences: 2, firstDueAt, intervalMs: 300}),
+      20,
+    );
+    await until('the first occurrence starts', () => {
+      return fixture.site.ledger.counts.starts === 1;
+    });
+    assert.ok(Date.now() >= firstDueAt, 'started early');
+    await untilState(leader, jobId, 'complete');
+    assert.ok(Date.now() >= firstDueAt + 300, 'ended early');
+  });
+
+  it('moves work off a worker on which it stands still', async () => {
+    const leader = await fixture.leader();
+    const jobId = fixture.submit(submission(), 300);
+    await until('the task runs', () => runCount(fixture) === 1);
+    const [workerId] = busyWorkers(fixture);
+    const worker = fixture.site.workers.get(workerId ?? trustedId(''));
+    assert.ok(worker !== undefined);
+    worker.faults.hangs = true;
+    await untilState(leader, jobId, 'complete');
+  });
+
+  it('leaves a worker that fails what it starts', async () => {
+    const leader = await fixture.leader();
+    const worker = fixture.site.workers.get(trustedId('worker-0-0'));
+    assert.ok(worker !== undefined);
+    worker.faults.failsAll = true;
+    const jobs = Array.from({length: 8}, () =>
+      fixture.submit(submission({steps: [step({taskCount: 3})]}), 50),
+    );
+    for (const jobId of jobs) await untilState(leader, jobId, 'complete');
+  });
+
+  it('takes lent accelerators back for guaranteed work', async () => {
+    const leader = await fixture.leader();
+    const whole = {
+      processorMillicores: 1_000,
+      memoryMegabytes: 1_000,
+      accelerators: 8,
+    };
+    fixture.submit(
+      submission({
+        steps: [step({taskCount: 4, shape: whole, checkpointing: true})],
+      }),
+      4_000,
+    );
+    await until('all workers are lent', () => runCount(fixture) === 4);
+    const submittedAt = Date.now();
+    const urgent = fixture.submit(
+      submission({
+        queueId: trustedId('urgent'),
+        customerId: trustedId<CustomerId>('owner'),
+        steps: [step({taskCount: 2, gang: true, shape: whole})],
+      }),
+      100,
+    );
+    await untilState(leader, urgent, 'complete');
+    const tookMs = Date.now() - submittedAt;
+    assert.ok(tookMs < 2_900, `guaranteed work took ${tookMs} ms`);
+  });
+});
+
+function runCount(fixture: LeaderFixture): number {
+  let count = 0;
+  for (const worker of fixture.site.workers.values()) {
+    count += worker.runNames.length;
+  }
+  return count;
+}
+
+function busyWorkers(fixture: LeaderFixture): WorkerId[] {
+  return [...fixture.site.workers.values()]
+    .filter((worker) => worker.runNames.length > 0)
+    .map(({entry}) => entry.workerId);
+}
--- /dev/null
+++ b/test/leader_fixture.ts
@@ -0,0 +1,202 @@
+/**
+ * Leaders within one process on an emulated site, for tests of leadership,
+ * adoption and orders under faults.
+ */
+
+import {setTimeout as delay} from 'node:timers/promises';
+import {
+  EmulatedSite,
+  EmulatedStore,
+  EmulatedWorkers,
+  noOrderFaults,
+  noStoreFaults,
+} from '../emulator/site.js';
+import {DaemonLog} from '../src/daemon/log.js';
+import {LeaderLog} from '../src/leader/leader_log.js';
+import {Leadership} from '../src/leader/leadership.js';
+import {cancelledKey, submittedKey} from '../src/leader/records.js';
+import {SiteView} from '../src/leader/site_view.js';
+import {CleanupScope} from '../src/lifecycle/cleanup_scope.js';
+import {SystemClock} from '../src/lifecycle/clock.js';
+import {SeededRandom} from '../src/lifecycle/random.js';
+import {trustedId} from '../src/model/ids.js';
+import type {CustomerId, JobId} from '../src/model/ids.js';
+import {HostedConfiguration} from '../src/model/queues.js';
+import type {Step, Submission} from '../src/model/submissions.js';
+
+/** Longest lease of a worker in tests; shorter than a site's, to save time. */
+export const HOLD_MAXIMUM_MS = 4_000;
+
+/** The limit only ends a test that has failed. */
+const WAIT_LIMIT_MS = 20_000;
+
+export async function until(
+  what: string,
+  condition: () => boolean,
+): Promise<void> {
+  const limit = Date.now() + WAIT_LIMIT_MS;
+  while (!condition()) {
+    if (Date.now() > limit) throw new Error(`never happened: ${what}`);
+    await delay(2);
+  }
+}
+
+/** Two queues, urgent and patient, and two customers, one with a guarantee. */
+export function configuration(version = 1): HostedConfiguration {
+  const queue = (name: string, priority: number) => ({
+    queueId: trustedId<Submission['queueId']>(name),
+    host: `${name}.example`,
+    pathPrefix: '/jobs/',
+    isPublic: false,
+    serviceId: trustedId<Submission['serviceId']>('service'),
+    priority,
+    maximumAttempts: 3,
+    objectiveFactor: 2,
+    targetLatencyMs: 500,
+  });
+  return new HostedConfiguration(
+    version,
+    [queue('urgent', 0), queue('patient', 2)],
+    [
+      {
+        customerId: trustedId('owner'),
+        keys: ['owner-key'],
+        guaranteedAccelerators: 16,
+      },
+      {
+        customerId: trustedId('guest'),
+        keys: ['guest-key'],
+        guaranteedAccelerators: 0,
+      },
+    ],
+    {maximumBodyBytes: 10_000, headerTimeoutMs: 1_000, idleTimeoutMs: 1_000},
+  );
+}
+
+export function step(changes: Partial<Step> = {}): Step {
+  return {
+    taskCount: 1,
+    shape: {
+      processorMillicores: 1_000,
+      memoryMegabytes: 1_000,
+      accelerators: 1,
+    },
+    estimatedMs: 100,
+    after: [],
+    ...changes,
+  };
+}
+
+let jobNumber = 0;
+
+export function submission(changes: Partial<Submission> = {}): Submission {
+  jobNumber += 1;
+  return {
+    jobId: trustedId(jobNumber.toString(16).padStart(16, '0')),
+    queueId: trustedId('patient'),
+    serviceId: trustedId('service'),
+    customerId: trustedId<CustomerId>('guest'),
+    specification: 'text',
+    steps: [step()],
+    occurrences: 0,
+    firstDueAt: 0,
+    intervalMs: 0,
+    submittedAt: Date.now(),
+    ...changes,
+  };
+}
+
+/** One daemon's part in leadership, with its own faults. */
+export class TestDaemon {
+  readonly scope = new CleanupScope();
+  readonly storeFaults = noStoreFaults();
+  readonly orderFaults = noOrderFaults();
+  readonly leadership: Leadership;
+  readonly site: SiteView;
+
+  constructor(emulated: EmulatedSite, name: string, seed: number) {
+    const random = new SeededRandom(seed);
+    const log = new DaemonLog(
+      name,
+      (process.env['TEST_LOG_LEVEL'] ?? 'fatal') as 'fatal',
+    );
+    const store = new EmulatedStore(emulated.store, this.storeFaults, random);
+    this.site = new SiteView(store, this.scope, log.part('membership'));
+    const current = configuration();
+    this.leadership = new Leadership(
+      {
+        store,
+        workers: new EmulatedWorkers(emulated, this.orderFaults, random),
+        directory: emulated.directoryFor(store),
+        clock: new SystemClock(),
+        log: new LeaderLog(log),
+      },
+      {
+        vmId: name,
+        peerAddress: `${name}:1`,
+        holdMaximumMs: HOLD_MAXIMUM_MS,
+        stateRetentionMs: 60_000,
+      },
+      this.site,
+      () => current,
+      random,
+      this.scope,
+    );
+    void this.site.start();
+  }
+
+  /** Ends the daemon as a kill does: nothing is released. */
+  kill(): Promise<void> {
+    return this.scope.close();
+  }
+
+  get leads(): boolean {
+    return this.leadership.session !== undefined;
+  }
+}
+
+/** A site with daemons; `close` ends all of it. */
+export class LeaderFixture {
+  readonly site: EmulatedSite;
+  private readonly daemons: TestDaemon[] = [];
+
+  constructor(racks = 2, workersPerRack = 2) {
+    this.site = new EmulatedSite({
+      racks,
+      workersPerRack,
+      acceleratorsPerWorker: 8,
+      holdMaximumMs: HOLD_MAXIMUM_MS,
+    });
+  }
+
+  add(name: string): TestDaemon {
+    const seed = this.daemons.length + 1;
+    const daemon = new TestDaemon(this.site, name, seed);
+    this.daemons.push(daemon);
+    return daemon;
+  }
+
+  /** Adds a daemon and waits until it leads. */
+  async leader(name = 'first'): Promise<TestDaemon> {
+    const daemon = this.add(name);
+    await until(`${name} leads`, () => daemon.leads);
+    return daemon;
+  }
+
+  /** Stores a job, as any daemon does when it accepts one. */
+  submit(job: Submission, workMs: number, failingTask?: number): JobId {
+    this.site.ledger.submitted(job, workMs, failingTask);
+    this.site.store.put(submittedKey(job.jobId), JSON.stringify(job));
+    return job.jobId;
+  }
+
+  cancel(jobId: JobId): void {
+    this.site.ledger.cancelled(jobId, Date.now());
+    this.site.store.put(cancelledKey(jobId), '{}');
+  }
+
+  async close(): Promise<void> {
+    for (const daemon of this.daemons) await daemon.kill();
+    this.site.close();
+  }
+}
