Test the gateway and the platform's decoders

Guards: a write that may be done is never answered as not accepted; no decision by a configuration that cannot be confirmed; an order without an address is not reported as done; no message of another party throws (fast-check).

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -6,7 +6,12 @@
   {ignores: ['dist/**', 'target/**', 'node_modules/**']},
   ...tseslint.configs.recommended,
   {
-    files: ['src/**/*.ts', 'platform/**/*.ts', 'emulator/**/*.ts', 'test/**/*.ts'],
+    files: [
+      'src/**/*.ts',
+      'platform/**/*.ts',
+      'emulator/**/*.ts',
+      'test/**/*.ts',
+    ],
     languageOptions: {
       parserOptions: {
         projectService: true,
--- /dev/null
+++ b/test/entry_gateway.test.ts
@@ -0,0 +1,267 @@
+/**
+ * Answers to callers: what is accepted, refused, forwarded, and what must not
+ * be said while the outcome of a write is open.
+ */
+
+import assert from 'node:assert/strict';
+import {afterEach, beforeEach, describe, it} from 'node:test';
+import {setTimeout as delay} from 'node:timers/promises';
+import {Result} from 'true-myth';
+import {EmulatedSite, EmulatedStore, noStoreFaults} from '../emulator/site.js';
+import {DaemonLog} from '../src/daemon/log.js';
+import {CallerGateway} from '../src/entry/caller_gateway.js';
+import type {
+  CallerAnswer,
+  CallerCall,
+  LeaderQuestion,
+  LeaderReply,
+} from '../src/entry/calls.js';
+import {LeaderDesk, SitePeers} from '../src/entry/calls.js';
+import {ConfigurationFeed} from '../src/entry/configuration_feed.js';
+import {MEMBER_PREFIX, submittedKey} from '../src/leader/records.js';
+import {SiteView} from '../src/leader/site_view.js';
+import {CleanupScope} from '../src/lifecycle/cleanup_scope.js';
+import {SystemClock, steadyNow} from '../src/lifecycle/clock.js';
+import {SeededRandom} from '../src/lifecycle/random.js';
+import {instant, trustedId} from '../src/model/ids.js';
+import type {JobId} from '../src/model/ids.js';
+import type {HostedConfiguration} from '../src/model/queues.js';
+import {ConfigurationSource} from '../src/parties/configuration_source.js';
+import type {
+  ConfigurationListing,
+  ConfigurationWatchAnswer,
+} from '../src/parties/configuration_source.js';
+import {UnavailableError} from '../src/model/errors.js';
+import type {StoreReadFailure} from '../src/parties/coordination_store.js';
+import {configuration, step, until} from './leader_fixture.js';
+
+const JOB_ID = '00000000000000aa' as JobId;
+
+/** Versions that a test hands out; `isDown` fails every poll. */
+class TestConfigurationSource extends ConfigurationSource {
+  isDown = false;
+  private waiting: HostedConfiguration[] = [];
+
+  publish(next: HostedConfiguration): void {
+    this.waiting.push(next);
+  }
+
+  override list(): Promise<Result<ConfigurationListing, StoreReadFailure>> {
+    return Promise.resolve(
+      this.isDown
+        ? Result.err(new UnavailableError('down', 'wait'))
+        : Result.ok({configuration: configuration(5), revision: 1}),
+    );
+  }
+
+  override async watch(): Promise<
+    Result<ConfigurationWatchAnswer, StoreReadFailure>
+  > {
+    await delay(20);
+    if (this.isDown) return Result.err(new UnavailableError('down', 'wait'));
+    const changes = this.waiting;
+    this.waiting = [];
+    return Result.ok({kind: 'changes', changes, revision: 1});
+  }
+}
+
+class TestPeers extends SitePeers {
+  readonly forwarded: string[] = [];
+  answer: CallerAnswer | undefined;
+  reply: LeaderReply | undefined;
+
+  override ask(): Promise<LeaderReply | undefined> {
+    return Promise.resolve(this.reply);
+  }
+
+  override forward(address: string): Promise<CallerAnswer | undefined> {
+    this.forwarded.push(address);
+    return Promise.resolve(this.answer);
+  }
+}
+
+class TestDesk extends LeaderDesk {
+  reply: LeaderReply = {kind: 'unknown'};
+
+  override answer(_question: LeaderQuestion): LeaderReply {
+    return this.reply;
+  }
+}
+
+describe('the gateway for callers', () => {
+  let scope: CleanupScope;
+  let site: EmulatedSite;
+  let source: TestConfigurationSource;
+  let gateway: CallerGateway;
+  const faults = noStoreFaults();
+  let peers: TestPeers;
+  let desk: TestDesk;
+
+  beforeEach(async () => {
+    scope = new CleanupScope();
+    site = new EmulatedSite({
+      racks: 1,
+      workersPerRack: 1,
+      acceleratorsPerWorker: 1,
+      holdMaximumMs: 1_000,
+    });
+    Object.assign(faults, noStoreFaults());
+    const random = new SeededRandom(1);
+    const store = new EmulatedStore(site.store, faults, random);
+    const log = new DaemonLog('test', 'fatal');
+    source = new TestConfigurationSource();
+    const feed = new ConfigurationFeed(source, scope, log.part('entry'));
+    const view = new SiteView(store, scope, log.part('membership'));
+    peers = new TestPeers();
+    desk = new TestDesk();
+    gateway = new CallerGateway(
+      {
+        store,
+        feed,
+        site: view,
+        desk,
+        peers,
+        clock: new SystemClock(),
+        random,
+        log: log.part('entry'),
+      },
+      'own:1',
+    );
+    site.store.put(
+      `${MEMBER_PREFIX}other`,
+      JSON.stringify({vmId: 'other', address: 'other:1'}),
+    );
+    await view.start();
+    await feed.start();
+  });
+
+  afterEach(async () => {
+    await scope.close();
+    site.close();
+  });
+
+  const call = (changes: Partial<CallerCall> = {}): CallerCall => ({
+    method: 'submit',
+    host: 'patient.example',
+    path: `/jobs/${JOB_ID}`,
+    key: 'owner-key',
+    request: {
+      specification: 'text',
+      steps: [step()],
+      occurrences: 0,
+      firstDueAt: 0,
+      intervalMs: 0,
+    },
+    ...changes,
+  });
+
+  const handle = (changes: Partial<CallerCall> = {}, isForwarded = false) =>
+    gateway.handle(call(changes), instant(Date.now()), isForwarded);
+
+  const isStored = () =>
+    site.store.get(submittedKey(trustedId(JOB_ID))) !== undefined;
+
+  it('accepts a job once, however often it is sent', async () => {
+    assert.deepEqual(await handle(), {kind: 'accepted'});
+    const first = site.store.get(submittedKey(JOB_ID))?.value;
+    assert.deepEqual(await handle(), {kind: 'accepted'});
+    assert.equal(site.store.get(submittedKey(JOB_ID))?.value, first);
+  });
+
+  it('refuses unknown queues, keys and ids with final answers', async () => {
+    const kinds = [
+      (await handle({host: 'elsewhere.example'})).kind,
+      (await handle({key: 'no-key'})).kind,
+      (await handle({path: '/jobs/xyz'})).kind,
+      (await handle({method: 'read', path: '/jobs/ffffffffffffffff'})).kind,
+    ];
+    assert.deepEqual(kinds, [
+      'noSuchQueue',
+      'unknownKey',
+      'invalid',
+      'noSuchJob',
+    ]);
+    assert.equal(isStored(), false);
+  });
+
+  it('shows a job to its own customer only', async () => {
+    await handle();
+    const own = await handle({method: 'read'});
+    const foreign = await handle({method: 'read', key: 'guest-key'});
+    assert.deepEqual(own, {kind: 'state', state: 'queued'});
+    assert.deepEqual(foreign, {kind: 'noSuchJob'});
+  });
+
+  it('does not say "not accepted" of a write that may be done', async () => {
+    faults.loseAnswers = 1;
+    assert.equal((await handle()).kind, 'undecided');
+    await until('the write is done', isStored);
+  });
+
+  it('has a peer answer while the store refuses this daemon', async () => {
+    faults.down = 'refused';
+    peers.answer = {kind: 'accepted'};
+    assert.deepEqual(await handle(), {kind: 'accepted'});
+    assert.deepEqual(peers.forwarded, ['other:1']);
+  });
+
+  it('says when to come back, and passes a forwarded call no further', async () => {
+    faults.down = 'refused';
+    const answer = await handle({}, true);
+    assert.equal(answer.kind, 'notAccepted');
+    assert.deepEqual(peers.forwarded, []);
+    assert.equal(isStored(), false);
+  });
+
+  it('refuses at once after the store has failed', async () => {
+    faults.down = 'silent';
+    await handle({}, true);
+    const startedAt = Date.now();
+    const answer = await handle({}, true);
+    assert.equal(answer.kind, 'notAccepted');
+    assert.ok(Date.now() - startedAt < 20, 'the refusal waited');
+  });
+
+  it('decides nothing by a configuration that it cannot confirm', async () => {
+    // A key that was taken away would still be accepted.
+    source.isDown = true;
+    await until(
+      'the configuration is old',
+      () => !gateway.isReady(steadyNow()),
+    );
+    const answer = await handle({key: 'no-key'}, true);
+    assert.equal(answer.kind, 'notAccepted');
+  });
+
+  it('never applies an older version after a newer one', async () => {
+    source.publish(configuration(4));
+    await delay(60);
+    const {version} = (
+      gateway as unknown as {
+        parties: {feed: ConfigurationFeed};
+      }
+    ).parties.feed.configuration ?? {version: 0};
+    assert.equal(version, 5);
+  });
+
+  it('asks the leader for a state, and the store when there is none', async () => {
+    await handle();
+    desk.reply = {kind: 'state', state: 'running', customerId: 'owner'};
+    const fromLeader = await handle({method: 'read'});
+    desk.reply = {kind: 'unknown'};
+    const fromStore = await handle({method: 'read'});
+    assert.deepEqual(fromLeader, {kind: 'state', state: 'running'});
+    assert.deepEqual(fromStore, {kind: 'state', state: 'queued'});
+  });
+
+  it('cancels stored jobs only', async () => {
+    assert.equal((await handle({method: 'cancel'})).kind, 'noSuchJob');
+    await handle();
+    assert.equal((await handle({method: 'cancel'})).kind, 'cancelled');
+    assert.equal((await handle({method: 'cancel'})).kind, 'cancelled');
+    assert.deepEqual(await handle({method: 'read'}), {
+      kind: 'state',
+      state: 'cancelled',
+    });
+  });
+});
--- /dev/null
+++ b/test/platform_codecs.test.ts
@@ -0,0 +1,243 @@
+/**
+ * Decoders of the platform's messages: whatever another party sends, they
+ * return a value of the product or an error, and never throw.
+ */
+
+import assert from 'node:assert/strict';
+import {createServer} from 'node:http';
+import type {Server} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {after, afterEach, before, beforeEach, describe, it} from 'node:test';
+import fc from 'fast-check';
+import {
+  PlatformConfigurationSource,
+  PlatformWorkerDirectory,
+} from '../platform/directory.js';
+import {PlatformStore} from '../platform/store_client.js';
+import {PlatformWorkerClient} from '../platform/worker_client.js';
+import {EmulatedStore, noStoreFaults} from '../emulator/site.js';
+import {StoreState} from '../emulator/store_state.js';
+import {DaemonLog} from '../src/daemon/log.js';
+import {CleanupScope} from '../src/lifecycle/cleanup_scope.js';
+import {SeededRandom} from '../src/lifecycle/random.js';
+import {trustedId} from '../src/model/ids.js';
+import type {WorkerEntry} from '../src/parties/task_worker.js';
+import {
+  ConnectionsByAddress,
+  openConnections,
+} from '../src/transport/http_connections.js';
+
+interface Scripted {
+  status: number;
+  body: string;
+}
+
+describe('decoders of the platform', () => {
+  let server: Server;
+  let scope: CleanupScope;
+  let address: string;
+  const scripted: Scripted = {status: 200, body: '{}'};
+  let lastPath = '';
+  let lastBody = '';
+
+  before(async () => {
+    server = createServer((request, response) => {
+      lastPath = request.url ?? '';
+      lastBody = '';
+      request.on('data', (chunk: Buffer) => {
+        lastBody += chunk.toString();
+      });
+      request.on('end', () => {
+        response.writeHead(scripted.status);
+        response.end(scripted.body);
+      });
+    });
+    await new Promise<void>((resolve) =>
+      server.listen(0, '127.0.0.1', resolve),
+    );
+    address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+  });
+
+  after(() => server.close());
+
+  beforeEach(() => {
+    scope = new CleanupScope();
+  });
+
+  afterEach(() => scope.close());
+
+  const answer = (status: number, body: unknown) => {
+    scripted.status = status;
+    scripted.body = typeof body === 'string' ? body : JSON.stringify(body);
+  };
+
+  const store = () => new PlatformStore(openConnections(scope, address, 2));
+
+  const worker = (): WorkerEntry => ({
+    workerId: trustedId('w-1'),
+    life: 1,
+    address,
+    serviceId: trustedId('service'),
+    zone: trustedId('zone'),
+    rackId: undefined,
+    labels: new Set(),
+    capacity: {processorMillicores: 1, memoryMegabytes: 1, accelerators: 1},
+    isDraining: false,
+    remainingMs: undefined,
+  });
+
+  const workers = () =>
+    new PlatformWorkerClient(new ConnectionsByAddress(scope));
+
+  const order = {
+    task: 't',
+    run: 1,
+    specification: 's',
+    checkpoint: '',
+    leaseUntilMs: 1,
+    term: 1,
+  };
+
+  it('tells refusals of a start from answers that leave it open', async () => {
+    const cases: Array<[number, unknown, string]> = [
+      [200, {clockMs: 5}, 'started'],
+      [409, {clockMs: 5, reason: 'fence'}, 'superseded'],
+      [409, {clockMs: 5, reason: 'old'}, 'outdated'],
+      [409, {clockMs: 5, reason: 'late'}, 'leasePassed'],
+      [409, {clockMs: 5, reason: 'room'}, 'noRoom'],
+      [409, {clockMs: 5, reason: 'ticket'}, 'notAdmitted'],
+      [421, '', 'otherLife'],
+      [429, '', 'unhealthy'],
+      [503, '', 'unhealthy'],
+      [500, '', 'unknown'],
+      [200, 'not json', 'unknown'],
+    ];
+    for (const [status, body, kind] of cases) {
+      answer(status, body);
+      const outcome = await workers().start(worker(), order);
+      assert.equal(outcome.kind, kind, `status ${status}`);
+    }
+  });
+
+  it('sends no empty checkpoint, which would not be the task’s', async () => {
+    answer(200, {clockMs: 1});
+    await workers().start(worker(), order);
+    assert.equal('checkpoint' in JSON.parse(lastBody), false);
+    await workers().start(worker(), {...order, checkpoint: 'abc'});
+    assert.equal(JSON.parse(lastBody).checkpoint, 'abc');
+  });
+
+  it('reports no order as done that has no address to go to', async () => {
+    const outcome = await workers().stop(
+      {...worker(), address: undefined},
+      {task: 't', run: 1},
+      1,
+    );
+    assert.equal(outcome.kind, 'unhealthy');
+  });
+
+  it('keeps a lost write apart from a write that was refused', async () => {
+    const transaction = {conditions: [], puts: [], removals: ['a']};
+    answer(503, '');
+    const refused = await store().transact(transaction);
+    assert.equal(refused.isErr && refused.error.kind, 'unavailable');
+    answer(200, '{');
+    const open = await store().transact(transaction);
+    assert.equal(open.isErr && open.error.kind, 'unknown-effect');
+    answer(412, {items: [{key: 'a', value: 'eA==', revision: 3}]});
+    const conflict = await store().transact(transaction);
+    assert.deepEqual(conflict.isOk && conflict.value, {
+      kind: 'conflict',
+      items: [{key: 'a', value: 'x', revision: 3}],
+    });
+  });
+
+  it('lists again after the history is gone', async () => {
+    answer(410, '');
+    const lost = await store().watch('p/', 4, 10, scope.signal);
+    assert.deepEqual(lost.isOk && lost.value, {kind: 'historyLost'});
+    assert.match(lastPath, /after=4/);
+  });
+
+  it('never throws, whatever the other side sends', async () => {
+    await fc.assert(
+      fc.asyncProperty(
+        fc.constantFrom(200, 400, 404, 409, 410, 412, 421, 429, 500, 503),
+        fc.oneof(fc.json(), fc.string()),
+        async (status, body) => {
+          answer(status, body);
+          const client = store();
+          await client.get('key');
+          await client.list('p/');
+          await client.watch('p/', 1, 0, scope.signal);
+          await client.transact({conditions: [], puts: [], removals: []});
+          await client.renewLease(1);
+          await workers().start(worker(), order);
+          const look = {
+            term: 1,
+            acknowledgedSequence: 0,
+            leaseUntilMs: undefined,
+            waitMs: 0,
+          };
+          const seen = await workers().look(worker(), look, scope.signal);
+          assert.notEqual(seen.kind, undefined);
+        },
+      ),
+      {numRuns: 60},
+    );
+  });
+
+  it('leaves out entries and versions that cannot be read', async () => {
+    const state = new StoreState();
+    const emulated = new EmulatedStore(
+      state,
+      noStoreFaults(),
+      new SeededRandom(1),
+    );
+    const log = new DaemonLog('test', 'fatal').part('workers');
+    const directory = new PlatformWorkerDirectory(emulated, log);
+    const configurations = new PlatformConfigurationSource(emulated, log);
+    await fc.assert(
+      fc.asyncProperty(fc.oneof(fc.json(), fc.string()), async (text) => {
+        state.put('servers/bad', text);
+        state.put('op/config', text);
+        const listed = await directory.list();
+        assert.equal(listed.isOk && listed.value.entries.length, 0);
+        const found = await configurations.list();
+        assert.equal(found.isOk && found.value.configuration, undefined);
+      }),
+      {numRuns: 200},
+    );
+  });
+
+  it('reads an entry and a version as the platform writes them', async () => {
+    const state = new StoreState();
+    const emulated = new EmulatedStore(
+      state,
+      noStoreFaults(),
+      new SeededRandom(1),
+    );
+    const log = new DaemonLog('test', 'fatal').part('workers');
+    state.put(
+      'servers/i-1',
+      JSON.stringify({
+        service: 'pool',
+        address: '10.0.0.1:80',
+        zone: 'z',
+        state: 'draining',
+        remainingMs: 1_500,
+        capacity: {cpu: 32_000, memMb: 10, gpu: 8},
+        labels: ['a', 'r1-3'],
+        born: 77,
+      }),
+    );
+    const listed = await new PlatformWorkerDirectory(emulated, log).list();
+    const [entry] = listed.isOk ? listed.value.entries : [];
+    assert.equal(entry?.workerId, 'i-1');
+    assert.equal(entry?.life, 77);
+    assert.equal(entry?.rackId, 'r1-3');
+    assert.equal(entry?.isDraining, true);
+    assert.equal(entry?.remainingMs, 1_500);
+    assert.equal(entry?.capacity.accelerators, 8);
+  });
+});
