Probe the store after a failure, find slow workers, write logs off the loop

Probes now do the trials. - Standing still was seen after 3.5 s, as looks took up to 2 s; looks wait 0.8 s. - Slow workers (6 to 8 times) kept their tasks; the speeds of tasks outside gangs are compared with the median. - Work that cannot be saved is stopped for guaranteed work after a wait only.

--- a/src/daemon/log.ts
+++ b/src/daemon/log.ts
@@ -4,6 +4,7 @@
  */
 
 import bunyan from 'bunyan';
+import {LogSink} from './log_sink.js';
 
 /** Parts of the daemon that write logs. */
 export type LogPart =
@@ -59,16 +60,24 @@
   }
 }
 
-/** Creates the logs of one daemon; lines go to standard error. */
+const STANDARD_OUTPUT = 1;
+const STANDARD_ERROR = 2;
+
+/** Creates the logs of one daemon, on standard error unless told otherwise. */
 export class DaemonLog {
   private readonly logger: bunyan;
 
-  constructor(vmId: string, level: bunyan.LogLevelString) {
+  constructor(
+    vmId: string,
+    level: bunyan.LogLevelString,
+    target: 'output' | 'error' = 'error',
+  ) {
+    const descriptor = target === 'output' ? STANDARD_OUTPUT : STANDARD_ERROR;
     this.logger = bunyan.createLogger({
       name: 'bramleystepd',
       vmId,
       level,
-      stream: process.stderr,
+      stream: new LogSink(descriptor) as unknown as NodeJS.WritableStream,
     });
   }
 
--- a/src/daemon/operator_api.ts
+++ b/src/daemon/operator_api.ts
@@ -55,7 +55,7 @@
 
 export class OperatorApi {
   private readonly server = new JsonServer({
-    documentation: 'docs/operations.md',
+    documentation: 'docs/OPERATIONS.md',
   });
 
   constructor(
--- a/src/entry/caller_gateway.ts
+++ b/src/entry/caller_gateway.ts
@@ -5,6 +5,7 @@
  */
 
 import type {PartLog} from '../daemon/log.js';
+import type {CleanupScope} from '../lifecycle/cleanup_scope.js';
 import type {Clock, SteadyTime} from '../lifecycle/clock.js';
 import {steadyNow} from '../lifecycle/clock.js';
 import type {RandomSource} from '../lifecycle/random.js';
@@ -15,6 +16,7 @@
 import type {CoordinationStore} from '../parties/coordination_store.js';
 import {NO_REVISION} from '../parties/coordination_store.js';
 import {
+  LEADER_KEY,
   cancelledKey,
   decodeRecord,
   progressKey,
@@ -48,8 +50,11 @@
 /** The platform's counts may be 2 s old. */
 const PENDING_AGE_MS = 1_000;
 
-/** When a caller should come back: the usual length of a takeover. */
-const RETRY_AFTER_MS = 1_000;
+/**
+ * When a caller should come back. A takeover takes about 2 s, and callers give
+ * up after a few attempts, which should outlast an outage of the store.
+ */
+const RETRY_AFTER_MS = 2_000;
 
 const JOB_ID_PATTERN = /^[0-9a-f]{16}$/;
 
@@ -62,6 +67,7 @@
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly log: PartLog;
+  readonly scope: CleanupScope;
 }
 
 /** A call that passed the filters. */
@@ -73,7 +79,7 @@
 }
 
 export class CallerGateway {
-  private readonly health = new StoreHealth();
+  private readonly health: StoreHealth;
   private readonly silentPeers = new Map<string, SteadyTime>();
   private readonly pendingCounts = new Map<
     string,
@@ -83,7 +89,10 @@
   constructor(
     private readonly parties: GatewayParties,
     private readonly ownAddress: string,
-  ) {}
+  ) {
+    const {store, scope, log} = parties;
+    this.health = new StoreHealth(store, LEADER_KEY, scope, log);
+  }
 
   /** True if this daemon can serve calls by itself or through a peer. */
   isReady(now: SteadyTime): boolean {
@@ -91,7 +100,7 @@
     return (
       feed.configuration !== undefined &&
       feed.ageMs(now) < CONFIGURATION_AGE_MS &&
-      !this.health.isSuspect(now)
+      !this.health.isSuspect
     );
   }
 
@@ -165,7 +174,7 @@
     if (request === undefined || jobId === undefined) {
       return {kind: 'invalid', problem: 'the body describes no job'};
     }
-    if (this.health.isSuspect(steadyNow())) {
+    if (this.health.isSuspect) {
       return this.elsewhere(call, isForwarded, 'the store does not answer');
     }
     const submission: Submission = {
@@ -185,7 +194,6 @@
     if (outcome.isErr) {
       return this.writeFailed(call, isForwarded, jobId, outcome.error);
     }
-    this.health.answered();
     const repeated = outcome.value.kind === 'conflict';
     this.parties.log.info(
       repeated ? 'was accepted before' : `accepted for ${queue.queueId}`,
@@ -200,13 +208,13 @@
     isForwarded: boolean,
   ): Promise<CallerAnswer> {
     if (jobId === undefined) return {kind: 'noSuchJob'};
-    if (this.health.isSuspect(steadyNow())) {
+    if (this.health.isSuspect) {
       return this.elsewhere(call, isForwarded, 'the store does not answer');
     }
     const {store} = this.parties;
     const submitted = await store.get(submittedKey(jobId));
     if (submitted.isErr) {
-      this.health.failed(steadyNow());
+      this.health.failed(submitted.error.message);
       return this.elsewhere(call, isForwarded, submitted.error.message);
     }
     if (submitted.value === undefined) return {kind: 'noSuchJob'};
@@ -222,7 +230,6 @@
     if (outcome.isErr) {
       return this.writeFailed(call, isForwarded, jobId, outcome.error);
     }
-    this.health.answered();
     this.parties.log.info('cancellation accepted', {jobId});
     return {kind: 'cancelled'};
   }
@@ -239,7 +246,7 @@
         ? {kind: 'state', state: reply.state}
         : {kind: 'noSuchJob'};
     }
-    if (this.health.isSuspect(steadyNow())) {
+    if (this.health.isSuspect) {
       return this.elsewhere(call, isForwarded, 'the store does not answer');
     }
     return this.storedState(call, customer, jobId, isForwarded);
@@ -258,10 +265,9 @@
       ? await store.get(progressKey(jobId))
       : submitted;
     if (submitted.isErr || progress.isErr) {
-      this.health.failed(steadyNow());
+      this.health.failed('a state could not be read');
       return this.elsewhere(call, isForwarded, 'the store does not answer');
     }
-    this.health.answered();
     const {value: item} = submitted;
     if (item === undefined || !this.isOwner(item.key, item.value, customer)) {
       return {kind: 'noSuchJob'};
@@ -380,7 +386,7 @@
     jobId: JobId,
     error: {kind: string; message: string},
   ): Promise<CallerAnswer> {
-    this.health.failed(steadyNow());
+    this.health.failed(error.message);
     if (error.kind === 'unknown-effect') {
       this.parties.log.warn(`undecided: ${error.message}`, {jobId});
       return {kind: 'undecided', reason: error.message};
--- a/src/entry/entry_daemon.ts
+++ b/src/entry/entry_daemon.ts
@@ -115,6 +115,7 @@
         clock,
         random,
         log: log.part('entry'),
+        scope,
       },
       this.peerAddress,
     );
--- a/src/entry/store_health.ts
+++ b/src/entry/store_health.ts
@@ -1,34 +1,47 @@
 /**
- * Whether calls to the store are worth waiting for. After a failure calls are
- * refused at once for a moment, then one is let through to try.
+ * Whether calls to the store are worth waiting for. After a failure, calls of
+ * callers are refused or passed on at once; probes find out when the store
+ * answers again, so that no caller waits for a time limit.
  */
 
-import type {SteadyTime} from '../lifecycle/clock.js';
-import {steadyTime} from '../lifecycle/clock.js';
+import type {CleanupScope} from '../lifecycle/cleanup_scope.js';
+import type {PartLog} from '../daemon/log.js';
+import type {CoordinationStore} from '../parties/coordination_store.js';
 
-/** How long a failure counts; the next call after it is the trial. */
-const SUSPICION_MS = 400;
+/** Time between two probes; the first follows a failure at once. */
+const PROBE_INTERVAL_MS = 250;
 
 export class StoreHealth {
-  private suspectUntil: SteadyTime = steadyTime(-Infinity);
-  private failedSince: SteadyTime | undefined;
+  private isFailing = false;
 
-  isSuspect(now: SteadyTime): boolean {
-    return now < this.suspectUntil;
-  }
+  constructor(
+    private readonly store: CoordinationStore,
+    /** Any key; a probe only needs an answer. */
+    private readonly probeKey: string,
+    private readonly scope: CleanupScope,
+    private readonly log: PartLog,
+  ) {}
 
-  /** Time since the first failure of an unbroken row, 0 without one. */
-  failingForMs(now: SteadyTime): number {
-    return this.failedSince === undefined ? 0 : now - this.failedSince;
+  get isSuspect(): boolean {
+    return this.isFailing;
   }
 
-  failed(now: SteadyTime): void {
-    this.failedSince ??= now;
-    this.suspectUntil = steadyTime(now + SUSPICION_MS);
+  failed(reason: string): void {
+    if (this.isFailing) return;
+    this.isFailing = true;
+    this.log.warn(`the store does not answer: ${reason}`);
+    void this.probe();
   }
 
-  answered(): void {
-    this.failedSince = undefined;
-    this.suspectUntil = steadyTime(-Infinity);
+  private async probe(): Promise<void> {
+    while (!this.scope.closed) {
+      const answer = await this.store.get(this.probeKey);
+      if (answer.isOk) {
+        this.isFailing = false;
+        this.log.info('the store answers again');
+        return;
+      }
+      await this.scope.sleep(PROBE_INTERVAL_MS);
+    }
   }
 }
--- a/src/leader/jobs.ts
+++ b/src/leader/jobs.ts
@@ -35,6 +35,8 @@
 export class Run {
   phase: RunPhase = 'planned';
   percent = 0;
+  /** First percent that was listed, and when. */
+  firstSeen: {readonly percent: number; readonly at: Instant} | undefined;
   /** When `percent` last changed. */
   percentChangedAt: Instant;
   checkpoint = '';
@@ -98,6 +100,14 @@
     return Math.max(this.lastRun + 1, (term - 1) * RUNS_PER_TERM + 1);
   }
 
+  /** The unit is placed elsewhere; the oldest of many workers is forgotten. */
+  avoid(workerId: WorkerId): void {
+    this.avoided.add(workerId);
+    if (this.avoided.size <= MOST_AVOIDED_WORKERS) return;
+    const [oldest] = this.avoided;
+    if (oldest !== undefined) this.avoided.delete(oldest);
+  }
+
   countFailure(run: number): boolean {
     if (run <= this.failedRun) return false;
     this.failedRun = run;
@@ -111,6 +121,9 @@
   }
 }
 
+/** A task that lasts fails any number of times and must find a worker. */
+const MOST_AVOIDED_WORKERS = 4;
+
 /** More runs of one task in one term than retries can use up. */
 const RUNS_PER_TERM = 1_000;
 
@@ -230,7 +243,7 @@
     }
     const failed = ending === 'failed' && unit.countFailure(run.run);
     if (failed) {
-      unit.avoided.add(run.workerId);
+      unit.avoid(run.workerId);
       const hasLimit = unit.step.longRunning !== true;
       if (hasLimit && !unit.isDone && unit.failures >= maximumAttempts) {
         this.end('failed', now);
--- a/src/leader/placement.ts
+++ b/src/leader/placement.ts
@@ -49,6 +49,14 @@
  */
 const GUARANTEED_RACK_WAIT_MS = 1_000;
 
+/**
+ * Before it stops work that cannot be saved, urgent work waits this share of
+ * its estimate for room, as its objective leaves half of it as slack; and at
+ * most this long, within the bound for guaranteed work (2.9 s).
+ */
+const UNSAVED_PATIENCE = 0.35;
+const LONGEST_UNSAVED_WAIT_MS = 1_200;
+
 /** Waiting for the rack with the data pays up to this many run times. */
 const DATA_RACK_PATIENCE = 1.5;
 
@@ -219,7 +227,7 @@
     const choice = cheapestVictims(
       unit,
       groups.map((group) => table.usable(group, unit)),
-      (run) => this.isBorrower(run, rank),
+      (run) => this.isBorrower(run, unit, rank),
       this.view.now,
     );
     if (choice === undefined) return;
@@ -227,12 +235,18 @@
     for (const {room, count} of choice.taken) room.take(unit, count);
   }
 
-  private isBorrower(run: Run, rank: Rank): boolean {
+  private isBorrower(run: Run, unit: Unit, rank: Rank): boolean {
     const {job, step} = run.unit;
     const queue = this.view.configuration.queue(job.queueId);
     if (queue !== undefined && queue.priority === 0) return false;
     if (step.longRunning === true) return false;
-    return rank === 'guaranteed' || step.checkpointing === true;
+    if (step.checkpointing === true) return true;
+    const waitedMs = this.view.now - (unit.readySince ?? this.view.now);
+    const patienceMs = Math.min(
+      unit.step.estimatedMs * UNSAVED_PATIENCE,
+      LONGEST_UNSAVED_WAIT_MS,
+    );
+    return rank === 'guaranteed' && waitedMs >= patienceMs;
   }
 
   private reserveRack(unit: Unit, table: RoomTable): void {
--- a/src/leader/worker_link.ts
+++ b/src/leader/worker_link.ts
@@ -20,8 +20,11 @@
 import type {Authority} from './session.js';
 import type {WorkerState} from './worker_state.js';
 
-/** Longest wait of a look that the platform allows. */
-const LOOK_WAIT_MS = 2_000;
+/**
+ * Wait of a look. The platform allows 2 s; a shorter one shows sooner that a
+ * task stands still or a connection went silent, and a look costs little.
+ */
+const LOOK_WAIT_MS = 800;
 
 /** Share of a lease that a look may wait, so that two may fail in a row. */
 const LOOK_SHARE_OF_LEASE = 1 / 3;
@@ -264,6 +267,7 @@
       }
       listed.add(run);
       run.checkpoint = running.checkpoint;
+      run.firstSeen ??= {percent: running.percent, at: events.now()};
       if (running.percent !== run.percent) {
         run.percent = running.percent;
         run.percentChangedAt = events.now();
--- a/src/leader/worker_table.ts
+++ b/src/leader/worker_table.ts
@@ -15,10 +15,15 @@
 import type {Authority} from './session.js';
 import {WorkerLink} from './worker_link.js';
 import type {LinkEvents} from './worker_link.js';
+import {findSlowWorkers, gainsByMove} from './worker_speed.js';
 import {WorkerState, longestLapseMs} from './worker_state.js';
 
-/** A worker that answers progresses by a percent far more often than this. */
-const STANDSTILL_MS = 3_500;
+/**
+ * Without progress for this long a task stands still. A task of 11 s on a
+ * worker 8 times slower takes 0.9 s for a percent, and a look sees it up to
+ * 0.8 s later.
+ */
+const STANDSTILL_MS = 2_600;
 
 /** Time that a checkpointing task is stopped before its worker leaves. */
 const EVACUATION_MS = 900;
@@ -148,6 +153,25 @@
       if (steady >= worker.lapsesAt()) this.lapse(worker);
       else this.inspect(worker, now, steady);
     }
+    this.leaveSlowWorkers(now, steady);
+  }
+
+  private leaveSlowWorkers(now: Instant, steady: SteadyTime): void {
+    const {workers, medianSpeed} = findSlowWorkers(this.states.values(), now);
+    const {log} = this.options;
+    for (const worker of workers) {
+      if (!worker.isQuarantined(steady)) {
+        worker.quarantine(steady);
+        log.quarantined(worker, 'it is far slower than the others');
+      }
+      for (const run of [...worker.runs.values()]) {
+        if (run.phase !== 'running' || run.step.longRunning === true) continue;
+        if (!gainsByMove(run, medianSpeed, now)) continue;
+        run.unit.avoid(worker.workerId);
+        log.stopped(run, 'it ends sooner elsewhere');
+        this.stopUnit(run);
+      }
+    }
   }
 
   /** All leases on the worker have lapsed, so nothing of ours runs there. */
@@ -175,7 +199,7 @@
         this.stopUnit(run);
       } else if (worker.silentLooks === 0 && standsStill(run, now)) {
         worker.quarantine(steady);
-        run.unit.avoided.add(worker.workerId);
+        run.unit.avoid(worker.workerId);
         log.quarantined(worker, `${run.task} stands still`);
         log.stopped(run, 'it makes no progress');
         this.stopUnit(run);
--- a/test/entry_gateway.test.ts
+++ b/test/entry_gateway.test.ts
@@ -124,6 +124,7 @@
         clock: new SystemClock(),
         random,
         log: log.part('entry'),
+        scope,
       },
       'own:1',
     );
