--- a/src/leader/jobs.ts
+++ b/src/leader/jobs.ts
@@ -35,8 +35,6 @@
 export class Run {
   phase: RunPhase = 'planned';
   percent = 0;
-  /** First percent that was listed, and when. */
-  firstSeen: {readonly percent: number; readonly at: Instant} | undefined;
   /** When `percent` last changed. */
   percentChangedAt: Instant;
   checkpoint = '';
--- a/src/leader/worker_link.ts
+++ b/src/leader/worker_link.ts
@@ -267,7 +267,6 @@
       }
       listed.add(run);
       run.checkpoint = running.checkpoint;
-      run.firstSeen ??= {percent: running.percent, at: events.now()};
       if (running.percent !== run.percent) {
         run.percent = running.percent;
         run.percentChangedAt = events.now();
--- a/src/leader/worker_table.ts
+++ b/src/leader/worker_table.ts
@@ -15,7 +15,6 @@
 import type {Authority} from './session.js';
 import {WorkerLink} from './worker_link.js';
 import type {LinkEvents} from './worker_link.js';
-import {findSlowWorkers, gainsByMove} from './worker_speed.js';
 import {WorkerState, longestLapseMs} from './worker_state.js';
 
 /**
@@ -153,25 +152,6 @@
       if (steady >= worker.lapsesAt()) this.lapse(worker);
       else this.inspect(worker, now, steady);
     }
-    this.leaveSlowWorkers(now, steady);
-  }
-
-  private leaveSlowWorkers(now: Instant, steady: SteadyTime): void {
-    const {workers, medianSpeed} = findSlowWorkers(this.states.values(), now);
-    const {log} = this.options;
-    for (const worker of workers) {
-      if (!worker.isQuarantined(steady)) {
-        worker.quarantine(steady);
-        log.quarantined(worker, 'it is far slower than the others');
-      }
-      for (const run of [...worker.runs.values()]) {
-        if (run.phase !== 'running' || run.step.longRunning === true) continue;
-        if (!gainsByMove(run, medianSpeed, now)) continue;
-        run.unit.avoid(worker.workerId);
-        log.stopped(run, 'it ends sooner elsewhere');
-        this.stopUnit(run);
-      }
-    }
   }
 
   /** All leases on the worker have lapsed, so nothing of ours runs there. */
