--- a/emulator/site.ts
+++ b/emulator/site.ts
@@ -354,6 +354,8 @@
   readonly store = new StoreState();
   readonly ledger = new Ledger();
   readonly workers = new Map<WorkerId, EmulatedWorker>();
+  /** Leases of the store do not run out meanwhile. */
+  pausesLeases = false;
   private readonly timer: NodeJS.Timeout;
 
   constructor(options: EmulatedSiteOptions) {
@@ -419,7 +421,7 @@
 
   private step(): void {
     const now = Date.now();
-    this.store.expireLeases(now);
+    if (!this.pausesLeases) this.store.expireLeases(now);
     for (const worker of this.workers.values()) {
       if (worker.isUp) worker.advance(now);
     }
--- a/src/leader/jobs.ts
+++ b/src/leader/jobs.ts
@@ -31,12 +31,17 @@
  */
 export type RunPhase = 'planned' | 'ordered' | 'running' | 'stopping';
 
+/** A look waits 0.8 s; a longer gap between lists counts as this much. */
+const LONGEST_COUNTED_GAP_MS = 1_000;
+
 /** One run of one task on one life of a worker. */
 export class Run {
   phase: RunPhase = 'planned';
   percent = 0;
-  /** When `percent` last changed. */
-  percentChangedAt: Instant;
+  /** Time over which lists showed no progress, in milliseconds. */
+  stillMs = 0;
+  /** When a list last named the run. */
+  private listedAt: Instant | undefined;
   checkpoint = '';
   /**
    * When an answer decided whether the run is on its worker. A list that was
@@ -53,8 +58,17 @@
     readonly workerId: WorkerId,
     readonly life: number,
     readonly plannedAt: Instant,
-  ) {
-    this.percentChangedAt = plannedAt;
+  ) {}
+
+  /** Takes what a list says of the run. */
+  listed(percent: number, checkpoint: string, now: Instant): void {
+    const sinceMs = now - (this.listedAt ?? now);
+    // Time without lists, as while the leader was not certain, tells nothing.
+    const countedMs = Math.min(sinceMs, LONGEST_COUNTED_GAP_MS);
+    this.stillMs = percent === this.percent ? this.stillMs + countedMs : 0;
+    this.percent = percent;
+    this.checkpoint = checkpoint;
+    this.listedAt = now;
   }
 
   get task(): string {
--- a/src/leader/session.ts
+++ b/src/leader/session.ts
@@ -368,7 +368,7 @@
   // Rounds.
 
   private tick(): void {
-    this.table.tick(this.now(), steadyNow());
+    this.table.tick(steadyNow());
     if (this.openJobs.size > 0) this.queueRound();
   }
 
--- a/src/leader/worker_link.ts
+++ b/src/leader/worker_link.ts
@@ -266,11 +266,7 @@
         continue;
       }
       listed.add(run);
-      run.checkpoint = running.checkpoint;
-      if (running.percent !== run.percent) {
-        run.percent = running.percent;
-        run.percentChangedAt = events.now();
-      }
+      run.listed(running.percent, running.checkpoint, events.now());
       if (run.phase === 'ordered') this.confirm(run, sentAt);
     }
     if (outcome.ended.length >= ENDS_PER_ANSWER) return;
@@ -291,7 +287,6 @@
   private confirm(run: Run, at: SteadyTime): void {
     run.settledAt = at;
     run.phase = 'running';
-    run.percentChangedAt = this.events.now();
     this.log.started(run, this.events.now());
     this.events.runStarted(run);
   }
--- a/src/leader/worker_table.ts
+++ b/src/leader/worker_table.ts
@@ -6,7 +6,7 @@
 import type {CleanupScope} from '../lifecycle/cleanup_scope.js';
 import type {SteadyTime} from '../lifecycle/clock.js';
 import {steadyNow, steadyTime} from '../lifecycle/clock.js';
-import type {Instant, WorkerId} from '../model/ids.js';
+import type {WorkerId} from '../model/ids.js';
 import {trustedId} from '../model/ids.js';
 import type {TaskWorkerClient, WorkerEntry} from '../parties/task_worker.js';
 import type {WorkerChange} from '../parties/worker_directory.js';
@@ -142,7 +142,7 @@
   // Time.
 
   /** Handles what only the passing of time shows. */
-  tick(now: Instant, steady: SteadyTime): void {
+  tick(steady: SteadyTime): void {
     for (const worker of [...this.states.values()]) {
       if (worker.runs.size === 0) {
         if (!worker.isListed) this.absent(worker.workerId);
@@ -150,7 +150,7 @@
         continue;
       }
       if (steady >= worker.lapsesAt()) this.lapse(worker);
-      else this.inspect(worker, now, steady);
+      else this.inspect(worker, steady);
     }
   }
 
@@ -168,7 +168,7 @@
     }
   }
 
-  private inspect(worker: WorkerState, now: Instant, steady: SteadyTime): void {
+  private inspect(worker: WorkerState, steady: SteadyTime): void {
     const {log} = this.options;
     const remainingMs = worker.remainingMs(steady);
     const leaves = remainingMs !== undefined && remainingMs < EVACUATION_MS;
@@ -177,7 +177,7 @@
       if (leaves && run.step.checkpointing === true) {
         log.stopped(run, 'its worker leaves');
         this.stopUnit(run);
-      } else if (worker.silentLooks === 0 && standsStill(run, now)) {
+      } else if (worker.silentLooks === 0 && standsStill(run)) {
         worker.quarantine(steady);
         run.unit.avoid(worker.workerId);
         log.quarantined(worker, `${run.task} stands still`);
@@ -212,9 +212,10 @@
   }
 }
 
-function standsStill(run: Run, now: Instant): boolean {
-  if (run.step.longRunning === true) return false;
-  if (now - run.percentChangedAt < STANDSTILL_MS) return false;
+function standsStill(run: Run): boolean {
+  if (run.step.longRunning === true || run.stillMs < STANDSTILL_MS) {
+    return false;
+  }
   return run.unit.runs.every(({phase}) => phase === 'running');
 }
 
--- a/test/leader_faults.test.ts
+++ b/test/leader_faults.test.ts
@@ -206,6 +206,23 @@
     assert.equal(fixture.site.ledger.counts.starts, 4, 'starts');
   });
 
+  it('does not take an outage of the store for standing still', async () => {
+    // No list is asked for while leadership is not certain.
+    const leader = await fixture.leader();
+    const jobId = fixture.submit(submission(), 9_000);
+    await until('the task runs', () => runCount(fixture) === 1);
+    fixture.site.pausesLeases = true;
+    leader.storeFaults.down = 'silent';
+    await delay(4_500);
+    leader.storeFaults.down = undefined;
+    await delay(1_000);
+    fixture.site.pausesLeases = false;
+    const {starts} = fixture.site.ledger.counts;
+    assert.equal(starts, 1, 'starts');
+    fixture.cancel(jobId);
+    await untilState(leader, jobId, 'cancelled');
+  });
+
   it('stops a cancelled job and starts nothing of it again', async () => {
     const leader = await fixture.leader();
     const jobId = fixture.submit(
