Ask for tickets where a queue's steps need advice

Starts on such queues were refused for want of a ticket, so their jobs never ran. Emulated: 20 tasks on one admitted worker, at most 4 calls, tickets renewed.

--- a/emulator/site.ts
+++ b/emulator/site.ts
@@ -27,6 +27,8 @@
   StoredItem,
   TransactionOutcome,
 } from '../src/parties/coordination_store.js';
+import {PlacementAdvisor} from '../src/parties/placement_advisor.js';
+import type {Admission} from '../src/parties/placement_advisor.js';
 import {TaskWorkerClient} from '../src/parties/task_worker.js';
 import type {
   LookOutcome,
@@ -232,6 +234,10 @@
     worker: WorkerEntry,
     order: StartOrder,
   ): Promise<OrderOutcome> {
+    const {advisor} = this.site;
+    if (advisor?.accepts(order, worker) === false) {
+      return Promise.resolve({kind: 'notAdmitted', clockMs: 1});
+    }
     return this.order(worker, (held) => held.start(order, Date.now()));
   }
 
@@ -288,6 +294,44 @@
   }
 }
 
+/** Lets some workers run a step, for a time. */
+export class EmulatedAdvisor extends PlacementAdvisor {
+  calls = 0;
+  private readonly tickets = new Map<string, number>();
+
+  constructor(
+    private readonly allowed: ReadonlySet<WorkerId>,
+    private readonly validMs: number,
+  ) {
+    super();
+  }
+
+  override async advise(
+    step: string,
+    workers: readonly WorkerId[],
+  ): Promise<Result<readonly Admission[], never>> {
+    this.calls += 1;
+    await pause(5);
+    const admitted = workers.filter((workerId) => this.allowed.has(workerId));
+    return Result.ok(
+      admitted.map((workerId) => {
+        const ticket = `${step}/${workerId}/${this.calls}`;
+        this.tickets.set(ticket, Date.now() + this.validMs);
+        return {workerId, ticket};
+      }),
+    );
+  }
+
+  accepts(order: StartOrder, worker: WorkerEntry): boolean {
+    const {ticket = '', task} = order;
+    const [step = '', workerId] = ticket.split('/');
+    const isValid = (this.tickets.get(ticket) ?? 0) > Date.now();
+    return (
+      isValid && workerId === worker.workerId && task.startsWith(`${step}.`)
+    );
+  }
+}
+
 class EmulatedDirectory extends WorkerDirectory {
   constructor(
     private readonly store: CoordinationStore,
@@ -354,6 +398,8 @@
   readonly store = new StoreState();
   readonly ledger = new Ledger();
   readonly workers = new Map<WorkerId, EmulatedWorker>();
+  /** Set where workers take starts with a ticket only. */
+  advisor: EmulatedAdvisor | undefined;
   /** Leases of the store do not run out meanwhile. */
   pausesLeases = false;
   private readonly timer: NodeJS.Timeout;
--- a/src/entry/entry_daemon.ts
+++ b/src/entry/entry_daemon.ts
@@ -16,6 +16,7 @@
 import type {HostedConfiguration} from '../model/queues.js';
 import type {ConfigurationSource} from '../parties/configuration_source.js';
 import type {CoordinationStore} from '../parties/coordination_store.js';
+import type {PlacementAdvisor} from '../parties/placement_advisor.js';
 import type {TaskWorkerClient} from '../parties/task_worker.js';
 import type {WorkerDirectory} from '../parties/worker_directory.js';
 import {ConnectionsByAddress} from '../transport/http_connections.js';
@@ -47,6 +48,7 @@
   readonly workers: TaskWorkerClient;
   readonly directory: WorkerDirectory;
   readonly configuration: ConfigurationSource;
+  readonly advisor?: PlacementAdvisor | undefined;
 }
 
 /** Builds the handlers of the platform's side from what the daemon offers. */
--- a/src/entry/settings.ts
+++ b/src/entry/settings.ts
@@ -24,6 +24,8 @@
   /** First of the ports that are free for the daemons. */
   peerPort: z.number().int().positive(),
   storeAddress: addressSchema,
+  /** Service that decides which workers may run a step, where there is one. */
+  advisorAddress: addressSchema.optional(),
   /** Share of a core that the process may use. */
   cores: z.number().positive(),
   linkMbps: z.number().positive(),
--- a/src/leader/leader_log.ts
+++ b/src/leader/leader_log.ts
@@ -53,6 +53,14 @@
     this.leader.error(`left out a record: ${reason}`);
   }
 
+  adviceMissing(step: string, reason: string): void {
+    this.jobs.warn(`no advice for ${step}: ${reason}`);
+  }
+
+  advised(step: string, asked: number, admitted: number): void {
+    this.jobs.info(`${admitted} of ${asked} workers may run ${step}`);
+  }
+
   jobEnded(job: Job, now: Instant): void {
     const ageMs = now - job.acceptedAt;
     this.jobs.info(`${job.state} after ${ageMs} ms`, {jobId: job.id});
--- a/src/leader/placement.ts
+++ b/src/leader/placement.ts
@@ -22,6 +22,8 @@
   readonly placements: readonly Placement[];
   /** Runs to stop, whole units of them. */
   readonly preemptions: readonly Run[];
+  /** Units that found no worker; those with tickets may need advice. */
+  readonly waiting: readonly Unit[];
   /** Earliest time at which a waiting unit becomes ready by time alone. */
   readonly nextDueAt: Instant | undefined;
 }
@@ -32,6 +34,8 @@
   readonly configuration: HostedConfiguration;
   readonly now: Instant;
   readonly steady: SteadyTime;
+  /** True if the worker may run the unit by its queue's policy. */
+  admits(unit: Unit, worker: WorkerState): boolean;
 }
 
 /**
@@ -80,6 +84,7 @@
 class Round {
   private readonly placements: Placement[] = [];
   private readonly preemptions = new Set<Run>();
+  private readonly waiting: Unit[] = [];
   private readonly tables = new Map<string, RoomTable>();
   private nextDueAt: Instant | undefined;
 
@@ -90,6 +95,7 @@
     return {
       placements: this.placements,
       preemptions: [...this.preemptions],
+      waiting: this.waiting,
       nextDueAt: this.nextDueAt,
     };
   }
@@ -158,6 +164,7 @@
       });
       return;
     }
+    this.waiting.push(unit);
     if (ranked.rank !== 'other') this.preempt(ranked, table, rooms);
     else this.reserveRack(unit, table);
   }
@@ -168,7 +175,12 @@
       configuration.queue(unit.job.queueId)?.serviceId ?? unit.job.serviceId;
     let table = this.tables.get(serviceId);
     if (table === undefined) {
-      table = new RoomTable(workers.values(), serviceId, steady);
+      table = new RoomTable(
+        workers.values(),
+        serviceId,
+        steady,
+        (waiting, worker) => this.view.admits(waiting, worker),
+      );
       this.tables.set(serviceId, table);
     }
     return table;
--- a/src/leader/rooms.ts
+++ b/src/leader/rooms.ts
@@ -104,6 +104,7 @@
     workers: Iterable<WorkerState>,
     readonly serviceId: ServiceId,
     now: SteadyTime,
+    private readonly admits: (unit: Unit, worker: WorkerState) => boolean,
   ) {
     for (const worker of workers) {
       if (worker.entry.serviceId !== serviceId || !worker.accepts(now)) {
@@ -138,7 +139,10 @@
       const {entry} = worker;
       if (this.reservedRacks.has(entry.rackId)) return false;
       if (unit.avoided.has(worker.workerId)) return false;
-      return requiredLabel === undefined || entry.labels.has(requiredLabel);
+      if (requiredLabel !== undefined && !entry.labels.has(requiredLabel)) {
+        return false;
+      }
+      return this.admits(unit, worker);
     });
   }
 }
--- a/src/leader/session.ts
+++ b/src/leader/session.ts
@@ -18,6 +18,8 @@
 } from '../parties/coordination_store.js';
 import type {RunEnding, TaskWorkerClient} from '../parties/task_worker.js';
 import type {WorkerDirectory} from '../parties/worker_directory.js';
+import type {PlacementAdvisor} from '../parties/placement_advisor.js';
+import {Admissions} from './admissions.js';
 import {CommitQueue} from './commit_queue.js';
 import {Job, Run} from './jobs.js';
 import type {Unit} from './jobs.js';
@@ -58,6 +60,8 @@
   readonly store: CoordinationStore;
   readonly workers: TaskWorkerClient;
   readonly directory: WorkerDirectory;
+  /** Absent where no queue needs advice. */
+  readonly advisor?: PlacementAdvisor | undefined;
   readonly clock: Clock;
   readonly log: LeaderLog;
 }
@@ -80,6 +84,7 @@
   private readonly durableEnds = new Set<JobId>();
   private readonly table: WorkerTable;
   private readonly commits: CommitQueue;
+  private readonly admissions: Admissions;
   private roundTimer: NodeJS.Timeout | undefined;
   private isRoundQueued = false;
   private isAdopted = false;
@@ -96,6 +101,13 @@
       deposed: () => authority.lose('another leader holds the key'),
       delayed: (reason) => log.commitDelayed(reason),
     });
+    this.admissions = new Admissions(
+      parties.advisor,
+      configuration,
+      scope,
+      () => this.queueRound(),
+      log,
+    );
     this.table = new WorkerTable({
       client: parties.workers,
       authority,
@@ -110,6 +122,9 @@
         whenDurable: (then) => this.commits.afterPending(then),
         changed: () => this.queueRound(),
         now: () => this.now(),
+        ticketFor: (run) => this.ticketFor(run),
+        ticketRejected: (run) =>
+          this.admissions.rejected(run.unit, run.workerId),
       },
     });
     scope.add(() => clearTimeout(this.roundTimer));
@@ -342,6 +357,7 @@
 
   private jobEnded(job: Job): void {
     this.openJobs.delete(job);
+    this.admissions.forgetJob(job.id);
     this.parties.log.jobEnded(job, this.now());
     for (const unit of job.openUnits) {
       for (const run of [...unit.runs]) this.table.stop(run);
@@ -353,6 +369,12 @@
     this.commits.write(job, () => this.durableEnds.add(job.id));
   }
 
+  private ticketFor(run: Run): string | undefined {
+    const worker = this.table.get(run.workerId);
+    if (worker === undefined) return undefined;
+    return this.admissions.ticketFor(run.unit, worker, steadyNow());
+  }
+
   private cancelled(jobId: JobId): void {
     const job = this.jobs.get(jobId);
     if (job === undefined || job.isEnded) return;
@@ -394,7 +416,11 @@
       configuration,
       now,
       steady,
+      admits: (unit, worker) => this.admissions.admits(unit, worker, steady),
     });
+    for (const unit of plan.waiting) {
+      this.admissions.request(unit, this.table.workers.values(), steady);
+    }
     for (const run of plan.preemptions) {
       this.parties.log.preempted(run);
       this.table.stop(run);
--- a/src/leader/worker_link.ts
+++ b/src/leader/worker_link.ts
@@ -60,6 +60,9 @@
   /** Room or the worker's health may have changed. */
   changed(): void;
   now(): Instant;
+  /** Ticket for the run, where its queue needs one. */
+  ticketFor(run: Run): string | undefined;
+  ticketRejected(run: Run): void;
 }
 
 export class WorkerLink {
@@ -322,6 +325,7 @@
         checkpoint: run.unit.checkpoint,
         leaseUntilMs,
         term: authority.term,
+        ticket: this.events.ticketFor(run),
       });
       if (this.scope.closed || !this.isCurrent(run)) return;
       if (this.startAnswered(run, outcome)) return;
@@ -350,8 +354,11 @@
       case 'leasePassed':
         worker.heard(outcome.clockMs, now);
         return false;
-      case 'noRoom':
       case 'notAdmitted':
+        this.events.ticketRejected(run);
+        this.withdraw(run, 'its worker did not take the ticket');
+        return true;
+      case 'noRoom':
       case 'unhealthy':
       case 'rejected':
         worker.quarantine(now);
--- a/src/model/queues.ts
+++ b/src/model/queues.ts
@@ -5,6 +5,15 @@
 
 import type {CustomerId, QueueId, ServiceId} from './ids.js';
 
+/** How the advisor of a queue decides which workers may run a step. */
+export interface AdviceTerms {
+  /** Time that a call takes, plus the time for each worker that it names. */
+  readonly decideMs: number;
+  readonly perWorkerMs: number;
+  /** How long a ticket holds. */
+  readonly validMs: number;
+}
+
 export interface Queue {
   readonly queueId: QueueId;
   readonly host: string;
@@ -19,6 +28,8 @@
   /** A job should end within this many times its longest chain of work. */
   readonly objectiveFactor: number;
   readonly targetLatencyMs: number;
+  /** Undefined if any worker with the right label may run a step. */
+  readonly advice?: AdviceTerms | undefined;
 }
 
 export interface HostedCustomer {
--- a/src/parties/task_worker.ts
+++ b/src/parties/task_worker.ts
@@ -43,6 +43,8 @@
   /** Until when the worker may run anything, on the worker's clock. */
   readonly leaseUntilMs: number;
   readonly term: number;
+  /** Proof that the worker may run the step, where the queue needs one. */
+  readonly ticket?: string | undefined;
 }
 
 /**
--- a/test/leader_faults.test.ts
+++ b/test/leader_faults.test.ts
@@ -13,8 +13,15 @@
   progressSchema,
   submittedKey,
 } from '../src/leader/records.js';
+import {EmulatedAdvisor} from '../emulator/site.js';
 import type {TestDaemon} from './leader_fixture.js';
-import {LeaderFixture, step, submission, until} from './leader_fixture.js';
+import {
+  TICKET_VALID_MS,
+  LeaderFixture,
+  step,
+  submission,
+  until,
+} from './leader_fixture.js';
 
 describe('a leader', () => {
   let fixture: LeaderFixture;
@@ -297,6 +304,29 @@
     for (const jobId of jobs) await untilState(leader, jobId, 'complete');
   });
 
+  it('starts a step of an advised queue with valid tickets only', async () => {
+    const allowed = trustedId<WorkerId>('worker-1-0');
+    const advisor = new EmulatedAdvisor(new Set([allowed]), TICKET_VALID_MS);
+    fixture.site.advisor = advisor;
+    const leader = await fixture.leader();
+    const jobId = fixture.submit(
+      submission({
+        queueId: trustedId('advised'),
+        steps: [step({taskCount: 20})],
+      }),
+      // Three waves of 8 tasks, so that the first ticket ends in between.
+      500,
+    );
+    const used = new Set<WorkerId>();
+    const watch = setInterval(() => {
+      for (const workerId of busyWorkers(fixture)) used.add(workerId);
+    }, 5);
+    await untilState(leader, jobId, 'complete');
+    clearInterval(watch);
+    assert.deepEqual([...used], [allowed]);
+    assert.ok(advisor.calls <= 4, `${advisor.calls} calls for advice`);
+  });
+
   it('takes lent accelerators back for guaranteed work', async () => {
     const leader = await fixture.leader();
     const whole = {
--- a/test/leader_fixture.ts
+++ b/test/leader_fixture.ts
@@ -41,7 +41,10 @@
   }
 }
 
-/** Two queues, urgent and patient, and two customers, one with a guarantee. */
+/** How long a ticket of the queue `advised` holds. */
+export const TICKET_VALID_MS = 900;
+
+/** Queues that are urgent, patient and advised, and two customers, one with a guarantee. */
 export function configuration(version = 1): HostedConfiguration {
   const queue = (name: string, priority: number) => ({
     queueId: trustedId<Submission['queueId']>(name),
@@ -56,7 +59,14 @@
   });
   return new HostedConfiguration(
     version,
-    [queue('urgent', 0), queue('patient', 2)],
+    [
+      queue('urgent', 0),
+      queue('patient', 2),
+      {
+        ...queue('advised', 2),
+        advice: {decideMs: 5, perWorkerMs: 1, validMs: TICKET_VALID_MS},
+      },
+    ],
     [
       {
         customerId: trustedId('owner'),
@@ -128,6 +138,7 @@
         store,
         workers: new EmulatedWorkers(emulated, this.orderFaults, random),
         directory: emulated.directoryFor(store),
+        advisor: emulated.advisor,
         clock: new SystemClock(),
         log: new LeaderLog(log),
       },
