Keep a run that waits for its worker's clock

Cause: without a clock of the worker the time of lapse was 0, so a run that was ordered and not sent counted as lapsed at the next tick and was placed again. Ruled out: leases that were too short (no lease had been given). Only runs of which a start was sent can lapse.

--- a/emulator/ledger.ts
+++ b/emulator/ledger.ts
@@ -104,6 +104,16 @@
     return true;
   }
 
+  /** Run numbers under which tasks of the job were started. */
+  runNumbers(jobId: string): number[] {
+    const numbers = new Set<number>();
+    for (const {submission, present} of this.tasks.values()) {
+      if (submission.jobId !== jobId) continue;
+      for (const run of present.keys()) numbers.add(run);
+    }
+    return [...numbers].sort((a, b) => a - b);
+  }
+
   /** Checks a state that a caller was shown. */
   shown(jobId: string, state: string): void {
     if (state === 'complete' && !this.isJobDone(jobId)) {
--- a/emulator/site.ts
+++ b/emulator/site.ts
@@ -78,10 +78,12 @@
   lateMs: number;
   /** Workers that the daemon cannot reach. */
   readonly cut: Set<WorkerId>;
+  /** Time that a look takes besides its wait. */
+  lookMs: number;
 }
 
 export function noOrderFaults(): OrderFaults {
-  return {late: 0, lateMs: 0, cut: new Set()};
+  return {late: 0, lateMs: 0, cut: new Set(), lookMs: 1};
 }
 
 export function pause(milliseconds: number): Promise<void> {
@@ -256,7 +258,7 @@
   ): Promise<LookOutcome> {
     const until = Date.now() + request.waitMs;
     for (;;) {
-      await pause(1);
+      await pause(this.faults.lookMs);
       const held = this.reach(worker);
       if (held === undefined || signal.aborted) {
         return {kind: 'unanswered', detail: 'the worker is cut off'};
--- a/src/leader/jobs.ts
+++ b/src/leader/jobs.ts
@@ -48,6 +48,8 @@
    * asked for later and does not name the run shows that it is gone.
    */
   settledAt: SteadyTime | undefined;
+  /** False as long as no attempt to start it can have reached its worker. */
+  wasSent = false;
   /** An attempt to start it got no answer and may be carried out later. */
   mayArriveLate = false;
 
@@ -335,6 +337,7 @@
     );
     for (const run of runs) {
       run.phase = 'ordered';
+      run.wasSent = true;
       // The term voids orders of earlier leaders, so that any list decides.
       run.settledAt = steadyTime(0);
       unit.runs.push(run);
--- a/src/leader/leader_log.ts
+++ b/src/leader/leader_log.ts
@@ -122,8 +122,8 @@
     this.workers.info('answers again', {workerId: worker.workerId});
   }
 
-  leasesLapsed(worker: WorkerState): void {
-    this.workers.warn(`all leases lapsed, ${worker.runs.size} runs are gone`, {
+  leasesLapsed(worker: WorkerState, runs: number): void {
+    this.workers.warn(`all leases lapsed, ${runs} runs are gone`, {
       workerId: worker.workerId,
     });
   }
--- a/src/leader/worker_link.ts
+++ b/src/leader/worker_link.ts
@@ -318,6 +318,7 @@
         this.withdraw(run, 'its worker started again');
         return;
       }
+      run.wasSent = true;
       const outcome = await this.client.start(worker.entry, {
         task: run.task,
         run: run.run,
--- a/src/leader/worker_table.ts
+++ b/src/leader/worker_table.ts
@@ -156,11 +156,10 @@
 
   /** All leases on the worker have lapsed, so nothing of ours runs there. */
   private lapse(worker: WorkerState): void {
-    const sent = [...worker.runs.values()].filter(
-      ({phase}) => phase !== 'planned',
-    );
+    // A run that waits for the worker's clock needs no lease yet.
+    const sent = [...worker.runs.values()].filter(({wasSent}) => wasSent);
     if (sent.length === 0) return;
-    this.options.log.leasesLapsed(worker);
+    this.options.log.leasesLapsed(worker, sent.length);
     worker.becomeUnknown();
     for (const run of sent) {
       worker.remove(run);
--- a/test/leader_faults.test.ts
+++ b/test/leader_faults.test.ts
@@ -160,6 +160,22 @@
     await untilState(second, jobId, 'complete');
   });
 
+  it('places a run once while it waits for the clock of its worker', async () => {
+    // Without a clock, leases seemed to have lapsed long ago, and the run was
+    // taken off and placed again every 200 ms.
+    const leader = await fixture.leader();
+    leader.orderFaults.lookMs = 500;
+    const jobId = fixture.submit(submission(), 50);
+    await until('the task starts', () => {
+      return fixture.site.ledger.counts.starts === 1;
+    });
+    leader.orderFaults.lookMs = 1;
+    await untilState(leader, jobId, 'complete');
+    const text = fixture.site.store.get(progressKey(jobId))?.value ?? '{}';
+    assert.equal(progressSchema.parse(JSON.parse(text)).state, 'complete');
+    assert.deepEqual(fixture.site.ledger.runNumbers(jobId), [1]);
+  });
+
   it('starts the runs of a restarted worker again', async () => {
     const leader = await fixture.leader();
     const jobId = fixture.submit(
