--- /dev/null
+++ b/emulator/daemon.ts
@@ -0,0 +1,79 @@
+/**
+ * One daemon's part in leadership, in process, with faults of its own.
+ */
+
+import type bunyan from 'bunyan';
+import {DaemonLog} from '../src/daemon/log.js';
+import {LeaderLog} from '../src/leader/leader_log.js';
+import {Leadership} from '../src/leader/leadership.js';
+import {SiteView} from '../src/leader/site_view.js';
+import {CleanupScope} from '../src/lifecycle/cleanup_scope.js';
+import {SystemClock} from '../src/lifecycle/clock.js';
+import {SeededRandom} from '../src/lifecycle/random.js';
+import type {HostedConfiguration} from '../src/model/queues.js';
+import type {EmulatedSite} from './site.js';
+import {
+  EmulatedStore,
+  EmulatedWorkers,
+  noOrderFaults,
+  noStoreFaults,
+} from './site.js';
+
+/** Longer than any run of the emulator, so that nothing is cleaned away. */
+const STATE_RETENTION_MS = 600_000;
+
+export interface EmulatedDaemonOptions {
+  readonly name: string;
+  readonly seed: number;
+  readonly holdMaximumMs: number;
+  readonly configuration: HostedConfiguration;
+  readonly logLevel: bunyan.LogLevelString;
+}
+
+export class EmulatedDaemon {
+  readonly scope = new CleanupScope();
+  readonly storeFaults = noStoreFaults();
+  readonly orderFaults = noOrderFaults();
+  readonly leadership: Leadership;
+  readonly site: SiteView;
+
+  constructor(emulated: EmulatedSite, options: EmulatedDaemonOptions) {
+    const {name, configuration, holdMaximumMs} = options;
+    const random = new SeededRandom(options.seed);
+    const log = new DaemonLog(name, options.logLevel);
+    const store = new EmulatedStore(emulated.store, this.storeFaults, random);
+    this.site = new SiteView(store, this.scope, log.part('membership'));
+    this.leadership = new Leadership(
+      {
+        store,
+        workers: new EmulatedWorkers(emulated, this.orderFaults, random),
+        directory: emulated.directoryFor(store),
+        advisor: emulated.advisor,
+        clock: new SystemClock(),
+        log: new LeaderLog(log),
+      },
+      {
+        vmId: name,
+        peerAddress: `${name}:1`,
+        cores: 1,
+        linkMbps: 1_000,
+        holdMaximumMs,
+        stateRetentionMs: STATE_RETENTION_MS,
+      },
+      this.site,
+      () => configuration,
+      random,
+      this.scope,
+    );
+    void this.site.start();
+  }
+
+  /** Ends the daemon as a kill does: nothing is released. */
+  kill(): Promise<void> {
+    return this.scope.close();
+  }
+
+  get leads(): boolean {
+    return this.leadership.session !== undefined;
+  }
+}
--- /dev/null
+++ b/emulator/experiment.ts
@@ -0,0 +1,325 @@
+/**
+ * Plays a day against in-process daemons on an emulated site and reports what
+ * it earned and which rules it broke.
+ */
+
+import type {Histogram} from 'hdr-histogram-js';
+import {build} from 'hdr-histogram-js';
+import {SeededRandom} from '../src/lifecycle/random.js';
+import {submittedKey} from '../src/leader/records.js';
+import {trustedId} from '../src/model/ids.js';
+import type {CustomerId, JobId, WorkerId} from '../src/model/ids.js';
+import {HostedConfiguration} from '../src/model/queues.js';
+import type {Submission} from '../src/model/submissions.js';
+import {EmulatedDaemon} from './daemon.js';
+import type {Day, DayFault, DayLoad} from './day.js';
+import {EmulatedSite, pause} from './site.js';
+
+const SERVICE = 'service';
+const CUSTOMER = 'customer';
+const ESTIMATE_ERROR = 0.3;
+const SAMPLE_MS = 1_000;
+const POLL_MS = 10;
+const SECOND_MS = 1_000;
+
+export interface QueueReport {
+  readonly queue: string;
+  asked: number;
+  inTime: number;
+  late: number;
+  open: number;
+  readonly durations: Histogram;
+}
+
+export interface ExperimentReport {
+  readonly queues: readonly QueueReport[];
+  readonly violations: readonly string[];
+  readonly starts: number;
+  /** Runs that ended without being done. */
+  readonly wastedRuns: number;
+  /** Tasks running, once a second. */
+  readonly running: readonly number[];
+}
+
+interface SentJob {
+  readonly jobId: JobId;
+  readonly load: DayLoad;
+  readonly sentAt: number;
+  endedAt: number | undefined;
+}
+
+export class Experiment {
+  private readonly site: EmulatedSite;
+  private readonly random: SeededRandom;
+  private readonly daemons: EmulatedDaemon[] = [];
+  private readonly jobs: SentJob[] = [];
+  private readonly running: number[] = [];
+  private readonly configuration: HostedConfiguration;
+  private readonly timers: NodeJS.Timeout[] = [];
+  private daemonNumber = 0;
+
+  constructor(
+    private readonly day: Day,
+    private readonly seed: number,
+  ) {
+    this.random = new SeededRandom(seed);
+    // The generator's first number is close to 1 for every small seed.
+    this.random.next();
+    this.site = new EmulatedSite(day);
+    this.configuration = configurationOf(day);
+  }
+
+  async run(): Promise<ExperimentReport> {
+    const {day} = this;
+    for (let i = 0; i < day.daemons; i += 1) this.addDaemon();
+    while (this.leader() === undefined) await pause(POLL_MS);
+    for (const fault of day.faults) this.schedule(fault);
+    this.every(SAMPLE_MS, () => this.running.push(this.countRunning()));
+    this.every(POLL_MS, () => this.observe());
+    for (const load of day.load) void this.send(load);
+    await pause(day.lengthS * SECOND_MS);
+    await pause(day.finishS * SECOND_MS);
+    for (const timer of this.timers) clearInterval(timer);
+    for (const daemon of this.daemons) await daemon.kill();
+    this.site.close();
+    return this.report();
+  }
+
+  private addDaemon(): void {
+    this.daemonNumber += 1;
+    this.daemons.push(
+      new EmulatedDaemon(this.site, {
+        name: `daemon-${this.daemonNumber}`,
+        seed: this.seed * 1_000 + this.daemonNumber,
+        holdMaximumMs: this.day.holdMaximumMs,
+        configuration: this.configuration,
+        logLevel: 'fatal',
+      }),
+    );
+  }
+
+  private leader(): EmulatedDaemon | undefined {
+    return this.daemons.find(({leads}) => leads);
+  }
+
+  private every(intervalMs: number, task: () => void): void {
+    this.timers.push(setInterval(task, intervalMs));
+  }
+
+  /** Sends jobs with exponential gaps between them. */
+  private async send(load: DayLoad): Promise<void> {
+    const end = Date.now() + this.day.lengthS * SECOND_MS;
+    for (;;) {
+      const gap = -Math.log(1 - this.random.next()) / load.jobsPerSecond;
+      await pause(gap * SECOND_MS);
+      if (Date.now() >= end) return;
+      this.submit(load);
+    }
+  }
+
+  private submit(load: DayLoad): void {
+    const number = this.jobs.length + 1;
+    const jobId = trustedId<JobId>(number.toString(16).padStart(16, '0'));
+    const error = 1 + ESTIMATE_ERROR * (2 * this.random.next() - 1);
+    const submission: Submission = {
+      jobId,
+      queueId: trustedId(load.queue),
+      serviceId: trustedId(SERVICE),
+      customerId: trustedId<CustomerId>(CUSTOMER),
+      specification: 'text',
+      steps: [
+        {
+          taskCount: load.tasks,
+          shape: {
+            processorMillicores: 1_000,
+            memoryMegabytes: 1_000,
+            accelerators: load.accelerators,
+          },
+          estimatedMs: load.workMs * error,
+          after: [],
+          gang: load.gang,
+          checkpointing: load.checkpointing,
+        },
+      ],
+      occurrences: 0,
+      firstDueAt: 0,
+      intervalMs: 0,
+      submittedAt: Date.now(),
+    };
+    this.site.ledger.submitted(submission, load.workMs);
+    this.site.store.put(submittedKey(jobId), JSON.stringify(submission));
+    this.jobs.push({jobId, load, sentAt: Date.now(), endedAt: undefined});
+  }
+
+  private observe(): void {
+    const session = this.leader()?.leadership.session;
+    if (session === undefined) return;
+    for (const job of this.jobs) {
+      if (job.endedAt !== undefined) continue;
+      const state = session.stateOf(job.jobId);
+      if (state !== undefined) this.site.ledger.shown(job.jobId, state);
+      if (state === 'complete') job.endedAt = Date.now();
+    }
+  }
+
+  private countRunning(): number {
+    let count = 0;
+    for (const worker of this.site.workers.values()) {
+      count += worker.runNames.length;
+    }
+    return count;
+  }
+
+  // Faults.
+
+  private schedule(fault: DayFault): void {
+    this.timers.push(
+      setTimeout(() => void this.play(fault), fault.atS * SECOND_MS),
+    );
+  }
+
+  private async play(fault: DayFault): Promise<void> {
+    switch (fault.kind) {
+      case 'storeDown': {
+        const leader = this.leader();
+        const struck = fault.leaderOnly
+          ? this.daemons.filter((daemon) => daemon === leader)
+          : [...this.daemons];
+        for (const {storeFaults} of struck) storeFaults.down = fault.how;
+        await pause(fault.forS * SECOND_MS);
+        for (const {storeFaults} of struck) storeFaults.down = undefined;
+        return;
+      }
+      case 'lostWrites':
+        for (const {storeFaults} of this.daemons) {
+          storeFaults.loseAnswers = fault.share;
+          storeFaults.lateMs = fault.lateMs;
+        }
+        await pause(fault.forS * SECOND_MS);
+        for (const {storeFaults} of this.daemons) storeFaults.loseAnswers = 0;
+        return;
+      case 'lateOrders':
+        for (const {orderFaults} of this.daemons) {
+          orderFaults.late = fault.share;
+          orderFaults.lateMs = fault.lateMs;
+        }
+        await pause(fault.forS * SECOND_MS);
+        for (const {orderFaults} of this.daemons) orderFaults.late = 0;
+        return;
+      case 'killLeader':
+        await this.killLeader();
+        return;
+      case 'dropHistory':
+        this.site.store.dropHistory();
+        return;
+      default:
+        await this.playOnWorkers(fault);
+    }
+  }
+
+  private async killLeader(): Promise<void> {
+    const leader = this.leader();
+    if (leader === undefined) return;
+    this.daemons.splice(this.daemons.indexOf(leader), 1);
+    await leader.kill();
+    this.addDaemon();
+  }
+
+  private async playOnWorkers(
+    fault: Extract<
+      DayFault,
+      {kind: 'cutWorkers' | 'restartWorkers' | 'hangWorkers'}
+    >,
+  ): Promise<void> {
+    const ids = this.pickWorkers(fault.count);
+    switch (fault.kind) {
+      case 'restartWorkers':
+        for (const workerId of ids) this.site.restart(workerId);
+        return;
+      case 'cutWorkers': {
+        const cuts = this.daemons.map(({orderFaults}) => orderFaults.cut);
+        for (const cut of cuts) for (const id of ids) cut.add(id);
+        await pause(fault.forS * SECOND_MS);
+        for (const cut of cuts) for (const id of ids) cut.delete(id);
+        return;
+      }
+      case 'hangWorkers':
+        this.setHanging(ids, true);
+        await pause(fault.forS * SECOND_MS);
+        this.setHanging(ids, false);
+    }
+  }
+
+  private setHanging(ids: readonly WorkerId[], hangs: boolean): void {
+    for (const id of ids) {
+      const worker = this.site.workers.get(id);
+      if (worker !== undefined) worker.faults.hangs = hangs;
+    }
+  }
+
+  private pickWorkers(count: number): WorkerId[] {
+    const ids = [...this.site.workers.keys()];
+    const picked = new Set<WorkerId>();
+    while (picked.size < Math.min(count, ids.length)) {
+      const id = ids[this.random.nextBelow(ids.length)];
+      if (id !== undefined) picked.add(id);
+    }
+    return [...picked];
+  }
+
+  private report(): ExperimentReport {
+    const queues = this.day.load.map((load) => this.queueReport(load));
+    const {violations, counts} = this.site.ledger;
+    const {starts, wastedRuns} = counts;
+    return {queues, violations, starts, wastedRuns, running: this.running};
+  }
+
+  private queueReport(load: DayLoad): QueueReport {
+    const report: QueueReport = {
+      queue: load.queue,
+      asked: 0,
+      inTime: 0,
+      late: 0,
+      open: 0,
+      durations: build(),
+    };
+    for (const job of this.jobs) {
+      if (job.load !== load) continue;
+      report.asked += 1;
+      if (job.endedAt === undefined) {
+        report.open += 1;
+        continue;
+      }
+      const tookMs = job.endedAt - job.sentAt;
+      report.durations.recordValue(tookMs);
+      if (tookMs <= load.workMs * load.objectiveFactor) report.inTime += 1;
+      else report.late += 1;
+    }
+    return report;
+  }
+}
+
+function configurationOf(day: Day): HostedConfiguration {
+  return new HostedConfiguration(
+    1,
+    day.load.map((load) => ({
+      queueId: trustedId(load.queue),
+      host: `${load.queue}.example`,
+      pathPrefix: '/',
+      isPublic: true,
+      serviceId: trustedId(SERVICE),
+      priority: load.priority,
+      maximumAttempts: 3,
+      objectiveFactor: load.objectiveFactor,
+      targetLatencyMs: 0,
+    })),
+    [
+      {
+        customerId: trustedId(CUSTOMER),
+        keys: [],
+        guaranteedAccelerators: day.guaranteedAccelerators,
+      },
+    ],
+    {maximumBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1},
+  );
+}
--- a/test/leader_faults.test.ts
+++ b/test/leader_faults.test.ts
@@ -14,7 +14,7 @@
   submittedKey,
 } from '../src/leader/records.js';
 import {EmulatedAdvisor} from '../emulator/site.js';
-import type {TestDaemon} from './leader_fixture.js';
+import type {EmulatedDaemon} from '../emulator/daemon.js';
 import {
   TICKET_VALID_MS,
   LeaderFixture,
@@ -36,7 +36,7 @@
     assert.deepEqual(violations, []);
   });
 
-  const untilState = (daemon: TestDaemon, jobId: JobId, state: string) =>
+  const untilState = (daemon: EmulatedDaemon, jobId: JobId, state: string) =>
     until(`${jobId} is ${state}`, () => {
       const shown = daemon.leadership.session?.stateOf(jobId);
       if (shown !== undefined) fixture.site.ledger.shown(jobId, shown);
--- a/test/leader_fixture.ts
+++ b/test/leader_fixture.ts
@@ -4,21 +4,9 @@
  */
 
 import {setTimeout as delay} from 'node:timers/promises';
-import {
-  EmulatedSite,
-  EmulatedStore,
-  EmulatedWorkers,
-  noOrderFaults,
-  noStoreFaults,
-} from '../emulator/site.js';
-import {DaemonLog} from '../src/daemon/log.js';
-import {LeaderLog} from '../src/leader/leader_log.js';
-import {Leadership} from '../src/leader/leadership.js';
+import {EmulatedDaemon} from '../emulator/daemon.js';
+import {EmulatedSite} from '../emulator/site.js';
 import {cancelledKey, submittedKey} from '../src/leader/records.js';
-import {SiteView} from '../src/leader/site_view.js';
-import {CleanupScope} from '../src/lifecycle/cleanup_scope.js';
-import {SystemClock} from '../src/lifecycle/clock.js';
-import {SeededRandom} from '../src/lifecycle/random.js';
 import {trustedId} from '../src/model/ids.js';
 import type {CustomerId, JobId} from '../src/model/ids.js';
 import {HostedConfiguration} from '../src/model/queues.js';
@@ -116,62 +104,10 @@
   };
 }
 
-/** One daemon's part in leadership, with its own faults. */
-export class TestDaemon {
-  readonly scope = new CleanupScope();
-  readonly storeFaults = noStoreFaults();
-  readonly orderFaults = noOrderFaults();
-  readonly leadership: Leadership;
-  readonly site: SiteView;
-
-  constructor(emulated: EmulatedSite, name: string, seed: number) {
-    const random = new SeededRandom(seed);
-    const log = new DaemonLog(
-      name,
-      (process.env['TEST_LOG_LEVEL'] ?? 'fatal') as 'fatal',
-    );
-    const store = new EmulatedStore(emulated.store, this.storeFaults, random);
-    this.site = new SiteView(store, this.scope, log.part('membership'));
-    const current = configuration();
-    this.leadership = new Leadership(
-      {
-        store,
-        workers: new EmulatedWorkers(emulated, this.orderFaults, random),
-        directory: emulated.directoryFor(store),
-        advisor: emulated.advisor,
-        clock: new SystemClock(),
-        log: new LeaderLog(log),
-      },
-      {
-        vmId: name,
-        peerAddress: `${name}:1`,
-        cores: 1,
-        linkMbps: 1_000,
-        holdMaximumMs: HOLD_MAXIMUM_MS,
-        stateRetentionMs: 60_000,
-      },
-      this.site,
-      () => current,
-      random,
-      this.scope,
-    );
-    void this.site.start();
-  }
-
-  /** Ends the daemon as a kill does: nothing is released. */
-  kill(): Promise<void> {
-    return this.scope.close();
-  }
-
-  get leads(): boolean {
-    return this.leadership.session !== undefined;
-  }
-}
-
 /** A site with daemons; `close` ends all of it. */
 export class LeaderFixture {
   readonly site: EmulatedSite;
-  private readonly daemons: TestDaemon[] = [];
+  private readonly daemons: EmulatedDaemon[] = [];
 
   constructor(racks = 2, workersPerRack = 2) {
     this.site = new EmulatedSite({
@@ -182,15 +118,21 @@
     });
   }
 
-  add(name: string): TestDaemon {
+  add(name: string): EmulatedDaemon {
     const seed = this.daemons.length + 1;
-    const daemon = new TestDaemon(this.site, name, seed);
+    const daemon = new EmulatedDaemon(this.site, {
+      name,
+      seed,
+      holdMaximumMs: HOLD_MAXIMUM_MS,
+      configuration: configuration(),
+      logLevel: (process.env['TEST_LOG_LEVEL'] ?? 'fatal') as 'fatal',
+    });
     this.daemons.push(daemon);
     return daemon;
   }
 
   /** Adds a daemon and waits until it leads. */
-  async leader(name = 'first'): Promise<TestDaemon> {
+  async leader(name = 'first'): Promise<EmulatedDaemon> {
     const daemon = this.add(name);
     await until(`${name} leads`, () => daemon.leads);
     return daemon;
