Follow the store's prefixes through one function

The same mapping of a watch's events stood in five places (directory, configuration, inbox, site view, emulator).

--- a/emulator/site.ts
+++ b/emulator/site.ts
@@ -16,7 +16,11 @@
 import {trustedId} from '../src/model/ids.js';
 import type {RackId, WorkerId} from '../src/model/ids.js';
 import type {RandomSource} from '../src/lifecycle/random.js';
-import {CoordinationStore} from '../src/parties/coordination_store.js';
+import {
+  CoordinationStore,
+  eventKey,
+  watchChanges,
+} from '../src/parties/coordination_store.js';
 import type {
   StoreLease,
   StoreListing,
@@ -40,6 +44,7 @@
 } from '../src/parties/task_worker.js';
 import {
   WorkerDirectory,
+  type WorkerChange,
   type WorkerListing,
   type WorkerWatchAnswer,
 } from '../src/parties/worker_directory.js';
@@ -350,28 +355,25 @@
     }));
   }
 
-  override async watch(
+  override watch(
     afterRevision: number,
     waitMs: number,
     signal: AbortSignal,
   ): Promise<Result<WorkerWatchAnswer, StoreReadFailure>> {
-    const answer = await this.store.watch(
+    return watchChanges<WorkerChange>(
+      this.store,
       WORKER_PREFIX,
       afterRevision,
       waitMs,
       signal,
+      (event) => {
+        const workerId = workerIdOf(eventKey(event));
+        const entry = this.site.workers.get(workerId)?.entry;
+        return event.kind === 'written' && entry !== undefined
+          ? [{kind: 'present', entry}]
+          : [{kind: 'absent', workerId}];
+      },
     );
-    return answer.map((value): WorkerWatchAnswer => {
-      if (value.kind === 'historyLost') return value;
-      const changes = value.events.map((event) => {
-        const key = event.kind === 'written' ? event.item.key : event.key;
-        const entry = event.kind === 'written' ? this.entryOf(key) : undefined;
-        return entry === undefined
-          ? {kind: 'absent' as const, workerId: workerIdOf(key)}
-          : {kind: 'present' as const, entry};
-      });
-      return {kind: 'changes', changes, revision: value.revision};
-    });
   }
 
   private entryOf(key: string): WorkerEntry | undefined {
--- a/src/leader/prefix_follower.ts
+++ b/src/leader/prefix_follower.ts
@@ -7,7 +7,10 @@
 import type {CleanupScope} from '../lifecycle/cleanup_scope.js';
 import type {SteadyTime} from '../lifecycle/clock.js';
 import {steadyNow} from '../lifecycle/clock.js';
-import type {StoreReadFailure} from '../parties/coordination_store.js';
+import type {
+  ChangeBatch,
+  StoreReadFailure,
+} from '../parties/coordination_store.js';
 
 /**
  * A poll ends this soon, so that a connection that went silent delays a change
@@ -23,17 +26,7 @@
     revision: number,
     waitMs: number,
     signal: AbortSignal,
-  ): Promise<
-    Result<
-      | {
-          readonly kind: 'changes';
-          readonly changes: readonly Change[];
-          readonly revision: number;
-        }
-      | {readonly kind: 'historyLost'},
-      StoreReadFailure
-    >
-  >;
+  ): Promise<Result<ChangeBatch<Change>, StoreReadFailure>>;
 }
 
 export class PrefixFollower<State, Change> {
--- a/src/leader/session.ts
+++ b/src/leader/session.ts
@@ -12,6 +12,7 @@
 import type {HostedConfiguration} from '../model/queues.js';
 import type {JobStateName} from '../model/submissions.js';
 import {submissionSchema} from '../model/submissions.js';
+import {watchChanges} from '../parties/coordination_store.js';
 import type {
   CoordinationStore,
   StoredItem,
@@ -232,15 +233,9 @@
           state: items,
           revision,
         })),
-      watch: async (revision, waitMs, signal) =>
-        (await store.watch(INBOX_PREFIX, revision, waitMs, signal)).map(
-          (answer) => {
-            if (answer.kind === 'historyLost') return answer;
-            const changes = answer.events.flatMap((event) =>
-              event.kind === 'written' ? [event.item] : [],
-            );
-            return {kind: 'changes', changes, revision: answer.revision};
-          },
+      watch: (revision, waitMs, signal) =>
+        watchChanges(store, INBOX_PREFIX, revision, waitMs, signal, (event) =>
+          event.kind === 'written' ? [event.item] : [],
         ),
     };
   }
--- a/src/leader/site_view.ts
+++ b/src/leader/site_view.ts
@@ -6,6 +6,7 @@
 import type {CleanupScope} from '../lifecycle/cleanup_scope.js';
 import type {SteadyTime} from '../lifecycle/clock.js';
 import type {PartLog} from '../daemon/log.js';
+import {eventKey, watchChanges} from '../parties/coordination_store.js';
 import type {
   CoordinationStore,
   StoreEvent,
@@ -39,16 +40,14 @@
             state: items.map((item) => ({kind: 'written' as const, item})),
             revision,
           })),
-        watch: async (revision, waitMs, signal) =>
-          (await store.watch(SITE_PREFIX, revision, waitMs, signal)).map(
-            (answer) =>
-              answer.kind === 'historyLost'
-                ? answer
-                : {
-                    kind: 'changes' as const,
-                    changes: answer.events,
-                    revision: answer.revision,
-                  },
+        watch: (revision, waitMs, signal) =>
+          watchChanges(
+            store,
+            SITE_PREFIX,
+            revision,
+            waitMs,
+            signal,
+            (event) => [event],
           ),
       },
       scope,
@@ -86,7 +85,7 @@
 
   private apply(events: readonly StoreEvent[]): void {
     for (const event of events) {
-      const key = event.kind === 'written' ? event.item.key : event.key;
+      const key = eventKey(event);
       const value = event.kind === 'written' ? event.item.value : undefined;
       if (key === LEADER_KEY) this.applyLeader(value);
       else if (key.startsWith(MEMBER_PREFIX)) this.applyMember(key, value);
--- a/src/parties/configuration_source.ts
+++ b/src/parties/configuration_source.ts
@@ -5,7 +5,7 @@
 
 import type {Result} from 'true-myth';
 import type {HostedConfiguration} from '../model/queues.js';
-import type {StoreReadFailure} from './coordination_store.js';
+import type {ChangeBatch, StoreReadFailure} from './coordination_store.js';
 
 export interface ConfigurationListing {
   /** Undefined until the operators have written the first version. */
@@ -13,13 +13,7 @@
   readonly revision: number;
 }
 
-export type ConfigurationWatchAnswer =
-  | {
-      readonly kind: 'changes';
-      readonly changes: readonly HostedConfiguration[];
-      readonly revision: number;
-    }
-  | {readonly kind: 'historyLost'};
+export type ConfigurationWatchAnswer = ChangeBatch<HostedConfiguration>;
 
 export abstract class ConfigurationSource {
   abstract list(): Promise<Result<ConfigurationListing, StoreReadFailure>>;
--- a/src/parties/coordination_store.ts
+++ b/src/parties/coordination_store.ts
@@ -52,6 +52,15 @@
     }
   | {readonly kind: 'historyLost'};
 
+/** Changes in a follower's own terms; `historyLost` as above. */
+export type ChangeBatch<Change> =
+  | {
+      readonly kind: 'changes';
+      readonly changes: readonly Change[];
+      readonly revision: number;
+    }
+  | {readonly kind: 'historyLost'};
+
 export interface StoreCondition {
   readonly key: string;
   /** `NO_REVISION`: the key must not exist. */
@@ -131,3 +140,25 @@
 
   abstract endLease(lease: number): Promise<Result<void, StoreWriteFailure>>;
 }
+
+/** Watches a prefix and returns what `decode` makes of each event. */
+export async function watchChanges<Change>(
+  store: CoordinationStore,
+  prefix: string,
+  afterRevision: number,
+  waitMs: number,
+  signal: AbortSignal,
+  decode: (event: StoreEvent) => readonly Change[],
+): Promise<Result<ChangeBatch<Change>, StoreReadFailure>> {
+  const answer = await store.watch(prefix, afterRevision, waitMs, signal);
+  return answer.map((value): ChangeBatch<Change> => {
+    if (value.kind === 'historyLost') return value;
+    const changes = value.events.flatMap((event) => decode(event));
+    return {kind: 'changes', changes, revision: value.revision};
+  });
+}
+
+/** Returns the key that an event is about. */
+export function eventKey(event: StoreEvent): string {
+  return event.kind === 'written' ? event.item.key : event.key;
+}
--- a/src/parties/worker_directory.ts
+++ b/src/parties/worker_directory.ts
@@ -5,7 +5,7 @@
 
 import type {Result} from 'true-myth';
 import type {WorkerId} from '../model/ids.js';
-import type {StoreReadFailure} from './coordination_store.js';
+import type {ChangeBatch, StoreReadFailure} from './coordination_store.js';
 import type {WorkerEntry} from './task_worker.js';
 
 export type WorkerChange =
@@ -17,13 +17,7 @@
   readonly revision: number;
 }
 
-export type WorkerWatchAnswer =
-  | {
-      readonly kind: 'changes';
-      readonly changes: readonly WorkerChange[];
-      readonly revision: number;
-    }
-  | {readonly kind: 'historyLost'};
+export type WorkerWatchAnswer = ChangeBatch<WorkerChange>;
 
 export abstract class WorkerDirectory {
   abstract list(): Promise<Result<WorkerListing, StoreReadFailure>>;
