Wait for a rack only briefly while most accelerators are idle

Suspected cause, by reading: it waited for the rack of its data (1.5 estimates) or for one rack (without limit). Ruled out: its run had ended (stopped at 67.35 s), the leader was there. While less than half of the accelerators is in use the wait ends after 1.5 s. Tests of the pure planner: two of six fail without the change.

--- a/src/leader/placement.ts
+++ b/src/leader/placement.ts
@@ -64,6 +64,14 @@
 /** Waiting for the rack with the data pays up to this many run times. */
 const DATA_RACK_PATIENCE = 1.5;
 
+/**
+ * While less than this share of the accelerators is in use, a unit waits for a
+ * rack at most this long: a job that waits 3 s beside idle workers counts as
+ * lost.
+ */
+const IDLE_SHARE = 0.5;
+const IDLE_RACK_WAIT_MS = 1_500;
+
 /**
  * - `guaranteed`: within the customer's guarantee, may preempt borrowers;
  * - `urgent`: most urgent priority beyond the guarantee;
@@ -191,6 +199,7 @@
     const {unit} = ranked;
     const {step} = unit;
     const waitedMs = this.view.now - (unit.readySince ?? this.view.now);
+    const isImpatient = table.usedShare < IDLE_SHARE;
     if (step.dataRack !== undefined) {
       const near = table.rooms.filter(
         ({worker}) => worker.entry.rackId === step.dataRack,
@@ -198,7 +207,10 @@
       const patient =
         ranked.rank === 'guaranteed'
           ? waitedMs < GUARANTEED_RACK_WAIT_MS
-          : waitedMs < DATA_RACK_PATIENCE * step.estimatedMs;
+          : waitedMs <
+            (isImpatient
+              ? IDLE_RACK_WAIT_MS
+              : DATA_RACK_PATIENCE * step.estimatedMs);
       return near.length > 0 && patient ? [near] : [near, table.rooms];
     }
     if (step.sameRack !== true || unit.width <= 1) return [table.rooms];
@@ -206,6 +218,7 @@
     const couldFit = racks.some((rack) => this.couldFit(unit, rack));
     const mustSpread =
       !couldFit ||
+      (isImpatient && waitedMs >= IDLE_RACK_WAIT_MS) ||
       (ranked.rank === 'guaranteed' && waitedMs >= GUARANTEED_RACK_WAIT_MS);
     return mustSpread ? [...racks, table.rooms] : racks;
   }
--- a/src/leader/rooms.ts
+++ b/src/leader/rooms.ts
@@ -99,6 +99,8 @@
   readonly rooms: Room[] = [];
   private readonly byRack = new Map<RackId | undefined, Room[]>();
   private readonly reservedRacks = new Set<RackId | undefined>();
+  /** Share of the accelerators that were in use when the round began. */
+  readonly usedShare: number;
 
   constructor(
     workers: Iterable<WorkerState>,
@@ -117,6 +119,13 @@
       rack.push(room);
       this.byRack.set(rackId, rack);
     }
+    let all = 0;
+    let free = 0;
+    for (const room of this.rooms) {
+      all += room.worker.entry.capacity.accelerators;
+      free += Math.max(0, room.freeAccelerators);
+    }
+    this.usedShare = all === 0 ? 1 : 1 - free / all;
   }
 
   racks(): Room[][] {
--- /dev/null
+++ b/test/leader_placement.test.ts
@@ -0,0 +1,165 @@
+/**
+ * The pure planner of a hosted site: where units go, how long they wait for a
+ * rack, and what is stopped for guaranteed work.
+ */
+
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {Job, Run} from '../src/leader/jobs.js';
+import {planRound} from '../src/leader/placement.js';
+import type {RoundPlan} from '../src/leader/placement.js';
+import {WorkerState} from '../src/leader/worker_state.js';
+import {steadyTime} from '../src/lifecycle/clock.js';
+import {instant, trustedId} from '../src/model/ids.js';
+import type {RackId, WorkerId} from '../src/model/ids.js';
+import type {Step, Submission} from '../src/model/submissions.js';
+import {configuration, step, submission} from './leader_fixture.js';
+
+const RACKS = 3;
+const WORKERS_PER_RACK = 2;
+
+function workers(): Map<WorkerId, WorkerState> {
+  const states = new Map<WorkerId, WorkerState>();
+  for (let rack = 0; rack < RACKS; rack += 1) {
+    for (let index = 0; index < WORKERS_PER_RACK; index += 1) {
+      const workerId = trustedId<WorkerId>(`w${rack}${index}`);
+      const rackId = trustedId<RackId>(`rack-${rack}`);
+      const state = new WorkerState({
+        workerId,
+        life: 1,
+        address: 'host:1',
+        serviceId: trustedId('service'),
+        zone: trustedId('zone'),
+        rackId,
+        labels: new Set(['kind', rackId]),
+        capacity: {
+          processorMillicores: 32_000,
+          memoryMegabytes: 65_536,
+          accelerators: 8,
+        },
+        isDraining: false,
+        remainingMs: undefined,
+      });
+      states.set(workerId, state);
+    }
+  }
+  return states;
+}
+
+function shaped(accelerators: number, changes: Partial<Step> = {}): Step {
+  return step({
+    shape: {processorMillicores: 1_000, memoryMegabytes: 1_000, accelerators},
+    ...changes,
+  });
+}
+
+function job(changes: Partial<Submission>, acceptedAt = 0): Job {
+  return new Job(submission(changes), instant(acceptedAt));
+}
+
+/** Puts a run of another job on the worker. */
+function occupy(
+  states: Map<WorkerId, WorkerState>,
+  name: string,
+  accelerators: number,
+): Run {
+  const holder = job({steps: [shaped(accelerators)]});
+  const [unit] = holder.units;
+  assert.ok(unit !== undefined);
+  const workerId = trustedId<WorkerId>(name);
+  const run = new Run(unit, 0, 1, workerId, 1, instant(0));
+  run.phase = 'running';
+  unit.runs.push(run);
+  states.get(workerId)?.add(run);
+  return run;
+}
+
+function plan(
+  jobs: readonly Job[],
+  states: Map<WorkerId, WorkerState>,
+  now: number,
+): RoundPlan {
+  return planRound({
+    jobs,
+    workers: states,
+    configuration: configuration(),
+    now: instant(now),
+    steady: steadyTime(now),
+    admits: () => true,
+  });
+}
+
+describe('the planner', () => {
+  it('waits for the rack of the data, but not long beside idle workers', () => {
+    // A gang waited over 10 s for its rack while most workers were idle.
+    const states = workers();
+    occupy(states, 'w00', 8);
+    occupy(states, 'w01', 8);
+    const waiting = job({
+      steps: [shaped(8, {dataRack: 'rack-0', estimatedMs: 11_000})],
+    });
+    assert.equal(plan([waiting], states, 10).placements.length, 0);
+    assert.equal(plan([waiting], states, 1_000).placements.length, 0);
+    assert.equal(plan([waiting], states, 1_600).placements.length, 1);
+  });
+
+  it('spreads a gang beside idle workers when no rack has the room', () => {
+    const states = workers();
+    for (let rack = 0; rack < RACKS; rack += 1) occupy(states, `w${rack}0`, 1);
+    const gang = job({
+      steps: [shaped(8, {gang: true, sameRack: true, taskCount: 2})],
+    });
+    assert.equal(plan([gang], states, 10).placements.length, 0);
+    const [placement] = plan([gang], states, 1_600).placements;
+    const racks = placement?.workers.map(({entry}) => entry.rackId);
+    assert.equal(new Set(racks).size, 2);
+  });
+
+  it('waits for a rack while most accelerators are in use', () => {
+    const states = workers();
+    for (let rack = 0; rack < RACKS; rack += 1) {
+      occupy(states, `w${rack}0`, 8);
+    }
+    occupy(states, 'w01', 1);
+    const gang = job({
+      steps: [shaped(8, {gang: true, sameRack: true, taskCount: 2})],
+    });
+    plan([gang], states, 10);
+    assert.equal(plan([gang], states, 1_600).placements.length, 0);
+  });
+
+  it('keeps a gang in one rack and off another job’s room', () => {
+    const states = workers();
+    occupy(states, 'w00', 4);
+    const gang = job({
+      steps: [shaped(4, {gang: true, sameRack: true, taskCount: 3})],
+    });
+    const [placement] = plan([gang], states, 10).placements;
+    const racks = placement?.workers.map(({entry}) => entry.rackId);
+    assert.deepEqual(new Set(racks), new Set(['rack-0']));
+  });
+
+  it('places no part of a gang that does not fit as a whole', () => {
+    const states = workers();
+    const gang = job({steps: [shaped(8, {gang: true, taskCount: 7})]});
+    assert.equal(plan([gang], states, 10).placements.length, 0);
+  });
+
+  it('stops nothing for work beyond a guarantee that cannot be saved', () => {
+    const states = workers();
+    for (const name of ['w00', 'w01', 'w10', 'w11', 'w20', 'w21']) {
+      occupy(states, name, 8);
+    }
+    const urgent = {queueId: trustedId<Submission['queueId']>('urgent')};
+    const guest = job({...urgent, steps: [shaped(8)]});
+    plan([guest], states, 10);
+    assert.equal(plan([guest], states, 5_000).preemptions.length, 0);
+    const owner = job({
+      ...urgent,
+      customerId: trustedId<NonNullable<Submission['customerId']>>('owner'),
+      steps: [shaped(8)],
+    });
+    plan([owner], states, 10);
+    assert.equal(plan([owner], states, 5_000).preemptions.length, 1);
+  });
+});
