--- a/emulator/daemon.ts
+++ b/emulator/daemon.ts
@@ -10,8 +10,15 @@
 import {CleanupScope} from '../src/lifecycle/cleanup_scope.js';
 import {SystemClock} from '../src/lifecycle/clock.js';
 import {SeededRandom} from '../src/lifecycle/random.js';
+import {trustedId} from '../src/model/ids.js';
 import type {HostedConfiguration} from '../src/model/queues.js';
 import type {EmulatedSite} from './site.js';
+import {
+  EmulatedMaintenanceRequests,
+  EmulatedVmService,
+  MAINTENANCE_MS,
+} from './vms.js';
+import type {VmFaults} from './vms.js';
 import {
   EmulatedStore,
   EmulatedWorkers,
@@ -28,12 +35,16 @@
   readonly holdMaximumMs: number;
   readonly configuration: HostedConfiguration;
   readonly logLevel: bunyan.LogLevelString;
+  /** See `MaintenanceSettings`; 0 where a test does not say. */
+  readonly noticeMs?: number;
+  readonly handoverMs?: number;
 }
 
 export class EmulatedDaemon {
   readonly scope = new CleanupScope();
   readonly storeFaults = noStoreFaults();
   readonly orderFaults = noOrderFaults();
+  readonly vmFaults: VmFaults = {late: 0, lateMs: 0};
   readonly leadership: Leadership;
   readonly site: SiteView;
 
@@ -49,6 +60,14 @@
         workers: new EmulatedWorkers(emulated, this.orderFaults, random),
         directory: emulated.directoryFor(store),
         advisor: emulated.advisor,
+        workerVms: {
+          vmService: new EmulatedVmService(emulated, this.vmFaults, random),
+          requests: new EmulatedMaintenanceRequests(store),
+          holder: trustedId(name),
+          maintenanceMs: MAINTENANCE_MS,
+          noticeMs: options.noticeMs ?? 0,
+          handoverMs: options.handoverMs ?? 0,
+        },
         clock: new SystemClock(),
         log: new LeaderLog(log),
       },
--- a/emulator/ledger.ts
+++ b/emulator/ledger.ts
@@ -13,6 +13,12 @@
   WorkerObserver,
 } from './worker_state.js';
 
+/** A serving task may be over its target through others for this long. */
+const HARM_BOUND_MS = 4_000;
+
+/** A task that was not at work for this long counts as away. */
+const NOTICE_MS = 4_500;
+
 /** After this, a cancelled job must not start anything (users' bound). */
 const CANCEL_BOUND_MS = 3_000;
 
@@ -27,6 +33,10 @@
   /** Runs that ended as done, and what came after. */
   readonly doneRuns: Map<number, DoneRun>;
   failures: number;
+  /** When its last run ended. */
+  endedAt?: number;
+  /** When an order ended it, until it starts again. */
+  takenAt?: number | undefined;
 }
 
 interface DoneRun {
@@ -47,6 +57,7 @@
   readonly violations: string[] = [];
   private readonly tasks = new Map<string, LedgerTask>();
   private readonly cancelledAt = new Map<string, number>();
+  private readonly harmedSince = new Map<string, number>();
   private readonly failedRuns = new Map<string, Set<number>>();
   private starts = 0;
   private done = 0;
@@ -81,6 +92,9 @@
                 step.gang === true
                   ? failingTask !== undefined
                   : index === failingTask,
+              lasts: step.longRunning === true,
+              responseTargetMs: step.responseTargetMs,
+              fills: step.usesSpareProcessor === true,
             },
             present: new Map(),
             isDone: false,
@@ -141,6 +155,7 @@
     if (cancelledAt !== undefined && at - cancelledAt > CANCEL_BOUND_MS) {
       this.violations.push(`UNASKED: ${task} starts after its cancellation`);
     }
+    known.takenAt = undefined;
     const holders = known.present.get(run) ?? new Set();
     holders.add(worker);
     known.present.set(run, holders);
@@ -155,6 +170,7 @@
     const known = this.tasks.get(task);
     if (known === undefined) return;
     known.present.get(run)?.delete(worker);
+    known.endedAt = at;
     if (ending === 'done') this.taskDone(known, run, at);
     else this.wastedRuns += 1;
     if (ending === 'failed') this.countFailure(known, task, run);
@@ -171,6 +187,54 @@
     doneRun.isNoted = true;
   }
 
+  served(
+    {task, run}: RunName,
+    tailMs: number,
+    aloneMs: number,
+    at: number,
+  ): void {
+    const known = this.tasks.get(task);
+    const target = known?.behaviour.responseTargetMs;
+    if (known === undefined || target === undefined) return;
+    const key = `${task}#${run}`;
+    if (tailMs <= target || aloneMs >= target) {
+      this.harmedSince.delete(key);
+      return;
+    }
+    const since = this.harmedSince.get(key) ?? at;
+    this.harmedSince.set(key, since);
+    if (at - since <= HARM_BOUND_MS) return;
+    this.violations.push(`HARM: ${task} is over its target`);
+    this.harmedSince.set(key, at);
+  }
+
+  /** An order ends a task; called before it ends. */
+  taken(worker: EmulatedWorker, task: string, at: number): void {
+    const known = this.tasks.get(task);
+    const step = known?.submission.steps[known.stepIndex];
+    if (known === undefined || step?.maximumAway === undefined) return;
+    if (this.cancelledAt.has(known.submission.jobId)) return;
+    if (worker.entry.isDraining || !worker.isAtWork(task)) return;
+    let away = 0;
+    for (const [name, member] of this.tasks) {
+      if (member === known || !this.isSameGang(known, member)) continue;
+      if (this.isAway(name, member, at)) away += 1;
+    }
+    if (away >= step.maximumAway) {
+      this.violations.push(`AVAIL: ${task} is taken while ${away} are away`);
+    }
+    known.takenAt = at;
+  }
+
+  /** Taken by an order and not back, or not at work for the notice time. */
+  private isAway(name: string, member: LedgerTask, at: number): boolean {
+    for (const holders of member.present.values()) {
+      for (const holder of holders) if (holder.isAtWork(name)) return false;
+    }
+    if (member.takenAt !== undefined) return true;
+    return at - (member.endedAt ?? -Infinity) >= NOTICE_MS;
+  }
+
   gangPresent({task, run}: RunName): number {
     const known = this.tasks.get(task);
     if (known === undefined) return 0;
@@ -243,7 +307,9 @@
       const task = this.tasks.get(name);
       const step = task?.submission.steps[task.stepIndex];
       accelerators += step?.shape.accelerators ?? 0;
-      processor += step?.shape.processorMillicores ?? 0;
+      if (step?.usesSpareProcessor !== true) {
+        processor += step?.shape.processorMillicores ?? 0;
+      }
     }
     const {capacity, workerId} = worker.entry;
     if (
--- a/emulator/site.ts
+++ b/emulator/site.ts
@@ -1,8 +1,7 @@
 /**
  * An emulated site within one process: store, workers, directory and
  * configuration behind the product's abstract classes, with faults of the
- * kinds that the platform has. `http_platform.ts` serves the same state to
- * real daemons.
+ * kinds that the platform has.
  */
 
 import {Result} from 'true-myth';
@@ -14,7 +13,8 @@
   NotFoundError,
 } from '../src/model/errors.js';
 import {trustedId} from '../src/model/ids.js';
-import type {RackId, WorkerId} from '../src/model/ids.js';
+import type {RackId, ServiceId, VmId, WorkerId} from '../src/model/ids.js';
+import type {TaskShape} from '../src/model/submissions.js';
 import type {RandomSource} from '../src/lifecycle/random.js';
 import {
   CoordinationStore,
@@ -38,6 +38,7 @@
   LookOutcome,
   LookRequest,
   OrderOutcome,
+  PaceOrder,
   RunName,
   StartOrder,
   WorkerEntry,
@@ -50,6 +51,7 @@
 } from '../src/parties/worker_directory.js';
 import {Ledger} from './ledger.js';
 import {StoreState} from './store_state.js';
+import {EmulatedVms} from './vms.js';
 import {EmulatedWorker} from './worker_state.js';
 
 const REMEDY = 'this is a fault of the emulator';
@@ -256,6 +258,10 @@
     return this.order(worker, (held) => held.stop(run, term, Date.now()));
   }
 
+  override pace(worker: WorkerEntry, order: PaceOrder): Promise<OrderOutcome> {
+    return this.order(worker, (held) => held.pace(order, Date.now()));
+  }
+
   override async look(
     worker: WorkerEntry,
     request: LookRequest,
@@ -391,9 +397,12 @@
   readonly acceleratorsPerWorker: number;
   /** Longest lease that a worker grants. */
   readonly holdMaximumMs: number;
+  /** VMs in the standby pool. */
+  readonly standbyVms?: number;
 }
 
 const SERVICE = 'service';
+export const STANDBY_POOL = trustedId<ServiceId>('standby');
 
 /** Interval at which leases of the store and work are brought up to date. */
 const STEP_MS = 5;
@@ -402,49 +411,80 @@
   readonly store = new StoreState();
   readonly ledger = new Ledger();
   readonly workers = new Map<WorkerId, EmulatedWorker>();
+  readonly vms = new EmulatedVms(this);
+  readonly standbyPools: ReadonlySet<ServiceId> = new Set([STANDBY_POOL]);
   /** Set where workers take starts with a ticket only. */
   advisor: EmulatedAdvisor | undefined;
   /** Leases of the store do not run out meanwhile. */
   pausesLeases = false;
   private readonly timer: NodeJS.Timeout;
 
-  constructor(options: EmulatedSiteOptions) {
-    const {racks, workersPerRack, acceleratorsPerWorker} = options;
+  constructor(private readonly options: EmulatedSiteOptions) {
+    const {racks, workersPerRack, standbyVms = 0} = options;
     for (let rack = 0; rack < racks; rack += 1) {
       for (let index = 0; index < workersPerRack; index += 1) {
-        const workerId = trustedId<WorkerId>(`worker-${rack}-${index}`);
-        const rackName = `rack-${rack}`;
-        const entry: WorkerEntry = {
-          workerId,
-          life: 1,
-          address: `${workerId}:1`,
-          serviceId: trustedId(SERVICE),
-          zone: trustedId('zone-1'),
-          rackId: trustedId<RackId>(rackName),
-          labels: new Set(['kind', rackName]),
-          capacity: {
-            processorMillicores: 32_000,
-            memoryMegabytes: 65_536,
-            accelerators: acceleratorsPerWorker,
-          },
-          isDraining: false,
-          remainingMs: undefined,
-        };
-        this.workers.set(
-          workerId,
-          new EmulatedWorker(
-            entry,
-            Date.now(),
-            options.holdMaximumMs,
-            this.ledger,
-          ),
-        );
-        this.register(workerId);
+        const vmId = trustedId<VmId>(`vm-${rack}-${index}`);
+        const poolId = trustedId<ServiceId>(SERVICE);
+        this.vms.add(vmId, poolId, this.addWorker(vmId, poolId, 1));
       }
     }
+    for (let index = 0; index < standbyVms; index += 1) {
+      const vmId = trustedId<VmId>(`vm-standby-${index}`);
+      this.vms.add(vmId, STANDBY_POOL, undefined);
+    }
     this.timer = setInterval(() => this.step(), STEP_MS);
   }
 
+  get capacity(): TaskShape {
+    return {
+      processorMillicores: 32_000,
+      memoryMegabytes: 65_536,
+      accelerators: this.options.acceleratorsPerWorker,
+    };
+  }
+
+  /** Starts a worker on a VM; its id tells the VM and which life it is. */
+  addWorker(vmId: VmId, serviceId: ServiceId, life: number): WorkerId {
+    const place = vmId.replace('vm-', '');
+    const name = life === 1 ? place : `${place}-life-${life}`;
+    const workerId = trustedId<WorkerId>(`worker-${name}`);
+    const rackName = `rack-${place.split('-')[0] ?? ''}`;
+    const entry: WorkerEntry = {
+      workerId,
+      life: 1,
+      address: `${workerId}:1`,
+      serviceId,
+      zone: trustedId('zone-1'),
+      rackId: trustedId<RackId>(rackName),
+      labels: new Set(['kind', rackName]),
+      capacity: this.capacity,
+      isDraining: false,
+      remainingMs: undefined,
+      vmId,
+    };
+    this.workers.set(
+      workerId,
+      new EmulatedWorker(
+        entry,
+        Date.now(),
+        this.options.holdMaximumMs,
+        this.ledger,
+      ),
+    );
+    this.register(workerId);
+    return workerId;
+  }
+
+  /** The worker's VM goes down by an order; everything on it ends. */
+  removeWorker(workerId: WorkerId): void {
+    const worker = this.workers.get(workerId);
+    worker?.takeAll(Date.now());
+    worker?.restart(Date.now());
+    if (worker !== undefined) worker.isUp = false;
+    this.workers.delete(workerId);
+    this.unregister(workerId);
+  }
+
   /** Writes the worker's entry, as its heartbeat does after a change. */
   register(workerId: WorkerId): void {
     const life = this.workers.get(workerId)?.entry.life ?? 0;
--- /dev/null
+++ b/emulator/vms.ts
@@ -0,0 +1,244 @@
+/**
+ * The VMs that emulated workers live on: maintenance in waves, moves between
+ * pools, and a fence for each VM. Orders that break a rule of the users' pages
+ * are reported.
+ */
+
+import {Result} from 'true-myth';
+import type {RandomSource} from '../src/lifecycle/random.js';
+import {trustedId} from '../src/model/ids.js';
+import type {ServiceId, VmId, WorkerId} from '../src/model/ids.js';
+import {eventKey, watchChanges} from '../src/parties/coordination_store.js';
+import type {
+  ChangeBatch,
+  CoordinationStore,
+  StorePut,
+  StoreReadFailure,
+} from '../src/parties/coordination_store.js';
+import {MaintenanceRequests} from '../src/parties/maintenance_requests.js';
+import type {
+  MaintenanceWave,
+  WaveListing,
+  WaveStatus,
+} from '../src/parties/maintenance_requests.js';
+import {VmService} from '../src/parties/vm_service.js';
+import type {
+  OrderAuthority,
+  VmOrderOutcome,
+  WorkerVm,
+  WorkerVmState,
+} from '../src/parties/vm_service.js';
+import type {EmulatedSite} from './site.js';
+import {pause} from './site.js';
+
+const WAVE_PREFIX = 'requests/waves/';
+const STATUS_PREFIX = 'status/waves/';
+
+/** Time that a VM is down for maintenance, or under way to another pool. */
+export const MAINTENANCE_MS = 200;
+
+interface EmulatedVm {
+  readonly vmId: VmId;
+  poolId: ServiceId;
+  state: WorkerVmState;
+  workerId: WorkerId | undefined;
+  /** Highest term of an order. */
+  term: number;
+  lives: number;
+  readonly maintainedIn: Set<number>;
+  /** Wave for which the VM is down. */
+  downFor: number | undefined;
+}
+
+/** Faults of the service, as one daemon meets them. */
+export interface VmFaults {
+  /** Share of orders without an answer, carried out later. */
+  late: number;
+  lateMs: number;
+}
+
+export class EmulatedVms {
+  private readonly vms = new Map<VmId, EmulatedVm>();
+  private readonly waves = new Map<number, MaintenanceWave>();
+  /** Maintenances that began, in order. */
+  readonly maintained: VmId[] = [];
+  moves = 0;
+
+  constructor(private readonly site: EmulatedSite) {}
+
+  add(vmId: VmId, poolId: ServiceId, workerId: WorkerId | undefined): void {
+    this.vms.set(vmId, {
+      vmId,
+      poolId,
+      state: 'up',
+      workerId,
+      term: 0,
+      lives: 1,
+      maintainedIn: new Set(),
+      downFor: undefined,
+    });
+  }
+
+  request(wave: MaintenanceWave): void {
+    this.waves.set(wave.waveId, wave);
+    this.site.store.put(`${WAVE_PREFIX}${wave.waveId}`, JSON.stringify(wave));
+  }
+
+  /** Returns the status that the operators read, and checks it. */
+  statusOf(waveId: number): WaveStatus | undefined {
+    const item = this.site.store.get(`${STATUS_PREFIX}${waveId}`);
+    const status = item?.value as WaveStatus | undefined;
+    if (status !== 'complete') return status;
+    for (const vmId of this.waves.get(waveId)?.vmIds ?? []) {
+      if (this.vms.get(vmId)?.maintainedIn.has(waveId) === false) {
+        this.violation(`MIXED: wave ${waveId} is complete without ${vmId}`);
+      }
+    }
+    return status;
+  }
+
+  poolOf(vmId: VmId): ServiceId | undefined {
+    return this.vms.get(vmId)?.poolId;
+  }
+
+  list(): WorkerVm[] {
+    return [...this.vms.values()].map((vm) => ({
+      vmId: vm.vmId,
+      poolId: vm.poolId,
+      state: vm.state,
+      zone: trustedId('zone-1'),
+      labels: new Set(),
+      capacity: this.site.capacity,
+      workerId: vm.workerId,
+    }));
+  }
+
+  maintain(vmId: VmId, waveId: number, {term}: OrderAuthority): VmOrderOutcome {
+    const vm = this.vms.get(vmId);
+    const wave = this.waves.get(waveId);
+    if (vm === undefined) return {kind: 'impossible'};
+    if (term < vm.term) return {kind: 'superseded'};
+    vm.term = term;
+    if (wave?.vmIds.includes(vmId) !== true) return {kind: 'notRequested'};
+    if (vm.maintainedIn.has(waveId)) return {kind: 'done'};
+    if (vm.state !== 'up') return {kind: 'busy'};
+    const down = [...this.vms.values()].filter(
+      ({downFor}) => downFor === waveId,
+    ).length;
+    if (down >= wave.maximumDown) {
+      this.violation(`LIMIT: ${down + 1} VMs of wave ${waveId} are down`);
+    }
+    vm.maintainedIn.add(waveId);
+    vm.downFor = waveId;
+    this.maintained.push(vmId);
+    this.takeDown(vm, 'maintenance');
+    return {kind: 'done'};
+  }
+
+  move(vmId: VmId, poolId: ServiceId, {term}: OrderAuthority): VmOrderOutcome {
+    const vm = this.vms.get(vmId);
+    if (vm === undefined) return {kind: 'impossible'};
+    if (term < vm.term) return {kind: 'superseded'};
+    vm.term = term;
+    if (vm.poolId === poolId) return {kind: 'done'};
+    if (vm.state !== 'up') return {kind: 'busy'};
+    vm.poolId = poolId;
+    this.moves += 1;
+    this.takeDown(vm, 'moving');
+    return {kind: 'done'};
+  }
+
+  private takeDown(vm: EmulatedVm, state: WorkerVmState): void {
+    vm.state = state;
+    if (vm.workerId !== undefined) this.site.removeWorker(vm.workerId);
+    vm.workerId = undefined;
+    setTimeout(() => {
+      vm.state = 'up';
+      vm.downFor = undefined;
+      vm.lives += 1;
+      if (!this.site.standbyPools.has(vm.poolId)) {
+        vm.workerId = this.site.addWorker(vm.vmId, vm.poolId, vm.lives);
+      }
+    }, MAINTENANCE_MS);
+  }
+
+  private violation(line: string): void {
+    this.site.ledger.violations.push(line);
+  }
+}
+
+/** The service as one daemon reaches it. */
+export class EmulatedVmService extends VmService {
+  constructor(
+    private readonly site: EmulatedSite,
+    private readonly faults: VmFaults,
+    private readonly random: RandomSource,
+  ) {
+    super();
+  }
+
+  override async list(): Promise<Result<readonly WorkerVm[], never>> {
+    await pause(1);
+    return Result.ok(this.site.vms.list());
+  }
+
+  override move(
+    vmId: VmId,
+    poolId: ServiceId,
+    authority: OrderAuthority,
+  ): Promise<VmOrderOutcome> {
+    return this.order(() => this.site.vms.move(vmId, poolId, authority));
+  }
+
+  override maintain(
+    vmId: VmId,
+    waveId: number,
+    authority: OrderAuthority,
+  ): Promise<VmOrderOutcome> {
+    return this.order(() => this.site.vms.maintain(vmId, waveId, authority));
+  }
+
+  private async order(carryOut: () => VmOrderOutcome): Promise<VmOrderOutcome> {
+    await pause(1);
+    if (this.random.next() >= this.faults.late) return carryOut();
+    setTimeout(carryOut, this.faults.lateMs);
+    return {kind: 'unknown', detail: 'no answer'};
+  }
+}
+
+/** The operators' waves as one daemon reads them. */
+export class EmulatedMaintenanceRequests extends MaintenanceRequests {
+  constructor(private readonly store: CoordinationStore) {
+    super();
+  }
+
+  override async list(): Promise<Result<WaveListing, StoreReadFailure>> {
+    const listed = await this.store.list(WAVE_PREFIX);
+    return listed.map(({items, revision}) => ({
+      waves: items.map(({value}) => JSON.parse(value) as MaintenanceWave),
+      revision,
+    }));
+  }
+
+  override watch(
+    afterRevision: number,
+    waitMs: number,
+    signal: AbortSignal,
+  ): Promise<Result<ChangeBatch<MaintenanceWave>, StoreReadFailure>> {
+    return watchChanges(
+      this.store,
+      WAVE_PREFIX,
+      afterRevision,
+      waitMs,
+      signal,
+      (event) =>
+        event.kind === 'written' && eventKey(event).startsWith(WAVE_PREFIX)
+          ? [JSON.parse(event.item.value) as MaintenanceWave]
+          : [],
+    );
+  }
+
+  override statusPut(waveId: number, status: WaveStatus): StorePut {
+    return {key: `${STATUS_PREFIX}${waveId}`, value: status};
+  }
+}
--- a/emulator/worker_state.ts
+++ b/emulator/worker_state.ts
@@ -9,6 +9,7 @@
   LookOutcome,
   LookRequest,
   OrderOutcome,
+  PaceOrder,
   RunEnding,
   RunName,
   RunningTask,
@@ -23,8 +24,20 @@
   readonly checkpoints: boolean;
   /** The task fails whenever it ran its work. */
   readonly fails: boolean;
+  /** The task runs until it is stopped, and is at work after a startup. */
+  readonly lasts?: boolean;
+  /** Target of a serving task's response times, in milliseconds. */
+  readonly responseTargetMs?: number | undefined;
+  /** The task uses spare processors, and disturbs serving tasks. */
+  readonly fills?: boolean;
 }
 
+/** Startup of a task that lasts. */
+const STARTUP_MS = 50;
+
+/** Response tail of a serving task that nothing disturbs, of its target. */
+const CALM_TAIL_SHARE = 0.4;
+
 /** Told of every start and end, for the ledger and for gangs. */
 export interface WorkerObserver {
   behaviour(task: string): TaskBehaviour;
@@ -42,11 +55,16 @@
   noted(run: RunName, ending: RunEnding): void;
   /** Members of the run's gang that are present anywhere. */
   gangPresent(run: RunName): number;
+  /** An order is about to end a task. */
+  taken(worker: EmulatedWorker, task: string, at: number): void;
+  /** A serving task's tail while others disturb it, and without them. */
+  served(run: RunName, tailMs: number, aloneMs: number, at: number): void;
 }
 
 interface HeldRun extends RunName {
   doneMs: number;
   checkpointMs: number;
+  pacePercent: number;
   readonly behaviour: TaskBehaviour;
 }
 
@@ -58,10 +76,20 @@
   hangs: boolean;
   /** Share of full speed. */
   speed: number;
+  /** Share of a target that one task on spare processors adds to a tail. */
+  disturbance: number;
+  /** Share of a target that a serving task's own load adds to its tail. */
+  ownLoad: number;
 }
 
 export class EmulatedWorker {
-  readonly faults: WorkerFaults = {failsAll: false, hangs: false, speed: 1};
+  readonly faults: WorkerFaults = {
+    failsAll: false,
+    hangs: false,
+    speed: 1,
+    disturbance: 0,
+    ownLoad: 0,
+  };
   private readonly runs = new Map<string, HeldRun>();
   private readonly voidedRuns = new Map<string, number>();
   private ends: EndedRun[] = [];
@@ -96,6 +124,18 @@
     return this.ends.length > 0;
   }
 
+  /** True if a task that lasts is past its startup. */
+  isAtWork(task: string): boolean {
+    return (this.runs.get(task)?.doneMs ?? 0) >= STARTUP_MS;
+  }
+
+  /** An order about the worker's VM ends everything that it runs. */
+  takeAll(now: number): void {
+    for (const {task} of [...this.runs.values()]) {
+      this.observer.taken(this, task, now);
+    }
+  }
+
   /** The worker crashes and starts again under its id. */
   restart(now: number): void {
     for (const run of [...this.runs.values()]) {
@@ -138,6 +178,7 @@
       run: order.run,
       doneMs: saved,
       checkpointMs: saved,
+      pacePercent: 100,
       behaviour,
     });
     this.observer.started(this, order, now);
@@ -151,10 +192,24 @@
     this.term = term;
     this.void(task, run);
     const held = this.runs.get(task);
-    if (held !== undefined && held.run <= run) this.end(task, 'stopped', now);
+    if (held !== undefined && held.run <= run) {
+      this.observer.taken(this, task, now);
+      this.end(task, 'stopped', now);
+    }
     return {kind: 'stopped', clockMs: this.clockMs(now)};
   }
 
+  pace({task, run, percent, term}: PaceOrder, now: number): OrderOutcome {
+    this.advance(now);
+    if (term < this.term) return {kind: 'superseded'};
+    this.term = term;
+    const clockMs = this.clockMs(now);
+    const held = this.runs.get(task);
+    if (held?.run !== run) return {kind: 'outdated', clockMs};
+    held.pacePercent = percent;
+    return {kind: 'paced', clockMs};
+  }
+
   look(request: LookRequest, now: number): LookOutcome {
     this.advance(now);
     if (request.term < this.term) return {kind: 'superseded'};
@@ -186,13 +241,31 @@
     for (const run of [...this.runs.values()]) {
       const {gangWidth, workMs, fails} = run.behaviour;
       if (this.observer.gangPresent(run) < gangWidth) continue;
-      run.doneMs += elapsedMs * this.faults.speed;
-      if (run.doneMs >= workMs) {
+      run.doneMs += elapsedMs * this.faults.speed * (run.pacePercent / 100);
+      if (run.behaviour.lasts === true) this.serve(run, now);
+      else if (run.doneMs >= workMs) {
         this.end(run.task, fails ? 'failed' : 'done', now);
       }
     }
   }
 
+  private serve(run: HeldRun, now: number): void {
+    const {responseTargetMs = 0} = run.behaviour;
+    if (responseTargetMs === 0) return;
+    const {tailMs, aloneMs} = this.tailsOf(responseTargetMs);
+    this.observer.served(run, tailMs, aloneMs, now);
+  }
+
+  private tailsOf(targetMs: number): {tailMs: number; aloneMs: number} {
+    let disturbed = 0;
+    for (const {behaviour, pacePercent} of this.runs.values()) {
+      if (behaviour.fills !== true) continue;
+      disturbed += this.faults.disturbance * (pacePercent / 100);
+    }
+    const aloneMs = targetMs * (CALM_TAIL_SHARE + this.faults.ownLoad);
+    return {tailMs: Math.round(aloneMs + targetMs * disturbed), aloneMs};
+  }
+
   /** Ends a run because another member of its gang ended. */
   breakRun(task: string, ending: 'done' | 'broken', now: number): void {
     if (this.runs.has(task)) this.end(task, ending, now);
@@ -239,12 +312,20 @@
   }
 
   private running(run: HeldRun): RunningTask {
-    const {workMs, checkpoints} = run.behaviour;
+    const {workMs, checkpoints, lasts, responseTargetMs = 0} = run.behaviour;
+    const isAtWork = run.doneMs >= STARTUP_MS;
     return {
       task: run.task,
       run: run.run,
       checkpoint: checkpoints ? String(Math.floor(run.doneMs)) : '',
-      percent: Math.min(100, Math.floor((run.doneMs / workMs) * 100)),
+      percent:
+        lasts === true
+          ? isAtWork
+            ? 100
+            : 0
+          : Math.min(100, Math.floor((run.doneMs / workMs) * 100)),
+      recentFigure:
+        responseTargetMs > 0 ? this.tailsOf(responseTargetMs).tailMs : 0,
     };
   }
 }
--- a/src/entry/entry_daemon.ts
+++ b/src/entry/entry_daemon.ts
@@ -12,12 +12,16 @@
 import {Leadership} from '../leader/leadership.js';
 import {MEMBER_PREFIX} from '../leader/records.js';
 import type {MemberRecord} from '../leader/records.js';
+import type {WorkerVmOptions} from '../leader/session.js';
 import {SiteView} from '../leader/site_view.js';
+import {trustedId} from '../model/ids.js';
 import type {HostedConfiguration} from '../model/queues.js';
 import type {ConfigurationSource} from '../parties/configuration_source.js';
 import type {CoordinationStore} from '../parties/coordination_store.js';
+import type {MaintenanceRequests} from '../parties/maintenance_requests.js';
 import type {PlacementAdvisor} from '../parties/placement_advisor.js';
 import type {TaskWorkerClient} from '../parties/task_worker.js';
+import type {VmService} from '../parties/vm_service.js';
 import type {WorkerDirectory} from '../parties/worker_directory.js';
 import {ConnectionsByAddress} from '../transport/http_connections.js';
 import {CallerGateway} from './caller_gateway.js';
@@ -49,6 +53,9 @@
   readonly directory: WorkerDirectory;
   readonly configuration: ConfigurationSource;
   readonly advisor?: PlacementAdvisor | undefined;
+  /** Absent where the platform has no service for VMs of workers. */
+  readonly vmService?: VmService | undefined;
+  readonly maintenanceRequests: MaintenanceRequests;
 }
 
 /** Builds the handlers of the platform's side from what the daemon offers. */
@@ -92,7 +99,12 @@
     );
     this.site = new SiteView(parties.store, scope, log.part('membership'));
     this.leadership = new Leadership(
-      {...parties, clock, log: new LeaderLog(log)},
+      {
+        ...parties,
+        workerVms: workerVmOptions(settings, parties),
+        clock,
+        log: new LeaderLog(log),
+      },
       {
         vmId: settings.vmId,
         peerAddress: this.peerAddress,
@@ -153,7 +165,12 @@
     await this.callers.listen(settings.callerAddress);
     await this.readiness.listen(settings.readinessAddress);
     await this.peers.listen(this.peerAddress);
-    this.log.info(`started in zone ${settings.availabilityZone}`);
+    const {availabilityZone, advisorAddress, vmService} = settings;
+    this.log.info(
+      `started in zone ${availabilityZone}, ` +
+        `advisor ${advisorAddress ?? 'none'}, ` +
+        `VM service ${vmService?.address ?? 'none'}`,
+    );
     void this.feed.start();
     void this.site.start();
     void this.registerMember();
@@ -216,6 +233,24 @@
   }
 }
 
+function workerVmOptions(
+  {vmId, vmService}: EntrySettings,
+  parties: EntryParties,
+): WorkerVmOptions | undefined {
+  if (vmService === undefined || parties.vmService === undefined) {
+    return undefined;
+  }
+  const {maintenanceS, noticeMs, handoverMs} = vmService;
+  return {
+    vmService: parties.vmService,
+    requests: parties.maintenanceRequests,
+    holder: trustedId(vmId),
+    maintenanceMs: maintenanceS * 1_000,
+    noticeMs,
+    handoverMs,
+  };
+}
+
 /** Answers from the leader's memory while this daemon leads. */
 class SessionDesk extends LeaderDesk {
   constructor(private readonly leadership: Leadership) {
--- a/src/entry/settings.ts
+++ b/src/entry/settings.ts
@@ -12,29 +12,62 @@
   error: 'use host:port',
 });
 
-export const entrySettingsSchema = z.object({
-  vmId: z.string().min(1),
-  availabilityZone: z.string().min(1),
-  /** Callers connect here. */
-  callerAddress: addressSchema,
-  /** The platform asks here whether callers may be sent. */
-  readinessAddress: addressSchema,
-  /** Host on which the other daemons reach this one. */
-  peerHost: z.string().min(1),
-  /** First of the ports that are free for the daemons. */
-  peerPort: z.number().int().positive(),
-  storeAddress: addressSchema,
-  /** Service that decides which workers may run a step, where there is one. */
-  advisorAddress: addressSchema.optional(),
-  /** Share of a core that the process may use. */
-  cores: z.number().positive(),
-  linkMbps: z.number().positive(),
-  /** Longest lease of a worker, in milliseconds. */
-  workerLeaseMs: z.number().positive(),
-  /** How long an ended job's state can be asked for, in seconds. */
-  stateRetentionS: z.number().positive(),
-  /** Time from a request to stop until the process is killed, in seconds. */
-  stopGraceS: z.number().positive(),
+const vmServiceSchema = z.strictObject({
+  address: addressSchema,
+  maintenanceS: z
+    .number()
+    .positive()
+    .describe('Time that the maintenance of one VM takes, seconds.'),
+  noticeMs: z
+    .number()
+    .nonnegative()
+    .describe('A lasting task counts as back after this time at work.'),
+  handoverMs: z
+    .number()
+    .nonnegative()
+    .describe('A new leader gives no order about VMs for this time.'),
+});
+
+export const entrySettingsSchema = z.strictObject({
+  vmId: z.string().min(1).describe('Name of this entry VM.'),
+  availabilityZone: z.string().min(1).describe('Zone of this entry VM.'),
+  callerAddress: addressSchema.describe('Callers connect here.'),
+  readinessAddress: addressSchema.describe(
+    'The platform asks here whether callers may be sent.',
+  ),
+  peerHost: z
+    .string()
+    .min(1)
+    .describe('Host on which the other daemons reach this one.'),
+  peerPort: z
+    .number()
+    .int()
+    .positive()
+    .describe('Port for the other daemons, and for metrics.'),
+  storeAddress: addressSchema.describe("Address of the platform's store."),
+  advisorAddress: addressSchema
+    .optional()
+    .describe('Service that decides which workers may run a step.'),
+  vmService: vmServiceSchema
+    .optional()
+    .describe('Service for the VMs of workers.'),
+  cores: z
+    .number()
+    .positive()
+    .describe('Share of a core that the process may use.'),
+  linkMbps: z.number().positive().describe('Bandwidth of the VM.'),
+  workerLeaseMs: z
+    .number()
+    .positive()
+    .describe('Longest lease that a worker grants.'),
+  stateRetentionS: z
+    .number()
+    .positive()
+    .describe('How long the state of an ended job can be asked for, seconds.'),
+  stopGraceS: z
+    .number()
+    .positive()
+    .describe('Time from a request to stop until the kill, seconds.'),
 });
 export type EntrySettings = Readonly<z.infer<typeof entrySettingsSchema>>;
 
--- a/src/leader/jobs.ts
+++ b/src/leader/jobs.ts
@@ -17,7 +17,7 @@
 import {instant} from '../model/ids.js';
 import type {JobStateName, Step, Submission} from '../model/submissions.js';
 import {isEnded, taskName} from '../model/submissions.js';
-import type {RunEnding} from '../parties/task_worker.js';
+import type {RunEnding, RunningTask} from '../parties/task_worker.js';
 import type {OpenUnitRecord, ProgressRecord} from './records.js';
 
 /** A caller may submit a schedule of any length; later ones are not kept. */
@@ -34,6 +34,17 @@
 /** A look waits 0.8 s; a longer gap between lists counts as this much. */
 const LONGEST_COUNTED_GAP_MS = 1_000;
 
+/** A task that lasts is at work while its worker shows this. */
+const AT_WORK_PERCENT = 100;
+
+export const FULL_PACE_PERCENT = 100;
+
+/**
+ * Of a run whose speed an earlier leader or an order without an answer may
+ * have set. Above full, so that the next list leads to a definite order.
+ */
+export const NO_PACE_KNOWN = 101;
+
 /** One run of one task on one life of a worker. */
 export class Run {
   phase: RunPhase = 'planned';
@@ -43,6 +54,12 @@
   /** When a list last named the run. */
   private listedAt: Instant | undefined;
   checkpoint = '';
+  /** Tail of a serving task's response times, in milliseconds. */
+  responseTailMs: number | undefined;
+  /** Since when lists show the run at full work; for steps that last. */
+  atWorkSince: Instant | undefined;
+  /** Share of full speed that the worker was told, 0 to 100. */
+  pacePercent = FULL_PACE_PERCENT;
   /**
    * When an answer decided whether the run is on its worker. A list that was
    * asked for later and does not name the run shows that it is gone.
@@ -63,7 +80,7 @@
   ) {}
 
   /** Takes what a list says of the run. */
-  listed(percent: number, checkpoint: string, now: Instant): void {
+  listed({percent, checkpoint, recentFigure}: RunningTask, now: Instant): void {
     const sinceMs = now - (this.listedAt ?? now);
     // Time without lists, as while the leader was not certain, tells nothing.
     const countedMs = Math.min(sinceMs, LONGEST_COUNTED_GAP_MS);
@@ -71,6 +88,11 @@
     this.percent = percent;
     this.checkpoint = checkpoint;
     this.listedAt = now;
+    if (this.step.responseTargetMs !== undefined) {
+      this.responseTailMs = recentFigure;
+    }
+    if (percent < AT_WORK_PERCENT) this.atWorkSince = undefined;
+    else this.atWorkSince ??= now;
   }
 
   get task(): string {
@@ -338,6 +360,7 @@
     for (const run of runs) {
       run.phase = 'ordered';
       run.wasSent = true;
+      run.pacePercent = NO_PACE_KNOWN;
       // The term voids orders of earlier leaders, so that any list decides.
       run.settledAt = steadyTime(0);
       unit.runs.push(run);
--- a/src/leader/leader_log.ts
+++ b/src/leader/leader_log.ts
@@ -4,20 +4,26 @@
  */
 
 import type {DaemonLog, PartLog} from '../daemon/log.js';
-import type {Instant} from '../model/ids.js';
+import type {Instant, VmId} from '../model/ids.js';
+import type {MaintenanceWave} from '../parties/maintenance_requests.js';
 import type {EndedRun, LookOutcome} from '../parties/task_worker.js';
+import type {VmOrderOutcome} from '../parties/vm_service.js';
 import type {Job, Run, Unit} from './jobs.js';
+import type {PaceChange} from './pacing.js';
+import type {PoolMove} from './pool_plan.js';
 import type {WorkerState} from './worker_state.js';
 
 export class LeaderLog {
   private readonly leader: PartLog;
   private readonly jobs: PartLog;
   private readonly workers: PartLog;
+  private readonly vms: PartLog;
 
   constructor(log: DaemonLog) {
     this.leader = log.part('leader');
     this.jobs = log.part('jobs');
     this.workers = log.part('workers');
+    this.vms = log.part('vms');
   }
 
   elected(term: number): void {
@@ -105,6 +111,47 @@
     this.run(run, `${run.task} run ${run.run} is stopped: ${reason}`);
   }
 
+  paced({run, percent, tailMs, targetMs}: PaceChange): void {
+    this.run(
+      run,
+      `${run.task} run ${run.run} works at ${percent}% after ` +
+        `${run.pacePercent}%: responses take ${tailMs} of ${targetMs} ms`,
+    );
+  }
+
+  vmsUnlisted(reason: string): void {
+    this.vms.warn(`cannot list the VMs: ${reason}`);
+  }
+
+  moveOrdered({vmId, from, to}: PoolMove, outcome: VmOrderOutcome): void {
+    const detail = 'detail' in outcome ? `: ${outcome.detail}` : '';
+    this.vms.info(
+      `move of ${vmId} from ${from} to ${to}: ${outcome.kind}${detail}`,
+    );
+  }
+
+  waveOpened({waveId, vmIds, maximumDown, durationMs}: MaintenanceWave): void {
+    this.vms.info(
+      `wave ${waveId}: ${vmIds.length} VMs, ${maximumDown} at once, ` +
+        `in ${durationMs} ms`,
+    );
+  }
+
+  waveComplete(waveId: number): void {
+    this.vms.info(`wave ${waveId} is complete`);
+  }
+
+  maintenanceOrdered(
+    waveId: number,
+    vmId: VmId,
+    outcome: VmOrderOutcome,
+  ): void {
+    const detail = 'detail' in outcome ? `: ${outcome.detail}` : '';
+    this.vms.info(
+      `wave ${waveId}: maintenance of ${vmId}: ${outcome.kind}${detail}`,
+    );
+  }
+
   orderUnanswered(run: Run): void {
     this.run(run, `${run.task} run ${run.run}: no answer, voiding the order`);
   }
--- a/src/leader/placement.ts
+++ b/src/leader/placement.ts
@@ -335,16 +335,18 @@
 
 /**
  * Returns one room per task, or undefined if the unit does not fit. Fuller
- * rooms are used first, so that empty workers stay whole for large gangs.
+ * rooms are used first, so that empty workers stay whole for large gangs; work
+ * on spare processors goes where most of them are left.
  */
 function chooseRooms(unit: Unit, rooms: readonly Room[]): Room[] | undefined {
   const sorted = rooms
     .map((room) => ({room, slots: room.slots(unit)}))
     .filter(({slots}) => slots > 0)
-    .sort(
-      (a, b) =>
-        a.room.freeAccelerators - b.room.freeAccelerators ||
-        a.room.freeProcessor - b.room.freeProcessor,
+    .sort((a, b) =>
+      unit.step.usesSpareProcessor === true
+        ? b.room.spareProcessorMillicores - a.room.spareProcessorMillicores
+        : a.room.freeAccelerators - b.room.freeAccelerators ||
+          a.room.freeProcessor - b.room.freeProcessor,
     );
   const chosen: Room[] = [];
   for (const {room, slots} of sorted) {
--- a/src/leader/records.ts
+++ b/src/leader/records.ts
@@ -7,7 +7,7 @@
 import {z} from 'zod';
 import {InvalidInputError} from '../model/errors.js';
 import type {JobId} from '../model/ids.js';
-import {workerIdSchema} from '../model/ids.js';
+import {vmIdSchema, workerIdSchema} from '../model/ids.js';
 
 const ROOT = 'bramleystep/';
 
@@ -25,6 +25,13 @@
 /** Written by the leader only; outside the prefix that it watches. */
 export const PROGRESS_PREFIX = `${ROOT}progress/`;
 
+/** Progress of waves of maintenance, written by the leader only. */
+export const MAINTENANCE_PREFIX = `${ROOT}maintenance/`;
+
+export function maintenanceKey(waveId: number): string {
+  return `${MAINTENANCE_PREFIX}${waveId}`;
+}
+
 export function submittedKey(jobId: JobId): string {
   return `${SUBMITTED_PREFIX}${jobId}`;
 }
@@ -83,6 +90,20 @@
 });
 export type ProgressRecord = z.infer<typeof progressSchema>;
 
+export const waveRecordSchema = z.object({
+  /** Unix milliseconds at which a leader first saw the wave. */
+  startedAt: z.number(),
+  isComplete: z.boolean(),
+  /** VMs that are not waiting any more. */
+  vms: z.array(
+    z.object({
+      vmId: vmIdSchema,
+      progress: z.enum(['waiting', 'ordered', 'begun', 'done']),
+    }),
+  ),
+});
+export type WaveRecord = z.infer<typeof waveRecordSchema>;
+
 export const leaderSchema = z.object({
   vmId: z.string(),
   /** Address of the leader's peer interface. */
--- a/src/leader/rooms.ts
+++ b/src/leader/rooms.ts
@@ -13,6 +13,8 @@
   private processorMillicores: number;
   private memoryMegabytes: number;
   private accelerators: number;
+  /** What is left if all tasks use the processors that they ask for. */
+  private spareProcessor: number;
   /** Tasks placed in this round, by step and occurrence. */
   private readonly placed = new Map<string, number>();
 
@@ -21,6 +23,15 @@
     this.processorMillicores = free.processorMillicores;
     this.memoryMegabytes = free.memoryMegabytes;
     this.accelerators = free.accelerators;
+    this.spareProcessor = free.processorMillicores;
+    for (const {step} of worker.runs.values()) {
+      if (step.usesSpareProcessor !== true) continue;
+      this.spareProcessor -= step.shape.processorMillicores;
+    }
+  }
+
+  get spareProcessorMillicores(): number {
+    return this.spareProcessor;
   }
 
   get freeAccelerators(): number {
@@ -59,9 +70,9 @@
     const {step} = unit;
     const key = spreadKey(unit);
     this.placed.set(key, (this.placed.get(key) ?? 0) + count);
-    if (step.usesSpareProcessor !== true) {
-      this.processorMillicores -= step.shape.processorMillicores * count;
-    }
+    const processor = step.shape.processorMillicores * count;
+    this.spareProcessor -= processor;
+    if (step.usesSpareProcessor !== true) this.processorMillicores -= processor;
     this.memoryMegabytes -= step.shape.memoryMegabytes * count;
     this.accelerators -= step.shape.accelerators * count;
   }
--- a/src/leader/session.ts
+++ b/src/leader/session.ts
@@ -18,6 +18,8 @@
   StoredItem,
 } from '../parties/coordination_store.js';
 import type {RunEnding, TaskWorkerClient} from '../parties/task_worker.js';
+import type {MaintenanceRequests} from '../parties/maintenance_requests.js';
+import type {VmService} from '../parties/vm_service.js';
 import type {WorkerDirectory} from '../parties/worker_directory.js';
 import type {PlacementAdvisor} from '../parties/placement_advisor.js';
 import {Admissions} from './admissions.js';
@@ -25,8 +27,12 @@
 import {Job, Run} from './jobs.js';
 import type {Unit} from './jobs.js';
 import type {LeaderLog} from './leader_log.js';
+import {MaintenanceController} from './maintenance.js';
+import type {MaintenanceSettings} from './maintenance.js';
 import {planRound} from './placement.js';
 import type {Placement} from './placement.js';
+import {PaceController} from './pacing.js';
+import type {PaceChange} from './pacing.js';
 import type {FollowedSource} from './prefix_follower.js';
 import {PrefixFollower} from './prefix_follower.js';
 import {
@@ -37,6 +43,8 @@
   progressKey,
   progressSchema,
 } from './records.js';
+import {PoolController} from './pools.js';
+import {VmTable} from './vm_table.js';
 import type {WorkerState} from './worker_state.js';
 import {WorkerTable} from './worker_table.js';
 
@@ -63,10 +71,17 @@
   readonly directory: WorkerDirectory;
   /** Absent where no queue needs advice. */
   readonly advisor?: PlacementAdvisor | undefined;
+  /** Absent where the platform has no service for VMs of workers. */
+  readonly workerVms?: WorkerVmOptions | undefined;
   readonly clock: Clock;
   readonly log: LeaderLog;
 }
 
+export interface WorkerVmOptions extends MaintenanceSettings {
+  readonly vmService: VmService;
+  readonly requests: MaintenanceRequests;
+}
+
 /** Whether this daemon is the only one that may act, asked before each act. */
 export interface Authority {
   readonly term: number;
@@ -86,6 +101,9 @@
   private readonly table: WorkerTable;
   private readonly commits: CommitQueue;
   private readonly admissions: Admissions;
+  private readonly paces = new PaceController();
+  /** Units that found no room in the last round. */
+  private waiting: readonly Unit[] = [];
   private roundTimer: NodeJS.Timeout | undefined;
   private isRoundQueued = false;
   private isAdopted = false;
@@ -120,6 +138,7 @@
           this.runEnded(run, ending, checkpoint),
         runLost: (run, reason) => this.runLost(run, reason),
         runStarted: (run) => this.runStarted(run),
+        pacesFor: (worker) => this.pacesFor(worker),
         whenDurable: (then) => this.commits.afterPending(then),
         changed: () => this.queueRound(),
         now: () => this.now(),
@@ -170,6 +189,36 @@
     log.adopted(this.jobs.size, this.table.runCount, tookMs);
     this.scope.every(TICK_MS, () => this.tick());
     this.queueRound();
+    await this.manageVms();
+  }
+
+  private async manageVms(): Promise<void> {
+    const {workerVms, store, clock, log} = this.parties;
+    if (workerVms === undefined) return;
+    const {vmService} = workerVms;
+    const vms = new VmTable(vmService, log);
+    const {authority, table, scope} = this;
+    new PoolController(
+      {
+        vmService,
+        vms,
+        clock,
+        log,
+        configuration: this.configuration,
+        waiting: () => this.waiting,
+      },
+      workerVms,
+      authority,
+      table,
+      scope,
+    ).start();
+    await new MaintenanceController(
+      {store, clock, log, vms, ...workerVms},
+      workerVms,
+      authority,
+      table,
+      scope,
+    ).start();
   }
 
   stateOf(jobId: JobId): JobStateName | undefined {
@@ -304,6 +353,21 @@
     const {job} = run.unit;
     if (job.state === 'queued') job.state = 'running';
     if (job.isEnded || run.unit.isDone) this.table.stop(run);
+    else if (run.step.usesSpareProcessor === true) this.setFirstPace(run);
+  }
+
+  /** Runs start at full speed; some are known to disturb their neighbours. */
+  private setFirstPace(run: Run): void {
+    const neighbours = this.table.get(run.workerId)?.runs.values() ?? [];
+    const percent = this.paces.initialPercent(run, neighbours, steadyNow());
+    if (percent < run.pacePercent) this.table.pace(run, percent);
+  }
+
+  private pacesFor(worker: WorkerState): readonly PaceChange[] {
+    const {workerId, runs} = worker;
+    const changes = this.paces.decide(workerId, runs.values(), steadyNow());
+    for (const change of changes) this.parties.log.paced(change);
+    return changes;
   }
 
   private runEnded(run: Run, ending: RunEnding, checkpoint: string): void {
@@ -413,6 +477,7 @@
       steady,
       admits: (unit, worker) => this.admissions.admits(unit, worker, steady),
     });
+    this.waiting = plan.waiting;
     for (const unit of plan.waiting) {
       this.admissions.request(unit, this.table.workers.values(), steady);
     }
--- a/src/leader/worker_link.ts
+++ b/src/leader/worker_link.ts
@@ -16,7 +16,9 @@
   TaskWorkerClient,
 } from '../parties/task_worker.js';
 import type {Run} from './jobs.js';
+import {NO_PACE_KNOWN} from './jobs.js';
 import type {LeaderLog} from './leader_log.js';
+import type {PaceChange} from './pacing.js';
 import type {Authority} from './session.js';
 import type {WorkerState} from './worker_state.js';
 
@@ -55,6 +57,8 @@
   /** The run is not on its worker and left no end. */
   runLost(run: Run, reason: string): void;
   runStarted(run: Run): void;
+  /** Changes of speed that the worker's last list calls for. */
+  pacesFor(worker: WorkerState): readonly PaceChange[];
   /** Calls back once everything reported so far is durable. */
   whenDurable(then: () => void): void;
   /** Room or the worker's health may have changed. */
@@ -116,6 +120,12 @@
     void this.sendStop(run);
   }
 
+  /** Lets the run work at a share of its speed; a later list decides anew. */
+  pace(run: Run, percent: number): void {
+    run.pacePercent = percent;
+    void this.orders.add(() => this.sendPace(run, percent));
+  }
+
   // Looks.
 
   private needsLook(): boolean {
@@ -220,7 +230,7 @@
     outcome: LookOutcome & {kind: 'seen'},
     sentAt: SteadyTime,
   ): void {
-    const {worker} = this;
+    const {worker, events} = this;
     const now = steadyNow();
     if (worker.silentLooks > 0) this.log.workerBack(worker);
     if (worker.seenLife !== outcome.life) {
@@ -230,9 +240,12 @@
     worker.heard(outcome.clockMs, now);
     this.processEnds(outcome);
     this.processRunning(outcome, sentAt);
+    for (const {run, percent} of events.pacesFor(worker)) {
+      this.pace(run, percent);
+    }
     if (!worker.isKnown) {
       worker.becomeKnown(this.holdMaximumMs);
-      this.events.changed();
+      events.changed();
     }
   }
 
@@ -269,7 +282,7 @@
         continue;
       }
       listed.add(run);
-      run.listed(running.percent, running.checkpoint, events.now());
+      run.listed(running, events.now());
       if (run.phase === 'ordered') this.confirm(run, sentAt);
     }
     if (outcome.ended.length >= ENDS_PER_ANSWER) return;
@@ -343,6 +356,7 @@
     switch (outcome.kind) {
       case 'started':
       case 'stopped':
+      case 'paced':
         worker.heard(outcome.clockMs, now);
         if (run.phase === 'ordered') this.confirm(run, now);
         this.watch();
@@ -419,6 +433,25 @@
     }
   }
 
+  private async sendPace(run: Run, percent: number): Promise<void> {
+    if (!this.isCurrent(run) || run.phase !== 'running') return;
+    if (!this.authority.isCertain(steadyNow())) return;
+    const outcome = await this.client.pace(this.worker.entry, {
+      task: run.task,
+      run: run.run,
+      percent,
+      term: this.authority.term,
+    });
+    if (outcome.kind === 'superseded') {
+      this.authority.lose(`${this.worker.workerId} has seen a higher term`);
+    }
+    // Without an answer the order may not be carried out: it is sent anew
+    // when the next list still calls for it.
+    if (outcome.kind !== 'paced' && run.pacePercent === percent) {
+      run.pacePercent = NO_PACE_KNOWN;
+    }
+  }
+
   private async hasFreshClock(): Promise<boolean> {
     if (this.worker.answerAgeMs(steadyNow()) < CLOCK_AGE_MS) return true;
     this.contacting ??= this.look(0).finally(() => {
--- a/src/leader/worker_state.ts
+++ b/src/leader/worker_state.ts
@@ -34,6 +34,8 @@
   isListed = true;
   /** False until the worker answered under this term, if it may run tasks. */
   isKnown = true;
+  /** Its VM is about to go down or to move. */
+  isClosed = false;
   /** Highest end that was processed, and highest that is durable. */
   processedSequence = 0;
   durableSequence = 0;
@@ -121,6 +123,7 @@
     return (
       this.isListed &&
       this.isKnown &&
+      !this.isClosed &&
       !this.current.isDraining &&
       this.silentLooks === 0 &&
       now >= this.quarantinedUntil
--- a/src/leader/worker_table.ts
+++ b/src/leader/worker_table.ts
@@ -6,7 +6,7 @@
 import type {CleanupScope} from '../lifecycle/cleanup_scope.js';
 import type {SteadyTime} from '../lifecycle/clock.js';
 import {steadyNow, steadyTime} from '../lifecycle/clock.js';
-import type {WorkerId} from '../model/ids.js';
+import type {VmId, WorkerId} from '../model/ids.js';
 import {trustedId} from '../model/ids.js';
 import type {TaskWorkerClient, WorkerEntry} from '../parties/task_worker.js';
 import type {WorkerChange} from '../parties/worker_directory.js';
@@ -27,6 +27,9 @@
 /** Time that a checkpointing task is stopped before its worker leaves. */
 const EVACUATION_MS = 900;
 
+/** Why VMs get no new runs. */
+export type ClosePurpose = 'maintenance' | 'move';
+
 export interface TableOptions {
   readonly client: TaskWorkerClient;
   readonly authority: Authority;
@@ -38,6 +41,7 @@
 
 export class WorkerTable {
   private readonly states = new Map<WorkerId, WorkerState>();
+  private readonly closedVms = new Map<ClosePurpose, ReadonlySet<VmId>>();
   private readonly links = new Map<WorkerId, WorkerLink>();
 
   constructor(private readonly options: TableOptions) {}
@@ -50,6 +54,33 @@
     return this.states.get(workerId);
   }
 
+  /**
+   * Workers by their VM. One that is not in the directory may still run tasks;
+   * one that is goes before it.
+   */
+  workersByVm(): ReadonlyMap<VmId, WorkerState> {
+    const byVm = new Map<VmId, WorkerState>();
+    for (const worker of this.states.values()) {
+      const {vmId} = worker.entry;
+      if (vmId === undefined) continue;
+      if (worker.isListed || !byVm.has(vmId)) byVm.set(vmId, worker);
+    }
+    return byVm;
+  }
+
+  /** Workers on these VMs get no new runs until the purpose names others. */
+  closeVms(purpose: ClosePurpose, vmIds: ReadonlySet<VmId>): void {
+    this.closedVms.set(purpose, vmIds);
+    for (const worker of this.states.values()) {
+      worker.isClosed = this.isClosed(worker.entry);
+    }
+  }
+
+  private isClosed({vmId}: WorkerEntry): boolean {
+    if (vmId === undefined) return false;
+    return [...this.closedVms.values()].some((vmIds) => vmIds.has(vmId));
+  }
+
   get runCount(): number {
     let runs = 0;
     for (const worker of this.states.values()) runs += worker.runs.size;
@@ -76,7 +107,9 @@
   private present(entry: WorkerEntry): void {
     const worker = this.states.get(entry.workerId);
     if (worker === undefined) {
-      this.states.set(entry.workerId, new WorkerState(entry));
+      const added = new WorkerState(entry);
+      added.isClosed = this.isClosed(entry);
+      this.states.set(entry.workerId, added);
       return;
     }
     const reborn = worker.update(entry, steadyNow());
@@ -135,6 +168,12 @@
     this.linkTo(worker).stop(run);
   }
 
+  /** Lets a run work at a share of its speed. */
+  pace(run: Run, percent: number): void {
+    const worker = this.states.get(run.workerId);
+    if (worker !== undefined) this.linkTo(worker).pace(run, percent);
+  }
+
   stopUnit(run: Run): void {
     for (const member of [...run.unit.runs]) this.stop(member);
   }
@@ -212,9 +251,10 @@
 }
 
 function standsStill(run: Run): boolean {
-  if (run.step.longRunning === true || run.stillMs < STANDSTILL_MS) {
-    return false;
-  }
+  const {longRunning, usesSpareProcessor} = run.step;
+  // Work on spare processors may be slowed down to nothing.
+  if (longRunning === true || usesSpareProcessor === true) return false;
+  if (run.stillMs < STANDSTILL_MS) return false;
   return run.unit.runs.every(({phase}) => phase === 'running');
 }
 
--- a/src/model/queues.ts
+++ b/src/model/queues.ts
@@ -57,6 +57,8 @@
     queues: readonly Queue[],
     customers: readonly HostedCustomer[],
     readonly limits: CallerLimits,
+    /** Pools whose VMs are off, and cost nothing, until they are moved. */
+    readonly standbyPools: ReadonlySet<ServiceId> = new Set(),
   ) {
     for (const queue of queues) this.addQueue(queue);
     for (const customer of customers) {
@@ -84,6 +86,15 @@
     return this.customerById.get(customerId);
   }
 
+  /** Accelerators that all customers together may claim at any time. */
+  get guaranteedAccelerators(): number {
+    let sum = 0;
+    for (const customer of this.customerById.values()) {
+      sum += customer.guaranteedAccelerators;
+    }
+    return sum;
+  }
+
   private addQueue(queue: Queue): void {
     this.queueById.set(queue.queueId, queue);
     const host = queue.host.toLowerCase();
--- a/src/model/submissions.ts
+++ b/src/model/submissions.ts
@@ -43,6 +43,12 @@
   longRunning: z.boolean().optional(),
   /** The tasks use what other tasks leave of the processors. */
   usesSpareProcessor: z.boolean().optional(),
+  /** Names what the tasks run; tasks of one image disturb others alike. */
+  image: z.string().optional(),
+  /** The tasks serve users; the tail of their response times stays below. */
+  responseTargetMs: z.number().optional(),
+  /** Tasks of a lasting step that the scheduler may take away at once. */
+  maximumAway: z.number().optional(),
 });
 export type Step = Readonly<z.infer<typeof stepSchema>>;
 
--- a/src/parties/task_worker.ts
+++ b/src/parties/task_worker.ts
@@ -8,6 +8,7 @@
   AvailabilityZone,
   RackId,
   ServiceId,
+  VmId,
   WorkerId,
 } from '../model/ids.js';
 import type {TaskShape} from '../model/submissions.js';
@@ -28,6 +29,8 @@
   readonly isDraining: boolean;
   /** Least time until a draining worker leaves, if it says so. */
   readonly remainingMs: number | undefined;
+  /** The VM that the worker lives on; it outlives the worker. */
+  readonly vmId?: VmId | undefined;
 }
 
 /** Names one run of a task on a worker. */
@@ -47,6 +50,12 @@
   readonly ticket?: string | undefined;
 }
 
+export interface PaceOrder extends RunName {
+  /** Share of full speed, 0 to 100. */
+  readonly percent: number;
+  readonly term: number;
+}
+
 /**
  * - `started`: the run is there, now or since an earlier order;
  * - `outdated`: that run or a higher one has ended or was stopped there;
@@ -58,7 +67,8 @@
  */
 export type OrderOutcome =
   | {
-      readonly kind: 'started' | 'stopped' | 'outdated' | 'leasePassed';
+      readonly kind:
+        'started' | 'stopped' | 'paced' | 'outdated' | 'leasePassed';
       readonly clockMs: number;
     }
   | {readonly kind: 'noRoom' | 'notAdmitted'; readonly clockMs: number}
@@ -71,6 +81,11 @@
   readonly checkpoint: string;
   /** Share of the work that is done, 0 to 100. */
   readonly percent: number;
+  /**
+   * Over about the last half second: the tail of a serving task's response
+   * times in milliseconds, otherwise the processor use in millicores.
+   */
+  readonly recentFigure?: number | undefined;
 }
 
 export type RunEnding =
@@ -114,6 +129,9 @@
     term: number,
   ): Promise<OrderOutcome>;
 
+  /** Lets a run work at a share of its speed; a start sets it to 100. */
+  abstract pace(worker: WorkerEntry, order: PaceOrder): Promise<OrderOutcome>;
+
   /** Extends the lease and returns what runs and what ended. */
   abstract look(
     worker: WorkerEntry,
--- a/test/leader_fixture.ts
+++ b/test/leader_fixture.ts
@@ -5,7 +5,7 @@
 
 import {setTimeout as delay} from 'node:timers/promises';
 import {EmulatedDaemon} from '../emulator/daemon.js';
-import {EmulatedSite} from '../emulator/site.js';
+import {EmulatedSite, STANDBY_POOL} from '../emulator/site.js';
 import {cancelledKey, submittedKey} from '../src/leader/records.js';
 import {trustedId} from '../src/model/ids.js';
 import type {CustomerId, JobId} from '../src/model/ids.js';
@@ -68,6 +68,7 @@
       },
     ],
     {maximumBodyBytes: 10_000, headerTimeoutMs: 1_000, idleTimeoutMs: 1_000},
+    new Set([STANDBY_POOL]),
   );
 }
 
@@ -109,22 +110,24 @@
   readonly site: EmulatedSite;
   private readonly daemons: EmulatedDaemon[] = [];
 
-  constructor(racks = 2, workersPerRack = 2) {
+  constructor(racks = 2, workersPerRack = 2, standbyVms = 0) {
     this.site = new EmulatedSite({
       racks,
       workersPerRack,
       acceleratorsPerWorker: 8,
       holdMaximumMs: HOLD_MAXIMUM_MS,
+      standbyVms,
     });
   }
 
-  add(name: string): EmulatedDaemon {
+  add(name: string, noticeMs = 0): EmulatedDaemon {
     const seed = this.daemons.length + 1;
     const daemon = new EmulatedDaemon(this.site, {
       name,
       seed,
       holdMaximumMs: HOLD_MAXIMUM_MS,
       configuration: configuration(),
+      noticeMs,
       logLevel: (process.env['TEST_LOG_LEVEL'] ?? 'fatal') as 'fatal',
     });
     this.daemons.push(daemon);
@@ -132,8 +135,8 @@
   }
 
   /** Adds a daemon and waits until it leads. */
-  async leader(name = 'first'): Promise<EmulatedDaemon> {
-    const daemon = this.add(name);
+  async leader(name = 'first', noticeMs = 0): Promise<EmulatedDaemon> {
+    const daemon = this.add(name, noticeMs);
     await until(`${name} leads`, () => daemon.leads);
     return daemon;
   }
--- /dev/null
+++ b/test/leader_maintenance.test.ts
@@ -0,0 +1,228 @@
+/**
+ * Waves of maintenance and moves between pools, on an emulated site whose
+ * ledger checks the users' rules, and the pure plans behind them.
+ */
+
+import assert from 'node:assert/strict';
+import {afterEach, beforeEach, describe, it} from 'node:test';
+import {setTimeout as delay} from 'node:timers/promises';
+import {STANDBY_POOL} from '../emulator/site.js';
+import {Job} from '../src/leader/jobs.js';
+import {planPoolMoves} from '../src/leader/pool_plan.js';
+import type {PoolView} from '../src/leader/pool_plan.js';
+import {instant, trustedId} from '../src/model/ids.js';
+import type {JobId, ServiceId, VmId} from '../src/model/ids.js';
+import type {WorkerVm} from '../src/parties/vm_service.js';
+import {LeaderFixture, step, submission, until} from './leader_fixture.js';
+
+const VM_IDS = ['vm-0-0', 'vm-0-1', 'vm-1-0', 'vm-1-1'].map((id) =>
+  trustedId<VmId>(id),
+);
+
+describe('a wave of maintenance', () => {
+  let fixture: LeaderFixture;
+
+  beforeEach(() => {
+    fixture = new LeaderFixture();
+  });
+
+  afterEach(async () => {
+    const {violations} = fixture.site.ledger;
+    await fixture.close();
+    assert.deepEqual(violations, []);
+  });
+
+  const request = (maximumDown: number, durationMs: number) =>
+    fixture.site.vms.request({
+      waveId: 1,
+      vmIds: VM_IDS,
+      durationMs,
+      maximumDown,
+    });
+
+  const untilComplete = () =>
+    until(
+      'the wave is complete',
+      () => fixture.site.vms.statusOf(1) === 'complete',
+    );
+
+  it('takes every VM down once, and not more than allowed at once', async () => {
+    await fixture.leader();
+    request(2, 10_000);
+    await untilComplete();
+    assert.deepEqual([...fixture.site.vms.maintained].sort(), VM_IDS);
+  });
+
+  it('waits for runs that would lose their work while there is time', async () => {
+    const leader = await fixture.leader();
+    const jobId = fixture.submit(
+      submission({steps: [step({taskCount: 4, maximumPerWorker: 1})]}),
+      1_200,
+    );
+    await until('all tasks run', () => runCount(fixture) === 4);
+    request(4, 20_000);
+    await untilComplete();
+    assert.equal(leader.leadership.session?.stateOf(jobId), 'complete');
+    assert.equal(fixture.site.ledger.counts.wastedRuns, 0);
+  });
+
+  it('stops runs that would make the wave late', async () => {
+    await fixture.leader();
+    fixture.submit(
+      submission({steps: [step({taskCount: 4, maximumPerWorker: 1})]}),
+      60_000,
+    );
+    await until('all tasks run', () => runCount(fixture) === 4);
+    const startedAt = Date.now();
+    request(2, 4_000);
+    await untilComplete();
+    const tookMs = Date.now() - startedAt;
+    assert.ok(tookMs < 6_000, `the wave of 4 s took ${tookMs} ms`);
+  });
+
+  it('keeps a lasting step above the number that it may miss', async () => {
+    // The ledger reports AVAIL if a second task is taken before the first is
+    // back at work.
+    await fixture.leader('first', 300);
+    const jobId = fixture.submit(
+      submission({
+        steps: [
+          step({
+            taskCount: 4,
+            maximumPerWorker: 2,
+            longRunning: true,
+            maximumAway: 1,
+          }),
+        ],
+      }),
+      1,
+    );
+    await until('all tasks run', () => runCount(fixture) === 4);
+    await delay(1_500);
+    request(2, 1_000);
+    await untilComplete();
+    await until('all tasks are back', () => runCount(fixture) === 4);
+    fixture.cancel(jobId);
+  });
+
+  it('goes on under the next leader, and repeats no maintenance', async () => {
+    const first = await fixture.leader('first');
+    const second = fixture.add('second');
+    request(1, 20_000);
+    await until(
+      'two VMs went down',
+      () => fixture.site.vms.maintained.length === 2,
+    );
+    await first.kill();
+    await until('the second leads', () => second.leads);
+    await untilComplete();
+    assert.deepEqual([...fixture.site.vms.maintained].sort(), VM_IDS);
+  });
+
+  it('counts a VM as down while an order about it has no answer', async () => {
+    const leader = await fixture.leader();
+    leader.vmFaults.late = 0.6;
+    leader.vmFaults.lateMs = 700;
+    request(1, 20_000);
+    await untilComplete();
+    assert.equal(fixture.site.vms.maintained.length, VM_IDS.length);
+  });
+});
+
+describe('moves between pools', () => {
+  it('bring VMs from standby when work finds no room', async () => {
+    const fixture = new LeaderFixture(1, 1, 2);
+    const leader = await fixture.leader();
+    const shape = {
+      processorMillicores: 1_000,
+      memoryMegabytes: 1_000,
+      accelerators: 8,
+    };
+    const jobId = fixture.submit(
+      submission({steps: [step({taskCount: 2, shape})]}),
+      3_000,
+    );
+    await until('a VM was moved', () => fixture.site.vms.moves > 0);
+    await until('both tasks run', () => runCount(fixture) === 2);
+    await untilDone(
+      leader.leadership.session?.stateOf.bind(leader.leadership.session),
+      jobId,
+    );
+    const {violations} = fixture.site.ledger;
+    await fixture.close();
+    assert.deepEqual(violations, []);
+  });
+
+  const service = trustedId<ServiceId>('service');
+
+  function vm(name: string, poolId: ServiceId): [VmId, WorkerVm] {
+    const vmId = trustedId<VmId>(name);
+    return [
+      vmId,
+      {
+        vmId,
+        poolId,
+        state: 'up',
+        zone: trustedId('zone'),
+        labels: new Set(),
+        capacity: {
+          processorMillicores: 32_000,
+          memoryMegabytes: 65_536,
+          accelerators: 8,
+        },
+        workerId: undefined,
+      },
+    ];
+  }
+
+  function view(changes: Partial<PoolView>): PoolView {
+    return {
+      vms: new Map([vm('a', service), vm('b', STANDBY_POOL)]),
+      standbyPools: new Set([STANDBY_POOL]),
+      waiting: [],
+      workers: new Map(),
+      idleSince: new Map(),
+      guaranteedAccelerators: 0,
+      impossible: new Set(),
+      now: instant(100_000),
+      ...changes,
+    };
+  }
+
+  it('leave a VM where it is for work that waits only briefly', () => {
+    const [unit] = new Job(submission(), instant(0)).units;
+    assert.ok(unit !== undefined);
+    unit.readySince = instant(99_500);
+    const waiting = [{unit, serviceId: service}];
+    assert.deepEqual(planPoolMoves(view({waiting})), []);
+    unit.readySince = instant(98_000);
+    assert.deepEqual(planPoolMoves(view({waiting})), [
+      {vmId: 'b', from: STANDBY_POOL, to: service},
+    ]);
+  });
+
+  it('keep room for the guarantees when VMs are idle', () => {
+    const idle = {
+      workers: new Map([[trustedId<VmId>('a'), {runs: new Map()} as never]]),
+      idleSince: new Map([[trustedId<VmId>('a'), instant(0)]]),
+    };
+    const kept = view({...idle, guaranteedAccelerators: 8});
+    assert.deepEqual(planPoolMoves(kept), []);
+    assert.equal(planPoolMoves(view(idle)).length, 1);
+  });
+});
+
+async function untilDone(
+  stateOf: ((jobId: JobId) => string | undefined) | undefined,
+  jobId: JobId,
+): Promise<void> {
+  await until('the job is complete', () => stateOf?.(jobId) === 'complete');
+}
+
+function runCount(fixture: LeaderFixture): number {
+  let count = 0;
+  for (const worker of fixture.site.workers.values()) {
+    count += worker.runNames.length;
+  }
+  return count;
+}
