Do not count a gang member that has done its work as standing still

Cause: members of a gang end together, and one that has done its work stays at 100 percent until the slowest is done. After 2.6 s it counted as standing still, so its gang was stopped, its worker was quarantined, and the gang ran again from its start, up to five times.

Ruled out: preemption for guaranteed work, which stopped fewer gangs, and slow workers, which still show progress.

The emulator lets the tasks of a gang take different times; the new test never ended without the fix.

--- a/emulator/ledger.ts
+++ b/emulator/ledger.ts
@@ -73,6 +73,8 @@
     submission: Submission,
     workMs: number,
     failingTask?: number,
+    /** Work of task 0, where it differs from the others'. */
+    firstWorkMs = workMs,
   ): void {
     const occurrences = Math.max(1, submission.occurrences);
     for (let occurrence = 0; occurrence < occurrences; occurrence += 1) {
@@ -84,7 +86,7 @@
             stepIndex,
             occurrence,
             behaviour: {
-              workMs,
+              workMs: index === 0 ? firstWorkMs : workMs,
               gangWidth: step.gang === true ? step.taskCount : 1,
               checkpoints: step.checkpointing === true,
               // The first member to end then ends the whole gang.
@@ -245,6 +247,18 @@
     return present;
   }
 
+  gangWorked({task, run}: RunName): boolean {
+    const known = this.tasks.get(task);
+    if (known === undefined || known.behaviour.gangWidth === 1) return true;
+    for (const [name, member] of this.tasks) {
+      if (!this.isSameGang(known, member)) continue;
+      for (const holder of member.present.get(run) ?? []) {
+        if (!holder.hasWorked(name)) return false;
+      }
+    }
+    return true;
+  }
+
   private taskDone(known: LedgerTask, run: number, at: number): void {
     known.doneRuns.set(run, {isNoted: false, isRepeated: false});
     if (!known.isDone) this.done += 1;
--- a/emulator/worker_state.ts
+++ b/emulator/worker_state.ts
@@ -55,6 +55,8 @@
   noted(run: RunName, ending: RunEnding): void;
   /** Members of the run's gang that are present anywhere. */
   gangPresent(run: RunName): number;
+  /** True if all members of the run's gang have done their work. */
+  gangWorked(run: RunName): boolean;
   /** An order is about to end a task. */
   taken(worker: EmulatedWorker, task: string, at: number): void;
   /** A serving task's tail while others disturb it, and without them. */
@@ -124,6 +126,12 @@
     return this.ends.length > 0;
   }
 
+  /** True if the task has done its work; a gang then waits for the others. */
+  hasWorked(task: string): boolean {
+    const run = this.runs.get(task);
+    return run !== undefined && run.doneMs >= run.behaviour.workMs;
+  }
+
   /** True if a task that lasts is past its startup. */
   isAtWork(task: string): boolean {
     return (this.runs.get(task)?.doneMs ?? 0) >= STARTUP_MS;
@@ -243,7 +251,7 @@
       if (this.observer.gangPresent(run) < gangWidth) continue;
       run.doneMs += elapsedMs * this.faults.speed * (run.pacePercent / 100);
       if (run.behaviour.lasts === true) this.serve(run, now);
-      else if (run.doneMs >= workMs) {
+      else if (run.doneMs >= workMs && this.observer.gangWorked(run)) {
         this.end(run.task, fails ? 'failed' : 'done', now);
       }
     }
--- a/src/leader/jobs.ts
+++ b/src/leader/jobs.ts
@@ -34,8 +34,8 @@
 /** A look waits 0.8 s; a longer gap between lists counts as this much. */
 const LONGEST_COUNTED_GAP_MS = 1_000;
 
-/** A task that lasts is at work while its worker shows this. */
-const AT_WORK_PERCENT = 100;
+/** Shown of a task that has done its work, or that lasts and is at work. */
+const WORKED_PERCENT = 100;
 
 export const FULL_PACE_PERCENT = 100;
 
@@ -84,14 +84,16 @@
     const sinceMs = now - (this.listedAt ?? now);
     // Time without lists, as while the leader was not certain, tells nothing.
     const countedMs = Math.min(sinceMs, LONGEST_COUNTED_GAP_MS);
-    this.stillMs = percent === this.percent ? this.stillMs + countedMs : 0;
+    // A member of a gang that has done its work waits for the others.
+    const isStill = percent === this.percent && percent < WORKED_PERCENT;
+    this.stillMs = isStill ? this.stillMs + countedMs : 0;
     this.percent = percent;
     this.checkpoint = checkpoint;
     this.listedAt = now;
     if (this.step.responseTargetMs !== undefined) {
       this.responseTailMs = recentFigure;
     }
-    if (percent < AT_WORK_PERCENT) this.atWorkSince = undefined;
+    if (percent < WORKED_PERCENT) this.atWorkSince = undefined;
     else this.atWorkSince ??= now;
   }
 
--- a/src/leader/worker_table.ts
+++ b/src/leader/worker_table.ts
@@ -219,7 +219,8 @@
         worker.quarantine(steady);
         run.unit.avoid(worker.workerId);
         log.quarantined(worker, `${run.task} stands still`);
-        log.stopped(run, 'it makes no progress');
+        const atPercent = `${run.percent}% for ${run.stillMs} ms`;
+        log.stopped(run, `it makes no progress: ${atPercent}`);
         this.stopUnit(run);
       }
     }
--- a/test/leader_faults.test.ts
+++ b/test/leader_faults.test.ts
@@ -75,6 +75,20 @@
     assert.ok(most <= 2, `${most} tasks ran on one worker`);
   });
 
+  it('leaves a gang alone whose members do their work at different times', async () => {
+    // A member that had done its work counted as standing still, so that the
+    // whole gang was stopped and repeated without an end.
+    const leader = await fixture.leader();
+    const jobId = fixture.submit(
+      submission({steps: [step({taskCount: 3, gang: true})]}),
+      300,
+      undefined,
+      4_500,
+    );
+    await untilState(leader, jobId, 'complete');
+    assert.equal(fixture.site.ledger.counts.starts, 3, 'starts');
+  });
+
   it('is replaced after a kill, and its runs are taken over', async () => {
     const first = await fixture.leader('first');
     const second = fixture.add('second');
--- a/test/leader_fixture.ts
+++ b/test/leader_fixture.ts
@@ -142,8 +142,13 @@
   }
 
   /** Stores a job, as any daemon does when it accepts one. */
-  submit(job: Submission, workMs: number, failingTask?: number): JobId {
-    this.site.ledger.submitted(job, workMs, failingTask);
+  submit(
+    job: Submission,
+    workMs: number,
+    failingTask?: number,
+    firstWorkMs?: number,
+  ): JobId {
+    this.site.ledger.submitted(job, workMs, failingTask, firstWorkMs);
     this.site.store.put(submittedKey(job.jobId), JSON.stringify(job));
     return job.jobId;
   }
