Poll without waiting after a failure; add a soak with real daemons

Cause: a follower counted as current only when a poll was answered, and a poll waits up to 2 s for a change. After a failure the next poll now asks for an answer at once.

Ruled out: Retry-After (callers came back 3 to 5 times in that span) and the probes of the store's health (answered within 0.3 s).

The soak starts real daemons against the emulated platform over HTTP, injects faults by links and signals, and checks the users' rules.

--- /dev/null
+++ b/emulator/http_platform.ts
@@ -0,0 +1,521 @@
+/**
+ * Serves an emulated site over the platform's protocol to real daemons: the
+ * store, one address per worker's VM, and the service for VMs. Each daemon
+ * gets a store address of its own, so that the store can fail for one of them.
+ */
+
+import {createServer} from 'node:http';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import polka from 'polka';
+import {z} from 'zod';
+import {BodyReader} from '../src/daemon/request_body.js';
+import type {CleanupScope} from '../src/lifecycle/cleanup_scope.js';
+import type {RandomSource} from '../src/lifecycle/random.js';
+import {trustedId} from '../src/model/ids.js';
+import type {VmId} from '../src/model/ids.js';
+import type {
+  StoreEvent,
+  StoredItem,
+} from '../src/parties/coordination_store.js';
+import type {
+  LookOutcome,
+  OrderOutcome,
+  WorkerEntry,
+} from '../src/parties/task_worker.js';
+import {parseJson} from '../src/transport/http_call.js';
+import type {EmulatedSiteOptions} from './site.js';
+import {EmulatedSite, pause} from './site.js';
+import type {EmulatedWorker} from './worker_state.js';
+
+const HOST = '127.0.0.1';
+const CONFIGURATION_KEY = 'op/config';
+const WORKER_PREFIX = 'servers/';
+const MAXIMUM_BODY_BYTES = 1_048_576;
+const LONGEST_WATCH_MS = 30_000;
+const LONGEST_LOOK_MS = 2_000;
+const POLL_MS = 10;
+
+/** A store keeps the caller waiting this long before it gives up on it. */
+const SILENT_MS = 60_000;
+
+/** Faults of the store towards one daemon. */
+export interface StoreListenerFaults {
+  /** Every call is answered with this status. */
+  status: 429 | 503 | undefined;
+  /** Calls get no answer. */
+  isSilent: boolean;
+  slowMs: number;
+  /** Share of writes that are done and not answered, and when. */
+  loseAnswers: number;
+  lateMs: number;
+}
+
+export interface StoreListener {
+  readonly address: string;
+  readonly faults: StoreListenerFaults;
+}
+
+interface Answer {
+  readonly status: number;
+  readonly body?: object;
+}
+
+/** `undefined`: the connection ends without an answer. */
+type Handler = (
+  body: unknown,
+  request: IncomingMessage & {
+    readonly params: Readonly<Record<string, string>>;
+    readonly query: Readonly<Record<string, string>>;
+  },
+) => Answer | undefined | Promise<Answer | undefined>;
+
+const transactionSchema = z.object({
+  expected: z
+    .array(z.object({key: z.string(), revision: z.number()}))
+    .default([]),
+  puts: z
+    .array(
+      z.object({
+        key: z.string(),
+        value: z.string(),
+        lease: z.number().optional(),
+      }),
+    )
+    .default([]),
+  remove: z.array(z.string()).default([]),
+});
+
+const leaseSchema = z.object({ttlMs: z.number()});
+
+const startSchema = z.object({
+  task: z.string(),
+  runId: z.number(),
+  spec: z.string(),
+  deadlineMs: z.number().default(0),
+  fence: z.number().default(0),
+  checkpoint: z.string().default(''),
+  ticket: z.string().optional(),
+});
+const stopSchema = startSchema.pick({task: true, runId: true, fence: true});
+const paceSchema = stopSchema.extend({percent: z.number()});
+const lookSchema = z.object({
+  fence: z.number().default(0),
+  observed: z.number().default(0),
+  deadlineMs: z.number().optional(),
+  waitMs: z.number().default(0),
+});
+const moveSchema = z.object({machine: z.string(), pool: z.string()});
+const maintainSchema = z.object({machine: z.string(), wave: z.number()});
+
+export class HttpPlatform {
+  private constructor(
+    readonly site: EmulatedSite,
+    private readonly random: RandomSource,
+    private readonly scope: CleanupScope,
+  ) {}
+
+  /**
+   * Listens for the workers, then starts the site. `front` returns the address
+   * under which a worker's listener is registered, as behind a fault link.
+   */
+  static async start(
+    options: EmulatedSiteOptions,
+    random: RandomSource,
+    scope: CleanupScope,
+    front: (vmId: VmId, address: string) => Promise<string>,
+  ): Promise<HttpPlatform> {
+    const addresses = new Map<VmId, string>();
+    let platform: HttpPlatform | undefined;
+    for (let rack = 0; rack < options.racks; rack += 1) {
+      for (let index = 0; index < options.workersPerRack; index += 1) {
+        const vmId = trustedId<VmId>(`vm-${rack}-${index}`);
+        const address = await listen(
+          scope,
+          workerRoutes(() => {
+            return platform?.site.workerOn(vmId);
+          }),
+        );
+        addresses.set(vmId, await front(vmId, address));
+      }
+    }
+    const site = new EmulatedSite({
+      ...options,
+      addressOf: (vmId) => addresses.get(vmId) ?? '',
+      registrationOf: (entry) => ({
+        key: `${WORKER_PREFIX}${entry.workerId}`,
+        value: JSON.stringify(encodeEntry(entry)),
+      }),
+    });
+    scope.add(() => site.close());
+    platform = new HttpPlatform(site, random, scope);
+    return platform;
+  }
+
+  /** Writes a configuration as the operators do. */
+  configure(configuration: object): void {
+    this.site.store.put(CONFIGURATION_KEY, JSON.stringify(configuration));
+  }
+
+  /** Opens an address of the store for one daemon. */
+  async openStore(): Promise<StoreListener> {
+    const faults: StoreListenerFaults = {
+      status: undefined,
+      isSilent: false,
+      slowMs: 0,
+      loseAnswers: 0,
+      lateMs: 0,
+    };
+    const address = await listen(this.scope, this.storeRoutes(faults));
+    return {address, faults};
+  }
+
+  /** Opens the address of the service for VMs. */
+  openVmService(): Promise<string> {
+    const {vms} = this.site;
+    const authority = (request: IncomingMessage) => ({
+      holder: trustedId<VmId>(
+        String(request.headers['bramleystep-duty-holder'] ?? ''),
+      ),
+      term: Number(request.headers['bramleystep-fencing-token'] ?? 0),
+    });
+    return listen(this.scope, {
+      'GET /v1/machines': () => ({
+        status: 200,
+        body: {
+          machines: vms.list().map((vm) => ({
+            machine: vm.vmId,
+            pool: vm.poolId,
+            state: vm.state === 'maintenance' ? 'upkeep' : vm.state,
+            zone: vm.zone,
+            id: vm.workerId ?? null,
+          })),
+          nextToken: null,
+        },
+      }),
+      'POST /v1/machine-move': (body, request) => {
+        const {machine, pool} = moveSchema.parse(body);
+        return encodeVmOrder(
+          vms.move(trustedId(machine), trustedId(pool), authority(request)),
+        );
+      },
+      'POST /v1/machine-upkeep': (body, request) => {
+        const {machine, wave} = maintainSchema.parse(body);
+        return encodeVmOrder(
+          vms.maintain(trustedId(machine), wave, authority(request)),
+        );
+      },
+    });
+  }
+
+  private storeRoutes(faults: StoreListenerFaults): Routes {
+    const {store} = this.site;
+    const routes: Routes = {
+      'GET /v1/kv-key': (_body, {query}) => {
+        const item = store.get(query['key'] ?? '');
+        return item === undefined
+          ? {status: 404}
+          : {status: 200, body: encodeItem(item)};
+      },
+      'GET /v1/kv-range': (_body, {query}) => {
+        const listing = store.list(query['pathPrefix'] ?? '');
+        const after = query['after'] ?? '';
+        const items = listing.items.filter(({key}) => key > after);
+        return {
+          status: 200,
+          body: {
+            items: items.slice(0, ITEMS_PER_PAGE).map(encodeItem),
+            truncated: items.length > ITEMS_PER_PAGE,
+            asOf: listing.revision,
+          },
+        };
+      },
+      'GET /v1/kv-watch': (_body, {query}) => this.watch(query),
+      'POST /v1/kv-txn': (body) => this.transact(body),
+      'POST /v1/kv-lease': (body) => {
+        const {ttlMs} = leaseSchema.parse(body);
+        const lease = store.grantLease(ttlMs, Date.now());
+        return {status: 200, body: {lease, ttlMs}};
+      },
+      'POST /v1/kv-keep/:lease': (_body, {params}) => {
+        const kept = store.renewLease(Number(params['lease']), Date.now());
+        return kept ? {status: 200, body: {}} : {status: 404};
+      },
+      'DELETE /v1/kv-lease-end/:lease': (_body, {params}) => {
+        store.endLease(Number(params['lease']));
+        return {status: 200, body: {}};
+      },
+    };
+    return Object.fromEntries(
+      Object.entries(routes).map(([route, handler]) => [
+        route,
+        this.withFaults(faults, !route.startsWith('GET'), handler),
+      ]),
+    );
+  }
+
+  private withFaults(
+    faults: StoreListenerFaults,
+    isWrite: boolean,
+    handler: Handler,
+  ): Handler {
+    return async (body, request) => {
+      if (faults.slowMs > 0) await pause(faults.slowMs);
+      if (faults.isSilent) {
+        await pause(SILENT_MS);
+        return undefined;
+      }
+      if (faults.status !== undefined) return {status: faults.status};
+      if (isWrite && this.random.next() < faults.loseAnswers) {
+        setTimeout(() => void handler(body, request), faults.lateMs);
+        return undefined;
+      }
+      return handler(body, request);
+    };
+  }
+
+  private async watch(
+    query: Readonly<Record<string, string>>,
+  ): Promise<Answer> {
+    const {store} = this.site;
+    const prefix = query['pathPrefix'] ?? '';
+    const after = Number(query['after']);
+    const until =
+      Date.now() + Math.min(Number(query['waitMs']), LONGEST_WATCH_MS);
+    for (;;) {
+      const answer = store.eventsAfter(prefix, after);
+      if (answer.kind === 'historyLost') return {status: 410};
+      if (answer.events.length > 0 || Date.now() >= until) {
+        return {
+          status: 200,
+          body: {
+            events: answer.events.map(encodeEvent),
+            asOf: answer.revision,
+          },
+        };
+      }
+      await pause(POLL_MS);
+    }
+  }
+
+  private transact(body: unknown): Answer {
+    const {expected, puts, remove} = transactionSchema.parse(body);
+    const outcome = this.site.store.transact({
+      conditions: expected,
+      puts: puts.map(({key, value, lease}) => ({
+        key,
+        value: Buffer.from(value, 'base64').toString('utf8'),
+        ...(lease === undefined ? {} : {lease}),
+      })),
+      removals: remove,
+    });
+    switch (outcome.kind) {
+      case 'committed':
+        return {status: 200, body: {revision: outcome.revision}};
+      case 'conflict':
+        return {status: 412, body: {items: outcome.items.map(encodeItem)}};
+      case 'noSuchLease':
+        return {status: 404};
+    }
+  }
+}
+
+/** The platform's pages are about this long. */
+const ITEMS_PER_PAGE = 500;
+
+type Routes = Readonly<Record<string, Handler>>;
+
+function workerRoutes(find: () => EmulatedWorker | undefined): Routes {
+  const meant = (
+    handle: (worker: EmulatedWorker, body: unknown) => Answer | Promise<Answer>,
+  ): Handler => {
+    return (body, request) => {
+      const worker = find();
+      if (worker === undefined || !worker.isUp) return undefined;
+      const expected = request.headers['bramleystep-expect-instance'];
+      if (expected !== worker.entry.workerId) return {status: 421};
+      return handle(worker, body);
+    };
+  };
+  return {
+    'POST /v1/run-start': meant((worker, body) => {
+      const order = startSchema.parse(body);
+      return encodeOrder(
+        worker.start(
+          {
+            task: order.task,
+            run: order.runId,
+            specification: order.spec,
+            checkpoint: order.checkpoint,
+            leaseUntilMs: order.deadlineMs,
+            term: order.fence,
+          },
+          Date.now(),
+        ),
+      );
+    }),
+    'POST /v1/run-stop': meant((worker, body) => {
+      const {task, runId, fence} = stopSchema.parse(body);
+      return encodeOrder(worker.stop({task, run: runId}, fence, Date.now()));
+    }),
+    'POST /v1/pace': meant((worker, body) => {
+      const {task, runId, percent, fence} = paceSchema.parse(body);
+      return encodeOrder(
+        worker.pace({task, run: runId, percent, term: fence}, Date.now()),
+      );
+    }),
+    'POST /v1/hold': meant(async (worker, body) => {
+      const {fence, observed, deadlineMs, waitMs} = lookSchema.parse(body);
+      const until = Date.now() + Math.min(waitMs, LONGEST_LOOK_MS);
+      for (;;) {
+        const outcome = worker.look(
+          {
+            term: fence,
+            acknowledgedSequence: observed,
+            leaseUntilMs: deadlineMs,
+            waitMs,
+          },
+          Date.now(),
+        );
+        const hasNews = outcome.kind !== 'seen' || outcome.ended.length > 0;
+        if (hasNews || Date.now() >= until) return encodeLook(outcome);
+        await pause(POLL_MS);
+      }
+    }),
+  };
+}
+
+async function listen(scope: CleanupScope, routes: Routes): Promise<string> {
+  const server = createServer();
+  const router = polka();
+  const bodies = new BodyReader();
+  for (const [route, handler] of Object.entries(routes)) {
+    const [method = '', path = ''] = route.split(' ');
+    router.add(method as 'GET', path, (request, response) => {
+      void respond(bodies, handler, request as never, response);
+    });
+  }
+  server.on('request', (request, response) => {
+    router.handler(request as Parameters<typeof router.handler>[0], response);
+  });
+  await new Promise<void>((resolve) => server.listen(0, HOST, resolve));
+  scope.add(() => {
+    server.closeAllConnections();
+    server.close();
+  });
+  return `${HOST}:${(server.address() as AddressInfo).port}`;
+}
+
+async function respond(
+  bodies: BodyReader,
+  handler: Handler,
+  request: Parameters<Handler>[1],
+  response: ServerResponse,
+): Promise<void> {
+  const read = await bodies.read(request, MAXIMUM_BODY_BYTES);
+  const body = read.isOk ? parseJson(Buffer.from(read.value)) : undefined;
+  let answer: Answer | undefined;
+  try {
+    answer = await handler(body, request);
+  } catch (error) {
+    if (!(error instanceof z.ZodError)) throw error;
+    answer = {status: 400, body: {error: error.message}};
+  }
+  if (answer === undefined) {
+    response.destroy();
+    return;
+  }
+  response.writeHead(answer.status, {'content-type': 'application/json'});
+  response.end(JSON.stringify(answer.body ?? {}));
+}
+
+// Encoders, the other side of the decoders in the platform folder.
+
+function encodeItem({key, value, revision}: StoredItem): object {
+  return {key, value: Buffer.from(value).toString('base64'), revision};
+}
+
+function encodeEvent(event: StoreEvent): object {
+  if (event.kind === 'written') return encodeItem(event.item);
+  return {key: event.key, revision: event.revision, tombstone: true};
+}
+
+function encodeEntry(entry: WorkerEntry): object {
+  const {capacity} = entry;
+  return {
+    service: entry.serviceId,
+    address: entry.address,
+    zone: entry.zone,
+    state: entry.isDraining ? 'draining' : 'ready',
+    capacity: {
+      cpu: capacity.processorMillicores,
+      memMb: capacity.memoryMegabytes,
+      gpu: capacity.accelerators,
+    },
+    labels: [...entry.labels],
+    born: entry.life,
+    machine: entry.vmId,
+    ...(entry.remainingMs === undefined
+      ? {}
+      : {remainingMs: entry.remainingMs}),
+  };
+}
+
+const REASONS: Readonly<Partial<Record<OrderOutcome['kind'], string>>> = {
+  superseded: 'fence',
+  outdated: 'old',
+  leasePassed: 'late',
+  noRoom: 'room',
+  notAdmitted: 'ticket',
+};
+
+function encodeOrder(outcome: OrderOutcome): Answer {
+  const clockMs = 'clockMs' in outcome ? outcome.clockMs : 1;
+  const reason = REASONS[outcome.kind];
+  return reason === undefined
+    ? {status: 200, body: {clockMs}}
+    : {status: 409, body: {clockMs, reason}};
+}
+
+function encodeVmOrder({kind}: {kind: string}): Answer {
+  switch (kind) {
+    case 'done':
+      return {status: 200, body: {}};
+    case 'impossible':
+      return {status: 400};
+    case 'superseded':
+      return {status: 409, body: {reason: 'fence'}};
+    case 'notRequested':
+      return {status: 409, body: {reason: 'wave'}};
+    default:
+      return {status: 409, body: {reason: 'busy'}};
+  }
+}
+
+function encodeLook(outcome: LookOutcome): Answer {
+  if (outcome.kind !== 'seen') {
+    return {status: 409, body: {clockMs: 1, reason: 'fence'}};
+  }
+  const {clockMs, life, running, ended} = outcome;
+  return {
+    status: 200,
+    body: {
+      clockMs,
+      born: life,
+      running: running.map((run) => [
+        run.task,
+        run.run,
+        run.checkpoint,
+        run.percent,
+        run.recentFigure ?? 0,
+      ]),
+      finished: ended.map((end) => [
+        end.sequence,
+        end.task,
+        end.run,
+        end.ending,
+        end.checkpoint,
+      ]),
+    },
+  };
+}
--- a/emulator/ledger.ts
+++ b/emulator/ledger.ts
@@ -120,6 +120,15 @@
     return true;
   }
 
+  /** Most failures of one task, or gang, of the job. */
+  mostFailures(jobId: string): number {
+    let most = 0;
+    for (const {submission, failures} of this.tasks.values()) {
+      if (submission.jobId === jobId) most = Math.max(most, failures);
+    }
+    return most;
+  }
+
   /** Run numbers under which tasks of the job were started. */
   runNumbers(jobId: string): number[] {
     const numbers = new Set<number>();
--- a/emulator/site.ts
+++ b/emulator/site.ts
@@ -29,6 +29,7 @@
   StoreWatchAnswer,
   StoreWriteFailure,
   StoredItem,
+  StorePut,
   TransactionOutcome,
 } from '../src/parties/coordination_store.js';
 import {PlacementAdvisor} from '../src/parties/placement_advisor.js';
@@ -399,6 +400,10 @@
   readonly holdMaximumMs: number;
   /** VMs in the standby pool. */
   readonly standbyVms?: number;
+  /** Address under which a VM's worker is reached; in process, any name. */
+  readonly addressOf?: (vmId: VmId) => string;
+  /** A worker's entry in the store, in the form that daemons read there. */
+  readonly registrationOf?: (entry: WorkerEntry) => StorePut;
 }
 
 const SERVICE = 'service';
@@ -417,6 +422,7 @@
   advisor: EmulatedAdvisor | undefined;
   /** Leases of the store do not run out meanwhile. */
   pausesLeases = false;
+  private readonly registeredKeys = new Map<WorkerId, string>();
   private readonly timer: NodeJS.Timeout;
 
   constructor(private readonly options: EmulatedSiteOptions) {
@@ -452,7 +458,7 @@
     const entry: WorkerEntry = {
       workerId,
       life: 1,
-      address: `${workerId}:1`,
+      address: this.options.addressOf?.(vmId) ?? `${workerId}:1`,
       serviceId,
       zone: trustedId('zone-1'),
       rackId: trustedId<RackId>(rackName),
@@ -487,13 +493,32 @@
 
   /** Writes the worker's entry, as its heartbeat does after a change. */
   register(workerId: WorkerId): void {
-    const life = this.workers.get(workerId)?.entry.life ?? 0;
-    this.store.put(`${WORKER_PREFIX}${workerId}`, String(life));
+    const entry = this.workers.get(workerId)?.entry;
+    if (entry === undefined) return;
+    const {key, value} = this.registrationOf(entry);
+    this.registeredKeys.set(workerId, key);
+    this.store.put(key, value);
   }
 
   /** Removes the worker's entry, as the platform does after its silence. */
   unregister(workerId: WorkerId): void {
-    this.store.removeKey(`${WORKER_PREFIX}${workerId}`);
+    const key = this.registeredKeys.get(workerId);
+    if (key !== undefined) this.store.removeKey(key);
+  }
+
+  /** The worker that lives on a VM now. */
+  workerOn(vmId: VmId): EmulatedWorker | undefined {
+    for (const worker of this.workers.values()) {
+      if (worker.entry.vmId === vmId) return worker;
+    }
+    return undefined;
+  }
+
+  private registrationOf(entry: WorkerEntry): StorePut {
+    const {registrationOf} = this.options;
+    if (registrationOf !== undefined) return registrationOf(entry);
+    const key = `${WORKER_PREFIX}${entry.workerId}`;
+    return {key, value: String(entry.life)};
   }
 
   restart(workerId: WorkerId): void {
--- a/emulator/worker_state.ts
+++ b/emulator/worker_state.ts
@@ -78,6 +78,8 @@
   hangs: boolean;
   /** Share of full speed. */
   speed: number;
+  /** Speed of the worker's clock against the daemons'. */
+  clockRate: number;
   /** Share of a target that one task on spare processors adds to a tail. */
   disturbance: number;
   /** Share of a target that a serving task's own load adds to its tail. */
@@ -89,6 +91,7 @@
     failsAll: false,
     hangs: false,
     speed: 1,
+    clockRate: 1,
     disturbance: 0,
     ownLoad: 0,
   };
@@ -316,7 +319,7 @@
   }
 
   private clockMs(now: number): number {
-    return Math.floor(now - this.bornAt) + 1;
+    return Math.floor((now - this.bornAt) * this.faults.clockRate) + 1;
   }
 
   private running(run: HeldRun): RunningTask {
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -10,6 +10,7 @@
       'src/**/*.ts',
       'platform/**/*.ts',
       'emulator/**/*.ts',
+      'soak/**/*.ts',
       'test/**/*.ts',
     ],
     languageOptions: {
--- /dev/null
+++ b/soak/callers.ts
@@ -0,0 +1,286 @@
+/**
+ * Callers of a soak: they submit jobs through any daemon, repeat what got no
+ * definite answer under the same id, ask for states, and cancel some jobs.
+ * What they were told is checked against what the workers saw.
+ */
+
+import type {Ledger} from '../emulator/ledger.js';
+import type {CleanupScope} from '../src/lifecycle/cleanup_scope.js';
+import type {RandomSource} from '../src/lifecycle/random.js';
+import {trustedId} from '../src/model/ids.js';
+import type {JobId} from '../src/model/ids.js';
+import type {Submission} from '../src/model/submissions.js';
+import {parseJson} from '../src/transport/http_call.js';
+import {ConnectionsByAddress} from '../src/transport/http_connections.js';
+import type {HttpAnswer} from '../src/transport/http_connections.js';
+import {z} from 'zod';
+
+/** Callers wait this long for an answer, as those of the sites do. */
+const CALL_TIMEOUT_MS = 3_000;
+const SUBMIT_ATTEMPTS = 5;
+const RETRY_MS = 250;
+const POLL_MS = 700;
+
+/** The users' bound after which an accepted job must be known everywhere. */
+const VISIBLE_MS = 3_000;
+
+const CANCEL_SHARE = 0.1;
+const CONNECTIONS_PER_DAEMON = 64;
+const MAXIMUM_ANSWER_BYTES = 65_536;
+
+/** Failed runs of one task after which its job has failed. */
+export const MAXIMUM_ATTEMPTS = 4;
+
+export const CALLER_KEY = 'caller-key';
+const KEY_HEADER = 'Bramleystep-Credential';
+
+const stateSchema = z.object({state: z.string()});
+
+export interface CallerCounts {
+  submitted: number;
+  accepted: number;
+  refused: number;
+  undecided: number;
+  ended: number;
+}
+
+export class Callers {
+  readonly counts: CallerCounts = {
+    submitted: 0,
+    accepted: 0,
+    refused: 0,
+    undecided: 0,
+    ended: 0,
+  };
+  /** Accepted jobs that have not been seen to end. */
+  readonly open = new Map<JobId, {acceptedAt: number; isCancelled: boolean}>();
+  private readonly refused = new Set<JobId>();
+  private readonly connections: ConnectionsByAddress;
+  private isClosing = false;
+
+  constructor(
+    private readonly addresses: readonly string[],
+    private readonly ledger: Ledger,
+    private readonly random: RandomSource,
+    private readonly scope: CleanupScope,
+  ) {
+    this.connections = new ConnectionsByAddress(scope);
+  }
+
+  /** Submits jobs, with exponential gaps, until told to stop. */
+  async submitAll(jobsPerSecond: number): Promise<void> {
+    while (!this.isClosing && !this.scope.closed) {
+      const gap = -Math.log(1 - this.random.next()) / jobsPerSecond;
+      await this.scope.sleep(gap * 1_000);
+      if (!this.isClosing) void this.submit();
+    }
+  }
+
+  stop(): void {
+    this.isClosing = true;
+  }
+
+  /** Jobs whose every attempt was refused and that a worker started. */
+  startedThoughRefused(): JobId[] {
+    return [...this.refused].filter(
+      (jobId) => this.ledger.runNumbers(jobId).length > 0,
+    );
+  }
+
+  /** Status of a question about a queue, asked with a key at one daemon. */
+  async statusWithKey(address: string, key: string): Promise<number> {
+    const answer = await this.send(address, 'GET', '/patient/', key);
+    return answer?.status ?? 0;
+  }
+
+  private async submit(): Promise<void> {
+    const {submission, body, workMs, failingTask} = randomJob(this.random);
+    const {jobId, queueId} = submission;
+    this.ledger.submitted(submission, workMs, failingTask);
+    this.counts.submitted += 1;
+    let isUndecided = false;
+    for (let attempt = 0; attempt < SUBMIT_ATTEMPTS; attempt += 1) {
+      const path = `/${queueId}/${jobId}`;
+      const answer = await this.send(
+        this.anyDaemon(),
+        'POST',
+        path,
+        CALLER_KEY,
+        body,
+      );
+      if (this.scope.closed) return;
+      if (answer?.status === 200) {
+        await this.accepted(submission);
+        return;
+      }
+      if (answer?.status !== 429 && answer?.status !== 503) isUndecided = true;
+      if (answer !== undefined && UNEXPECTED_STATUSES.has(answer.status)) {
+        this.ledger.violations.push(
+          `CONFIG: a valid submission was answered ${answer.status}`,
+        );
+      }
+      await this.scope.sleep(RETRY_MS);
+    }
+    if (isUndecided) {
+      this.counts.undecided += 1;
+    } else {
+      this.counts.refused += 1;
+      this.refused.add(jobId);
+    }
+  }
+
+  private async accepted({jobId, queueId}: Submission): Promise<void> {
+    this.counts.accepted += 1;
+    const job = {acceptedAt: Date.now(), isCancelled: false};
+    this.open.set(jobId, job);
+    const path = `/${queueId}/${jobId}`;
+    const willCancel = this.random.next() < CANCEL_SHARE;
+    while (!this.scope.closed) {
+      await this.scope.sleep(POLL_MS);
+      if (willCancel && !job.isCancelled) await this.cancel(jobId, path, job);
+      const answer = await this.send(this.anyDaemon(), 'GET', path, CALLER_KEY);
+      if (answer === undefined) continue;
+      if (answer.status === 410 && Date.now() - job.acceptedAt > VISIBLE_MS) {
+        this.ledger.violations.push(`LOST: ${jobId} is not known any more`);
+        return;
+      }
+      const parsed = stateSchema.safeParse(parseJson(answer.body));
+      if (answer.status !== 200 || !parsed.success) continue;
+      if (this.isEnd(jobId, parsed.data.state, job.isCancelled)) {
+        this.open.delete(jobId);
+        this.counts.ended += 1;
+        return;
+      }
+    }
+  }
+
+  private async cancel(
+    jobId: JobId,
+    path: string,
+    job: {isCancelled: boolean},
+  ): Promise<void> {
+    const answer = await this.send(
+      this.anyDaemon(),
+      'DELETE',
+      path,
+      CALLER_KEY,
+    );
+    // Without an answer the cancellation may be in force.
+    if (answer?.status === 503 || answer?.status === 429) return;
+    job.isCancelled = true;
+    if (answer?.status === 200) this.ledger.cancelled(jobId, Date.now());
+  }
+
+  private isEnd(jobId: JobId, state: string, isCancelled: boolean): boolean {
+    this.ledger.shown(jobId, state);
+    if (state === 'queued' || state === 'running') return false;
+    const isAllowed =
+      state === 'complete' ||
+      (state === 'canceled' && isCancelled) ||
+      (state === 'failed' && this.mayHaveFailed(jobId));
+    if (!isAllowed) {
+      this.ledger.violations.push(`LOST: ${jobId} is shown as ${state}`);
+    }
+    return true;
+  }
+
+  /** Only failed runs count as attempts. */
+  private mayHaveFailed(jobId: JobId): boolean {
+    return this.ledger.mostFailures(jobId) >= MAXIMUM_ATTEMPTS;
+  }
+
+  private anyDaemon(): string {
+    return this.addresses[this.random.nextBelow(this.addresses.length)] ?? '';
+  }
+
+  private async send(
+    address: string,
+    method: 'GET' | 'POST' | 'DELETE',
+    path: string,
+    key: string,
+    body?: string,
+  ): Promise<HttpAnswer | undefined> {
+    const answer = await this.connections
+      .get(address, CONNECTIONS_PER_DAEMON)
+      .exchange({
+        method,
+        path,
+        headers: {
+          host: 'queues.example',
+          [KEY_HEADER]: key,
+          ...(body === undefined ? {} : {'content-type': 'application/json'}),
+        },
+        ...(body === undefined ? {} : {body}),
+        timeoutMs: CALL_TIMEOUT_MS,
+        maximumAnswerBytes: MAXIMUM_ANSWER_BYTES,
+      });
+    return answer.isOk ? answer.value : undefined;
+  }
+}
+
+/** The key and the queues are in every version of the configuration. */
+const UNEXPECTED_STATUSES: ReadonlySet<number> = new Set([400, 401, 404, 500]);
+
+interface RandomJob {
+  readonly submission: Submission;
+  /** The submission in the callers' form. */
+  readonly body: string;
+  readonly workMs: number;
+  readonly failingTask: number | undefined;
+}
+
+function randomJob(random: RandomSource): RandomJob {
+  const isUrgent = random.next() < 0.3;
+  const isGang = random.next() < 0.5;
+  const isSaved = random.next() < 0.5;
+  const count = 1 + random.nextBelow(5);
+  const accelerators = [1, 2, 4][random.nextBelow(3)] ?? 1;
+  const workMs = 100 + random.nextBelow(1_500);
+  const hasSecondStep = random.next() < 0.3;
+  const failingTask = random.next() < 0.05 ? 0 : undefined;
+  const digits = () =>
+    random
+      .nextBelow(2 ** 31)
+      .toString(16)
+      .padStart(8, '0');
+  const jobId = trustedId<JobId>(digits() + digits());
+  const stepOf = (after: number[]) => ({
+    count,
+    cpu: 1_000,
+    memMb: 1_000,
+    gpu: accelerators,
+    estimateMs: workMs,
+    after,
+    gang: isGang,
+    checkpointing: isSaved,
+  });
+  const steps = hasSecondStep ? [stepOf([]), stepOf([0])] : [stepOf([])];
+  const submission: Submission = {
+    jobId,
+    queueId: trustedId(isUrgent ? 'urgent' : 'patient'),
+    serviceId: trustedId('service'),
+    specification: 'text',
+    steps: steps.map((step) => ({
+      taskCount: step.count,
+      shape: {
+        processorMillicores: step.cpu,
+        memoryMegabytes: step.memMb,
+        accelerators: step.gpu,
+      },
+      estimatedMs: step.estimateMs,
+      after: step.after,
+      gang: step.gang,
+      checkpointing: step.checkpointing,
+    })),
+    occurrences: 0,
+    firstDueAt: 0,
+    intervalMs: 0,
+    submittedAt: Date.now(),
+  };
+  return {
+    submission,
+    body: JSON.stringify({spec: 'text', steps}),
+    workMs,
+    failingTask,
+  };
+}
--- /dev/null
+++ b/soak/main.ts
@@ -0,0 +1,85 @@
+#!/usr/bin/env node
+/**
+ * `npm run soak -- --seed N`: one or more seeds of the soak, each for some
+ * seconds of faults. Exits with 1 if a rule was broken, and then keeps the
+ * daemons' logs in a folder that it names.
+ */
+
+import {mkdtemp, writeFile} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {Cli, Command, Option} from 'clipanion';
+import * as t from 'typanion';
+import type {SoakReport} from './soak.js';
+import {soak} from './soak.js';
+
+const EXIT_BROKEN = 1;
+
+class SoakCommand extends Command {
+  static override paths = [Command.Default];
+  static override usage = Command.Usage({
+    description: 'plays faults against real daemons and checks the rules',
+  });
+
+  private readonly seed = Option.String('--seed', '1', {
+    description: 'first seed',
+    validator: t.isNumber(),
+  });
+  private readonly seeds = Option.String('--seeds', '1', {
+    description: 'number of seeds, one after the other',
+    validator: t.isNumber(),
+  });
+  private readonly seconds = Option.String('--seconds', '20', {
+    description: 'time with faults, per seed',
+    validator: t.isNumber(),
+  });
+  private readonly daemons = Option.String('--daemons', '3', {
+    description: 'number of daemon processes',
+    validator: t.isNumber(),
+  });
+  private readonly racks = Option.String('--racks', '2', {
+    description: 'racks of four workers',
+    validator: t.isNumber(),
+  });
+
+  override async execute(): Promise<number> {
+    let isBroken = false;
+    for (let seed = this.seed; seed < this.seed + this.seeds; seed += 1) {
+      const report = await soak({
+        seed,
+        faultsMs: this.seconds * 1_000,
+        daemons: this.daemons,
+        racks: this.racks,
+        workersPerRack: 4,
+      });
+      this.context.stdout.write(asText(seed, report));
+      if (report.violations.length === 0) continue;
+      isBroken = true;
+      this.context.stdout.write(`  logs: ${await keepLogs(seed, report)}\n`);
+    }
+    return isBroken ? EXIT_BROKEN : 0;
+  }
+}
+
+function asText(seed: number, report: SoakReport): string {
+  const {counts, violations, starts, faults} = report;
+  const head =
+    `seed ${seed}: ${counts.submitted} jobs, ${counts.accepted} accepted, ` +
+    `${counts.refused} refused, ${counts.undecided} undecided, ` +
+    `${counts.ended} ended; ${starts} starts; ${faults.length} faults; ` +
+    `rules broken: ${violations.length}`;
+  return [head, ...violations.map((line) => `  ${line}`), ''].join('\n');
+}
+
+async function keepLogs(seed: number, report: SoakReport): Promise<string> {
+  const folder = await mkdtemp(join(tmpdir(), `soak-seed-${seed}-`));
+  for (const [name, lines] of report.logs) {
+    await writeFile(join(folder, `${name}.log`), lines.join('\n'));
+  }
+  await writeFile(join(folder, 'faults.log'), report.faults.join('\n'));
+  return folder;
+}
+
+const cli = new Cli({binaryName: 'soak', binaryLabel: 'Soak'});
+cli.register(SoakCommand);
+await cli.runExit(process.argv.slice(2));
--- a/src/leader/prefix_follower.ts
+++ b/src/leader/prefix_follower.ts
@@ -78,9 +78,12 @@
     onChanges: (changes: readonly Change[]) => void,
   ): Promise<void> {
     while (!this.scope.closed) {
+      // After a failure an answer at once tells more than one that waits for
+      // a change: what is known is current again.
+      const waitMs = this.isFailing ? 0 : this.waitMs;
       const answer = await this.source.watch(
         this.revision,
-        this.waitMs,
+        waitMs,
         this.scope.signal,
       );
       if (this.scope.closed) return;
--- a/src/leader/site_view.ts
+++ b/src/leader/site_view.ts
@@ -36,7 +36,7 @@
     this.follower = new PrefixFollower(
       {
         list: async () =>
-          (await store.list(SITE_PREFIX)).map(({items, revision}) => ({
+          (await store.list(SITE_PREFIX, true)).map(({items, revision}) => ({
             state: items.map((item) => ({kind: 'written' as const, item})),
             revision,
           })),
--- a/src/parties/coordination_store.ts
+++ b/src/parties/coordination_store.ts
@@ -115,8 +115,10 @@
     key: string,
   ): Promise<Result<StoredItem | undefined, StoreReadFailure>>;
 
+  /** `isShort`: few items are expected, so that an answer comes soon. */
   abstract list(
     prefix: string,
+    isShort?: boolean,
   ): Promise<Result<StoreListing, StoreReadFailure>>;
 
   /** Waits at most `waitMs` for changes under `prefix` after a revision. */
--- a/src/standins/managed_process.ts
+++ b/src/standins/managed_process.ts
@@ -51,9 +51,12 @@
     script: string,
     parameters: readonly string[],
     onLine: LineListener = () => undefined,
+    /** Added to the variables of this process. */
+    environment: Readonly<Record<string, string>> = {},
   ): Promise<{process: ManagedProcess; firstLine: unknown}> {
     const child = spawn(process.execPath, [script, ...parameters], {
       stdio: ['pipe', 'pipe', 'pipe'],
+      env: {...process.env, ...environment},
     });
     const managed = new ManagedProcess(name, child);
     scope.add(async () => {
--- /dev/null
+++ b/test/prefix_follower.test.ts
@@ -0,0 +1,49 @@
+/**
+ * Following part of the store: how soon a follower knows that it is current
+ * again after an outage.
+ */
+
+import assert from 'node:assert/strict';
+import {it} from 'node:test';
+import {setTimeout as delay} from 'node:timers/promises';
+import {Result} from 'true-myth';
+import {PrefixFollower} from '../src/leader/prefix_follower.js';
+import {CleanupScope} from '../src/lifecycle/cleanup_scope.js';
+import {steadyNow} from '../src/lifecycle/clock.js';
+import {UnavailableError} from '../src/model/errors.js';
+
+/** Time that the next poll after a failure waits, with room for its answer. */
+const RECOVERY_MS = 500;
+
+it('is current soon after an outage, although nothing changed', async () => {
+  // A poll that waits 2 s for a change kept daemons from answering for that
+  // long after the store was back.
+  const scope = new CleanupScope();
+  let isDown = false;
+  const follower = new PrefixFollower<undefined, never>(
+    {
+      list: () => Promise.resolve(Result.ok({state: undefined, revision: 1})),
+      watch: async (_revision, waitMs) => {
+        if (isDown) return Result.err(new UnavailableError('down', 'wait'));
+        const until = Date.now() + waitMs;
+        while (Date.now() < until && !isDown) await delay(5);
+        return isDown
+          ? Result.err(new UnavailableError('down', 'wait'))
+          : Result.ok({kind: 'changes', changes: [], revision: 1});
+      },
+    },
+    scope,
+    () => undefined,
+  );
+  await follower.start(
+    () => undefined,
+    () => undefined,
+  );
+  isDown = true;
+  await delay(1_000);
+  isDown = false;
+  await delay(RECOVERY_MS);
+  const ageMs = follower.ageMs(steadyNow());
+  await scope.close();
+  assert.ok(ageMs < RECOVERY_MS, `its knowledge is ${ageMs} ms old`);
+});
