--- a/src/entry/caller_gateway.ts
+++ b/src/entry/caller_gateway.ts
@@ -51,10 +51,10 @@
 const PENDING_AGE_MS = 1_000;
 
 /**
- * When a caller should come back. A takeover takes about 2 s, and callers give
- * up after a few attempts, which should outlast an outage of the store.
+ * When a caller should come back. Callers have 3 s in all and four further
+ * attempts, so that the shortest time that the header can say reaches most.
  */
-const RETRY_AFTER_MS = 2_000;
+const RETRY_AFTER_MS = 1_000;
 
 const JOB_ID_PATTERN = /^[0-9a-f]{16}$/;
 
