--- a/emulator/http_platform.ts
+++ b/emulator/http_platform.ts
@@ -126,14 +126,14 @@
     front: (vmId: VmId, address: string) => Promise<string>,
   ): Promise<HttpPlatform> {
     const addresses = new Map<VmId, string>();
-    let platform: HttpPlatform | undefined;
+    const started: {site?: EmulatedSite} = {};
     for (let rack = 0; rack < options.racks; rack += 1) {
       for (let index = 0; index < options.workersPerRack; index += 1) {
         const vmId = trustedId<VmId>(`vm-${rack}-${index}`);
         const address = await listen(
           scope,
           workerRoutes(() => {
-            return platform?.site.workerOn(vmId);
+            return started.site?.workerOn(vmId);
           }),
         );
         addresses.set(vmId, await front(vmId, address));
@@ -148,8 +148,8 @@
       }),
     });
     scope.add(() => site.close());
-    platform = new HttpPlatform(site, random, scope);
-    return platform;
+    started.site = site;
+    return new HttpPlatform(site, random, scope);
   }
 
   /** Writes a configuration as the operators do. */
--- a/soak/daemon_process.ts
+++ b/soak/daemon_process.ts
@@ -35,6 +35,8 @@
     readonly name: string,
     /** Callers connect here. */
     readonly address: string,
+    /** Other daemons and operators connect here. */
+    readonly peerAddress: string,
     readonly callerLink: FaultLink,
     readonly storeLink: FaultLink,
     readonly store: StoreListener,
@@ -80,6 +82,7 @@
     return new DaemonProcess(
       name,
       address,
+      `${HOST}:${settings.peerPort}`,
       callerLink,
       storeLink,
       store,
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -23,6 +23,13 @@
   StatusCommand,
 } from './operation_commands.js';
 
+import {
+  SiteCancelCommand,
+  SiteJobCommand,
+  SiteJobsCommand,
+  SiteStatusCommand,
+} from './site_commands.js';
+
 const VERSION = '0.1.0';
 
 const cli = new Cli({
@@ -45,6 +52,10 @@
   StatusCommand,
   DrainCommand,
   AuditCommand,
+  SiteStatusCommand,
+  SiteJobsCommand,
+  SiteJobCommand,
+  SiteCancelCommand,
 ]) {
   cli.register(command);
 }
--- a/src/cli/operator_client.ts
+++ b/src/cli/operator_client.ts
@@ -4,7 +4,7 @@
 
 import {Result} from 'true-myth';
 import {request} from 'undici';
-import type {z} from 'zod';
+import {z} from 'zod';
 import {
   errorReplySchema,
   statusSchema,
@@ -23,6 +23,13 @@
   QuestionnaireSubmission,
   Status,
 } from '../daemon/operator_messages.js';
+import {
+  SITE_PATH,
+  siteJobSchema,
+  siteJobsSchema,
+  siteStatusSchema,
+} from '../entry/site_operators.js';
+import type {SiteJob, SiteJobs, SiteStatus} from '../entry/site_operators.js';
 import type {Configuration} from '../model/configuration.js';
 import {jobReportSchema} from '../parties/peer_client.js';
 import type {JobReport} from '../parties/peer_client.js';
@@ -99,6 +106,24 @@
     return this.call('GET', '/operator/audit', auditSchema);
   }
 
+  siteStatus(): CallResult<SiteStatus> {
+    return this.call('GET', `${SITE_PATH}/status`, siteStatusSchema);
+  }
+
+  siteJobs(): CallResult<SiteJobs> {
+    return this.call('GET', `${SITE_PATH}/jobs`, siteJobsSchema);
+  }
+
+  siteJob(jobId: string): CallResult<SiteJob> {
+    const path = `${SITE_PATH}/jobs/${encodeURIComponent(jobId)}`;
+    return this.call('GET', path, siteJobSchema);
+  }
+
+  cancelSiteJob(jobId: string): CallResult<{jobId: string}> {
+    const path = `${SITE_PATH}/jobs/${encodeURIComponent(jobId)}`;
+    return this.call('DELETE', path, z.object({jobId: z.string()}));
+  }
+
   private async call<T>(
     method: 'GET' | 'POST' | 'DELETE',
     path: string,
--- /dev/null
+++ b/src/cli/site_commands.ts
@@ -0,0 +1,141 @@
+/**
+ * Commands for a site on the hosting platform: status, jobs, why a job waits,
+ * and cancellation. `--daemon` names the peers' address of any daemon.
+ */
+
+import {Command, Option} from 'clipanion';
+import type {SiteStatus} from '../entry/site_operators.js';
+import type {JobReport} from '../leader/reports.js';
+import {OperatorCommand} from './command.js';
+import {formatTime, writeTable} from './output.js';
+
+export class SiteStatusCommand extends OperatorCommand {
+  static override paths = [['site', 'status']];
+  static override usage = Command.Usage({
+    category: 'Hosted site',
+    description: "Show one daemon's view of a hosted site",
+  });
+
+  override async execute(): Promise<number> {
+    return this.finish(await this.client().siteStatus(), (status) => {
+      this.print(status);
+    });
+  }
+
+  private print(status: SiteStatus): void {
+    const {configuration, leader, leading} = status;
+    const ready = status.isReady ? 'ready' : 'not ready';
+    this.line(`${status.vmId} in ${status.availabilityZone}, ${ready}`);
+    this.line(
+      configuration === undefined
+        ? 'no configuration yet'
+        : `configuration version ${configuration.version}, ` +
+            `confirmed ${configuration.ageMs} ms ago`,
+    );
+    this.line(
+      leader === undefined
+        ? 'no leader'
+        : `leader ${leader.vmId} at ${leader.address}, term ${leader.term}`,
+    );
+    this.line(`${status.members} daemons have registered`);
+    if (leading === undefined) return;
+    const {workers, openJobs} = leading;
+    this.line(`${openJobs} open jobs, ${workers.runs} runs`);
+    writeTable(
+      this.context.stdout,
+      ['WORKERS', 'ACCEPTING', 'DRAINING', 'SILENT', 'QUARANTINED'],
+      [
+        [
+          String(workers.total),
+          String(workers.accepting),
+          String(workers.draining),
+          String(workers.silent),
+          String(workers.quarantined),
+        ],
+      ],
+    );
+  }
+}
+
+export class SiteJobsCommand extends OperatorCommand {
+  static override paths = [['site', 'jobs']];
+  static override usage = Command.Usage({
+    category: 'Hosted site',
+    description: 'List the jobs that have not ended',
+  });
+
+  override async execute(): Promise<number> {
+    return this.finish(await this.client().siteJobs(), ({jobs}) => {
+      writeTable(
+        this.context.stdout,
+        ['JOB', 'QUEUE', 'CUSTOMER', 'STATE', 'DONE', 'PLACED', 'WAITING'],
+        jobs.map(({jobId, queueId, customerId, state, units}) => [
+          jobId,
+          queueId,
+          customerId ?? '-',
+          state,
+          String(units.done),
+          String(units.placed),
+          String(units.waiting),
+        ]),
+      );
+    });
+  }
+}
+
+export class SiteJobCommand extends OperatorCommand {
+  static override paths = [['site', 'job']];
+  static override usage = Command.Usage({
+    category: 'Hosted site',
+    description: 'Show one job: where its tasks run, or why they wait',
+  });
+
+  jobId = Option.String();
+
+  override async execute(): Promise<number> {
+    return this.finish(await this.client().siteJob(this.jobId), (report) => {
+      this.print(report);
+    });
+  }
+
+  private print(report: JobReport): void {
+    const {units} = report;
+    this.line(`job ${report.jobId} in queue ${report.queueId}`);
+    this.line(`  customer   ${report.customerId ?? '-'}`);
+    this.line(`  state      ${report.state}`);
+    this.line(`  accepted   ${formatTime(report.acceptedAt)}`);
+    this.line(
+      `  units      ${units.done} done, ${units.placed} placed, ` +
+        `${units.waiting} waiting`,
+    );
+    for (const unit of report.openUnits) {
+      const failures =
+        unit.failures > 0 ? `, failed ${unit.failures} times` : '';
+      const reason = unit.reason === undefined ? '' : `: ${unit.reason}`;
+      this.line(`  ${unit.name} (${unit.tasks} tasks${failures})${reason}`);
+      for (const run of unit.runs) {
+        this.line(
+          `    ${run.task} run ${run.run} on ${run.workerId}: ` +
+            `${run.phase}, ${run.percent}%`,
+        );
+      }
+    }
+  }
+}
+
+export class SiteCancelCommand extends OperatorCommand {
+  static override paths = [['site', 'cancel']];
+  static override usage = Command.Usage({
+    category: 'Hosted site',
+    description: 'Cancel a job and stop its tasks',
+  });
+
+  jobId = Option.String();
+
+  override async execute(): Promise<number> {
+    const cancelled = await this.client().cancelSiteJob(this.jobId);
+    return this.finish(cancelled, ({jobId}) => {
+      this.line(`job ${jobId} is cancelled`);
+    });
+  }
+}
--- a/src/entry/entry_daemon.ts
+++ b/src/entry/entry_daemon.ts
@@ -12,7 +12,7 @@
 import {Leadership} from '../leader/leadership.js';
 import {MEMBER_PREFIX} from '../leader/records.js';
 import type {MemberRecord} from '../leader/records.js';
-import type {WorkerVmOptions} from '../leader/session.js';
+import type {WorkerVmOptions} from '../leader/vm_management.js';
 import {SiteView} from '../leader/site_view.js';
 import {trustedId} from '../model/ids.js';
 import type {HostedConfiguration} from '../model/queues.js';
@@ -38,6 +38,7 @@
 import {HttpListener} from './http_listener.js';
 import {HttpSitePeers, peerHandler} from './http_peers.js';
 import type {EntrySettings} from './settings.js';
+import {SiteOperators} from './site_operators.js';
 
 /**
  * Share of the time to stop in which callers are still answered. The platform
@@ -133,21 +134,47 @@
       },
       this.peerAddress,
     );
-    const entryLog = log.part('entry');
-    const {interfaces} = options;
-    this.callers = new HttpListener(interfaces.callers(this), entryLog);
-    this.readiness = new HttpListener(interfaces.readiness(this), entryLog);
-    this.peers = new HttpListener(
-      peerHandler({
-        desk,
-        handleForwarded: (call) => this.answer(call, true),
-        metrics: () => this.metrics.text(this.leadership.session),
-      }),
-      log.part('peers'),
-    );
+    [this.callers, this.readiness, this.peers] = this.listeners(desk);
     this.feed.onChange(() => this.applyLimits());
   }
 
+  private listeners(
+    desk: LeaderDesk,
+  ): [HttpListener, HttpListener, HttpListener] {
+    const {interfaces, log} = this.options;
+    const entryLog = log.part('entry');
+    return [
+      new HttpListener(interfaces.callers(this), entryLog),
+      new HttpListener(interfaces.readiness(this), entryLog),
+      new HttpListener(
+        peerHandler({
+          desk,
+          operators: this.operators(),
+          handleForwarded: (call) => this.answer(call, true),
+          metrics: () => this.metrics.text(this.leadership.session),
+        }),
+        log.part('peers'),
+      ),
+    ];
+  }
+
+  private operators(): SiteOperators {
+    const {settings, parties, clock, log} = this.options;
+    return new SiteOperators({
+      vmId: settings.vmId,
+      availabilityZone: settings.availabilityZone,
+      ownAddress: this.peerAddress,
+      feed: this.feed,
+      site: this.site,
+      store: parties.store,
+      connections: new ConnectionsByAddress(this.scope),
+      clock,
+      log: log.part('operators'),
+      isReady: () => this.isReady,
+      session: () => this.leadership.session,
+    });
+  }
+
   get configuration(): HostedConfiguration | undefined {
     return this.feed.configuration;
   }
--- a/src/entry/http_peers.ts
+++ b/src/entry/http_peers.ts
@@ -25,6 +25,8 @@
   leaderReplySchema,
 } from './calls.js';
 import type {HttpHandler} from './http_listener.js';
+import {SITE_PATH} from './site_operators.js';
+import type {SiteOperators} from './site_operators.js';
 
 const ASK_PATH = '/peers/ask';
 const CALL_PATH = '/peers/calls';
@@ -95,6 +97,7 @@
 
 export interface PeerTarget {
   readonly desk: LeaderDesk;
+  readonly operators: SiteOperators;
   handleForwarded(call: CallerCall): Promise<CallerAnswer>;
   metrics(): Promise<string>;
 }
@@ -108,6 +111,10 @@
       response.end(await target.metrics());
       return;
     }
+    if (request.url?.startsWith(SITE_PATH) === true) {
+      await target.operators.handle(request, response);
+      return;
+    }
     const body = await bodies.read(request, MAXIMUM_MESSAGE_BYTES);
     const message = body.isOk ? parseJson(Buffer.from(body.value)) : undefined;
     if (request.url === ASK_PATH) {
--- /dev/null
+++ b/src/entry/site_operators.ts
@@ -0,0 +1,258 @@
+/**
+ * The operators' interface of a hosted site, on the peers' address: status,
+ * jobs, why a job waits, and cancellation. A daemon that does not lead passes
+ * questions about jobs on to the leader.
+ */
+
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {z} from 'zod';
+import type {PartLog} from '../daemon/log.js';
+import {
+  jobReportSchema,
+  jobSummarySchema,
+  workerCountsSchema,
+} from '../leader/reports.js';
+import type {LeaderSession} from '../leader/session.js';
+import {cancelledKey} from '../leader/records.js';
+import type {SiteView} from '../leader/site_view.js';
+import type {Clock} from '../lifecycle/clock.js';
+import {steadyNow} from '../lifecycle/clock.js';
+import type {JobId} from '../model/ids.js';
+import type {CoordinationStore} from '../parties/coordination_store.js';
+import {NO_REVISION} from '../parties/coordination_store.js';
+import type {ConnectionsByAddress} from '../transport/http_connections.js';
+import type {ConfigurationFeed} from './configuration_feed.js';
+
+export const SITE_PATH = '/operator/site';
+const JOBS_PATH = `${SITE_PATH}/jobs`;
+
+/** Marks a question that another daemon passed on. */
+const PASSED_HEADER = 'bramleystep-passed';
+
+const PASS_TIMEOUT_MS = 1_000;
+const MAXIMUM_REPLY_BYTES = 4 * 1_048_576;
+const CONNECTIONS = 2;
+
+export const siteStatusSchema = z.object({
+  vmId: z.string(),
+  availabilityZone: z.string(),
+  /** True if the platform may send callers here. */
+  isReady: z.boolean(),
+  configuration: z.object({version: z.number(), ageMs: z.number()}).optional(),
+  leader: z
+    .object({vmId: z.string(), term: z.number(), address: z.string()})
+    .optional(),
+  members: z.number(),
+  /** Only on the leader. */
+  leading: z
+    .object({openJobs: z.number(), workers: workerCountsSchema})
+    .optional(),
+});
+export type SiteStatus = z.infer<typeof siteStatusSchema>;
+
+export const siteJobsSchema = z.object({jobs: z.array(jobSummarySchema)});
+export type SiteJobs = z.infer<typeof siteJobsSchema>;
+
+export const siteJobSchema = jobReportSchema;
+export type SiteJob = z.infer<typeof siteJobSchema>;
+
+/** Errors in the form that the operators' tool reads. */
+interface Problem {
+  readonly status: number;
+  readonly kind: string;
+  readonly message: string;
+  readonly remedy: string;
+}
+
+export interface SiteOperatorParties {
+  readonly vmId: string;
+  readonly availabilityZone: string;
+  readonly ownAddress: string;
+  readonly feed: ConfigurationFeed;
+  readonly site: SiteView;
+  readonly store: CoordinationStore;
+  readonly connections: ConnectionsByAddress;
+  readonly clock: Clock;
+  readonly log: PartLog;
+  isReady(): boolean;
+  session(): LeaderSession | undefined;
+}
+
+export class SiteOperators {
+  constructor(private readonly parties: SiteOperatorParties) {}
+
+  /** Answers a call under `SITE_PATH`. */
+  async handle(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const [path = ''] = (request.url ?? '').split('?');
+    request.resume();
+    if (path === `${SITE_PATH}/status` && request.method === 'GET') {
+      send(response, 200, this.status());
+      return;
+    }
+    const jobId = path.startsWith(`${JOBS_PATH}/`)
+      ? (path.slice(JOBS_PATH.length + 1) as JobId)
+      : undefined;
+    if (jobId !== undefined && request.method === 'DELETE') {
+      await this.cancel(jobId, response);
+      return;
+    }
+    const isQuestion = path === JOBS_PATH || jobId !== undefined;
+    if (!isQuestion || request.method !== 'GET') {
+      sendProblem(response, NO_SUCH_PATH);
+      return;
+    }
+    const session = this.parties.session();
+    if (session === undefined) await this.pass(request, path, response);
+    else this.answer(session, jobId, response);
+  }
+
+  private status(): SiteStatus {
+    const {parties} = this;
+    const {feed, site} = parties;
+    const steady = steadyNow();
+    const session = parties.session();
+    const {configuration} = feed;
+    const leader = site.leader;
+    return {
+      vmId: parties.vmId,
+      availabilityZone: parties.availabilityZone,
+      isReady: parties.isReady(),
+      ...(configuration === undefined
+        ? {}
+        : {
+            configuration: {
+              version: configuration.version,
+              ageMs: Math.round(feed.ageMs(steady)),
+            },
+          }),
+      ...(leader === undefined
+        ? {}
+        : {
+            leader: {
+              vmId: leader.vmId,
+              term: leader.term,
+              address: leader.address,
+            },
+          }),
+      members: site.memberAddresses('').length,
+      ...(session === undefined
+        ? {}
+        : {
+            leading: {
+              openJobs: session.openJobCount,
+              workers: session.workerCounts(steady),
+            },
+          }),
+    };
+  }
+
+  private answer(
+    session: LeaderSession,
+    jobId: JobId | undefined,
+    response: ServerResponse,
+  ): void {
+    if (jobId === undefined) {
+      send(response, 200, {jobs: session.reportOpenJobs()});
+      return;
+    }
+    const report = session.reportJob(jobId);
+    if (report === undefined) sendProblem(response, NO_SUCH_JOB);
+    else send(response, 200, report);
+  }
+
+  private async pass(
+    request: IncomingMessage,
+    path: string,
+    response: ServerResponse,
+  ): Promise<void> {
+    const {site, ownAddress, connections} = this.parties;
+    const address = site.leader?.address;
+    const wasPassed = request.headers[PASSED_HEADER] !== undefined;
+    if (address === undefined || address === ownAddress || wasPassed) {
+      sendProblem(response, NO_LEADER);
+      return;
+    }
+    const answer = await connections.get(address, CONNECTIONS).exchange({
+      method: 'GET',
+      path,
+      headers: {[PASSED_HEADER]: '1'},
+      timeoutMs: PASS_TIMEOUT_MS,
+      maximumAnswerBytes: MAXIMUM_REPLY_BYTES,
+    });
+    if (answer.isErr) {
+      const message = `the leader at ${address}: ${answer.error.message}`;
+      sendProblem(response, {...NO_LEADER, message});
+      return;
+    }
+    response.writeHead(answer.value.status, JSON_HEADERS);
+    response.end(answer.value.body);
+  }
+
+  /** Writes the cancellation like one of a caller; the leader acts on it. */
+  private async cancel(jobId: JobId, response: ServerResponse): Promise<void> {
+    const {store, clock, log} = this.parties;
+    const key = cancelledKey(jobId);
+    const outcome = await store.transact({
+      conditions: [{key, revision: NO_REVISION}],
+      puts: [
+        {
+          key,
+          value: JSON.stringify({cancelledAt: clock.now(), by: 'operator'}),
+        },
+      ],
+      removals: [],
+    });
+    if (outcome.isErr) {
+      const {message} = outcome.error;
+      sendProblem(response, {...STORE_AWAY, message});
+      return;
+    }
+    log.info('cancelled by an operator', {jobId});
+    send(response, 200, {jobId});
+  }
+}
+
+const NO_SUCH_PATH: Problem = {
+  status: 404,
+  kind: 'not-found',
+  message: 'there is no such call',
+  remedy: 'see docs/OPERATIONS.md',
+};
+
+const NO_SUCH_JOB: Problem = {
+  status: 404,
+  kind: 'not-found',
+  message: 'the leader knows no such job',
+  remedy: 'check the id; ended jobs are forgotten after some minutes',
+};
+
+const NO_LEADER: Problem = {
+  status: 503,
+  kind: 'unavailable',
+  message: 'no daemon leads at present',
+  remedy: 'try again in a few seconds, or ask another daemon',
+};
+
+const STORE_AWAY: Problem = {
+  status: 503,
+  kind: 'unavailable',
+  message: 'the store does not answer',
+  remedy: 'repeat the cancellation; doing it twice changes nothing',
+};
+
+const JSON_HEADERS = {'content-type': 'application/json'} as const;
+
+function send(response: ServerResponse, status: number, body: object): void {
+  response.writeHead(status, JSON_HEADERS);
+  response.end(JSON.stringify(body));
+}
+
+function sendProblem(
+  response: ServerResponse,
+  {status, kind, message, remedy}: Problem,
+): void {
+  send(response, status, {error: {kind, message, remedy}});
+}
--- a/src/leader/session.ts
+++ b/src/leader/session.ts
@@ -18,8 +18,6 @@
   StoredItem,
 } from '../parties/coordination_store.js';
 import type {RunEnding, TaskWorkerClient} from '../parties/task_worker.js';
-import type {MaintenanceRequests} from '../parties/maintenance_requests.js';
-import type {VmService} from '../parties/vm_service.js';
 import type {WorkerDirectory} from '../parties/worker_directory.js';
 import type {PlacementAdvisor} from '../parties/placement_advisor.js';
 import {Admissions} from './admissions.js';
@@ -27,8 +25,6 @@
 import {Job, Run} from './jobs.js';
 import type {Unit} from './jobs.js';
 import type {LeaderLog} from './leader_log.js';
-import {MaintenanceController} from './maintenance.js';
-import type {MaintenanceSettings} from './maintenance.js';
 import {planRound} from './placement.js';
 import type {Placement} from './placement.js';
 import {PaceController} from './pacing.js';
@@ -43,8 +39,10 @@
   progressKey,
   progressSchema,
 } from './records.js';
-import {PoolController} from './pools.js';
-import {VmTable} from './vm_table.js';
+import {countWorkers, reportJob, summarizeJob} from './reports.js';
+import type {JobReport, JobSummary, WorkerCounts} from './reports.js';
+import {manageVms} from './vm_management.js';
+import type {WorkerVmOptions} from './vm_management.js';
 import type {WorkerState} from './worker_state.js';
 import {WorkerTable} from './worker_table.js';
 
@@ -77,11 +75,6 @@
   readonly log: LeaderLog;
 }
 
-export interface WorkerVmOptions extends MaintenanceSettings {
-  readonly vmService: VmService;
-  readonly requests: MaintenanceRequests;
-}
-
 /** Whether this daemon is the only one that may act, asked before each act. */
 export interface Authority {
   readonly term: number;
@@ -193,32 +186,19 @@
   }
 
   private async manageVms(): Promise<void> {
-    const {workerVms, store, clock, log} = this.parties;
+    const {workerVms} = this.parties;
     if (workerVms === undefined) return;
-    const {vmService} = workerVms;
-    const vms = new VmTable(vmService, log);
-    const {authority, table, scope} = this;
-    new PoolController(
+    await manageVms(
+      workerVms,
       {
-        vmService,
-        vms,
-        clock,
-        log,
+        ...this.parties,
         configuration: this.configuration,
         waiting: () => this.waiting,
       },
-      workerVms,
-      authority,
-      table,
-      scope,
-    ).start();
-    await new MaintenanceController(
-      {store, clock, log, vms, ...workerVms},
-      workerVms,
-      authority,
-      table,
-      scope,
-    ).start();
+      this.authority,
+      this.table,
+      this.scope,
+    );
   }
 
   stateOf(jobId: JobId): JobStateName | undefined {
@@ -242,6 +222,28 @@
     return count;
   }
 
+  /** Jobs that have not ended, in order of acceptance. */
+  reportOpenJobs(): JobSummary[] {
+    return [...this.openJobs].map(summarizeJob);
+  }
+
+  reportJob(jobId: JobId): JobReport | undefined {
+    const job = this.jobs.get(jobId);
+    if (job === undefined) return undefined;
+    const steady = steadyNow();
+    return reportJob(job, {
+      workers: this.table.workers,
+      configuration: this.configuration(),
+      now: this.now(),
+      steady,
+      admits: (unit, worker) => this.admissions.admits(unit, worker, steady),
+    });
+  }
+
+  workerCounts(now: SteadyTime): WorkerCounts {
+    return countWorkers(this.table.workers.values(), now);
+  }
+
   /** Jobs whose records say that they ended before the time given. */
   endedBefore(time: Instant): Job[] {
     return [...this.jobs.values()].filter(
--- /dev/null
+++ b/src/leader/vm_management.ts
@@ -0,0 +1,54 @@
+/**
+ * Starts what a leader does about the VMs of workers: maintenance in waves,
+ * and moves between pools. Both share one list of VMs.
+ */
+
+import type {CleanupScope} from '../lifecycle/cleanup_scope.js';
+import type {Clock} from '../lifecycle/clock.js';
+import type {HostedConfiguration} from '../model/queues.js';
+import type {CoordinationStore} from '../parties/coordination_store.js';
+import type {MaintenanceRequests} from '../parties/maintenance_requests.js';
+import type {VmService} from '../parties/vm_service.js';
+import type {Unit} from './jobs.js';
+import type {LeaderLog} from './leader_log.js';
+import {MaintenanceController} from './maintenance.js';
+import type {MaintenanceSettings} from './maintenance.js';
+import {PoolController} from './pools.js';
+import type {Authority} from './session.js';
+import {VmTable} from './vm_table.js';
+import type {WorkerTable} from './worker_table.js';
+
+export interface WorkerVmOptions extends MaintenanceSettings {
+  readonly vmService: VmService;
+  readonly requests: MaintenanceRequests;
+}
+
+export interface VmManagementParties {
+  readonly store: CoordinationStore;
+  readonly clock: Clock;
+  readonly log: LeaderLog;
+  readonly configuration: () => HostedConfiguration | undefined;
+  /** Units that found no room in the last round. */
+  readonly waiting: () => readonly Unit[];
+}
+
+/** Resolves once the waves that were asked for are known. */
+export async function manageVms(
+  options: WorkerVmOptions,
+  parties: VmManagementParties,
+  authority: Authority,
+  table: WorkerTable,
+  scope: CleanupScope,
+): Promise<void> {
+  const {vmService} = options;
+  const vms = new VmTable(vmService, parties.log);
+  const all = {...parties, ...options, vms};
+  new PoolController(all, options, authority, table, scope).start();
+  await new MaintenanceController(
+    all,
+    options,
+    authority,
+    table,
+    scope,
+  ).start();
+}
--- /dev/null
+++ b/test/site_operators.test.ts
@@ -0,0 +1,163 @@
+/**
+ * The operators' view of a hosted site, through the real tool and real
+ * daemons: status, open jobs, why a job waits, cancellation, exit codes.
+ */
+
+import assert from 'node:assert/strict';
+import {execFile} from 'node:child_process';
+import {after, before, describe, it} from 'node:test';
+import {fileURLToPath} from 'node:url';
+import {promisify} from 'node:util';
+import {HttpPlatform} from '../emulator/http_platform.js';
+import {DaemonProcess} from '../soak/daemon_process.js';
+import {CleanupScope} from '../src/lifecycle/cleanup_scope.js';
+import {SeededRandom} from '../src/lifecycle/random.js';
+
+const TOOL = fileURLToPath(new URL('../src/cli/main.js', import.meta.url));
+const KEY = 'caller-key';
+const WIDE_JOB = '00000000000000a1';
+const SMALL_JOB = '00000000000000a2';
+
+const run = promisify(execFile);
+
+interface ToolResult {
+  readonly code: number;
+  readonly output: string;
+}
+
+describe('the tool on a hosted site', () => {
+  const scope = new CleanupScope();
+  let daemons: DaemonProcess[];
+
+  const tool = async (
+    daemon: string,
+    ...parameters: string[]
+  ): Promise<ToolResult> => {
+    try {
+      const words = [TOOL, 'site', ...parameters, '--daemon', daemon];
+      const {stdout} = await run(process.execPath, words);
+      return {code: 0, output: stdout};
+    } catch (error) {
+      const {code, stdout, stderr} = error as {
+        code: number;
+        stdout: string;
+        stderr: string;
+      };
+      return {code, output: stdout + stderr};
+    }
+  };
+
+  const submit = async (jobId: string, accelerators: number) => {
+    const response = await fetch(
+      `http://${daemons[0]?.address}/jobs/${jobId}`,
+      {
+        method: 'POST',
+        headers: {'Bramleystep-Credential': KEY},
+        body: JSON.stringify({
+          spec: 'text',
+          steps: [{count: 3, gpu: accelerators, gang: true, estimateMs: 100}],
+        }),
+      },
+    );
+    return response.status;
+  };
+
+  before(async () => {
+    const platform = await HttpPlatform.start(
+      {
+        racks: 1,
+        workersPerRack: 2,
+        acceleratorsPerWorker: 8,
+        holdMaximumMs: 3_000,
+      },
+      new SeededRandom(1),
+      scope,
+      (_vmId, address) => Promise.resolve(address),
+    );
+    platform.configure({
+      version: 3,
+      routes: [
+        {
+          name: 'queue',
+          host: '127.0.0.1',
+          pathPrefix: '/jobs/',
+          service: 'service',
+        },
+      ],
+      tenants: [{name: 'customer', apiKeys: [KEY]}],
+    });
+    const vmService = await platform.openVmService();
+    const times = {workerLeaseMs: 3_000, stopGraceS: 1};
+    daemons = await Promise.all(
+      ['entry-1', 'entry-2'].map((name) =>
+        DaemonProcess.create(name, platform, vmService, times, scope),
+      ),
+    );
+    for (const daemon of daemons) await daemon.start();
+    const limit = Date.now() + 15_000;
+    while ((await submit(WIDE_JOB, 8)) !== 200) {
+      assert.ok(Date.now() < limit, 'no daemon accepted a job');
+    }
+  });
+
+  after(() => scope.close());
+
+  const address = (index: number) => daemons[index]?.peerAddress ?? '';
+
+  const untilOutput = async (pattern: RegExp, ...parameters: string[]) => {
+    const limit = Date.now() + 15_000;
+    for (;;) {
+      const result = await tool(address(1), ...parameters);
+      if (pattern.test(result.output)) return result;
+      assert.ok(
+        Date.now() < limit,
+        `never printed ${pattern}: ${result.output}`,
+      );
+    }
+  };
+
+  it('shows the leader, the version and the workers', async () => {
+    await untilOutput(/leader entry-[12] at/, 'status');
+    const views = await Promise.all(
+      [0, 1].map((i) => tool(address(i), 'status')),
+    );
+    for (const {code, output} of views) {
+      assert.equal(code, 0);
+      assert.match(output, /configuration version 3/);
+    }
+    assert.equal(
+      views.filter(({output}) => /open jobs/.test(output)).length,
+      1,
+      'one daemon leads',
+    );
+  });
+
+  it('says through any daemon why a job waits', async () => {
+    for (const index of [0, 1]) {
+      const {code, output} = await tool(address(index), 'job', WIDE_JOB);
+      assert.equal(code, 0, output);
+      assert.match(output, /no room: 3 tasks of 8 accelerators/);
+    }
+    const {output} = await tool(address(0), 'jobs', '--json');
+    const [job] = JSON.parse(output).jobs;
+    assert.equal(job.jobId, WIDE_JOB);
+    assert.equal(job.units.waiting, 1);
+  });
+
+  it('cancels a job, and the leader ends it', async () => {
+    const {code} = await tool(address(1), 'cancel', WIDE_JOB);
+    assert.equal(code, 0);
+    await untilOutput(/state +cancelled/, 'job', WIDE_JOB);
+    assert.equal(await submit(SMALL_JOB, 1), 200);
+    await untilOutput(/confirmed|running|complete/, 'job', SMALL_JOB);
+  });
+
+  it('names the remedy and exits with a code for each fault', async () => {
+    const unknown = await tool(address(0), 'job', '00000000000000ff');
+    assert.equal(unknown.code, 1);
+    assert.match(unknown.output, /knows no such job.*check the id/);
+    const silent = await tool('127.0.0.1:1', 'status');
+    assert.equal(silent.code, 3);
+    assert.match(silent.output, /check --daemon/);
+  });
+});
