--- a/emulator/http_platform.ts
+++ b/emulator/http_platform.ts
@@ -6,7 +6,6 @@
 
 import {createServer} from 'node:http';
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import type {AddressInfo} from 'node:net';
 import polka from 'polka';
 import {z} from 'zod';
 import {BodyReader} from '../src/daemon/request_body.js';
@@ -23,6 +22,7 @@
   OrderOutcome,
   WorkerEntry,
 } from '../src/parties/task_worker.js';
+import {listenUntilClosed} from '../src/standins/listening.js';
 import {parseJson} from '../src/transport/http_call.js';
 import type {EmulatedSiteOptions} from './site.js';
 import {EmulatedSite, pause} from './site.js';
@@ -398,12 +398,10 @@
   server.on('request', (request, response) => {
     router.handler(request as Parameters<typeof router.handler>[0], response);
   });
-  await new Promise<void>((resolve) => server.listen(0, HOST, resolve));
-  scope.add(() => {
+  return listenUntilClosed(server, scope, HOST, 0, () => {
     server.closeAllConnections();
     server.close();
   });
-  return `${HOST}:${(server.address() as AddressInfo).port}`;
 }
 
 async function respond(
--- /dev/null
+++ b/src/leader/job_book.ts
@@ -0,0 +1,153 @@
+/**
+ * The jobs of a term: built from submissions and the records of earlier
+ * leaders, and asked for by callers and operators.
+ */
+
+import type {Instant, JobId, QueueId} from '../model/ids.js';
+import {instant} from '../model/ids.js';
+import type {JobStateName} from '../model/submissions.js';
+import {submissionSchema} from '../model/submissions.js';
+import type {StoredItem} from '../parties/coordination_store.js';
+import type {Run} from './jobs.js';
+import {Job} from './jobs.js';
+import type {LeaderLog} from './leader_log.js';
+import {
+  decodeRecord,
+  parseInboxKey,
+  progressKey,
+  progressSchema,
+} from './records.js';
+
+/** What a batch of submissions and cancellations calls for. */
+export interface InboxEffects {
+  /** Runs that earlier leaders placed. */
+  readonly placed: readonly Run[];
+  /** Jobs that have ended and of whose end there is no record. */
+  readonly unrecordedEnds: readonly Job[];
+  readonly cancelled: readonly Job[];
+}
+
+export class JobBook {
+  private readonly jobs = new Map<JobId, Job>();
+  /** Jobs that have not ended, in order of acceptance. */
+  private readonly openJobs = new Set<Job>();
+  /** Ended jobs whose final record is in the store. */
+  private readonly durableEnds = new Set<JobId>();
+
+  constructor(private readonly log: LeaderLog) {}
+
+  get size(): number {
+    return this.jobs.size;
+  }
+
+  get open(): ReadonlySet<Job> {
+    return this.openJobs;
+  }
+
+  get(jobId: JobId): Job | undefined {
+    return this.jobs.get(jobId);
+  }
+
+  /** State as callers see it; undefined for a job that is not known. */
+  stateOf(jobId: JobId): JobStateName | undefined {
+    const job = this.jobs.get(jobId);
+    if (job === undefined) return undefined;
+    // A final state is shown only once its record is durable.
+    if (job.isEnded && !this.durableEnds.has(jobId)) return 'running';
+    return job.state;
+  }
+
+  /** Accepted jobs of the queue of which no task has started. */
+  pendingOf(queueId: QueueId): number {
+    let count = 0;
+    for (const job of this.openJobs) {
+      if (job.queueId === queueId && !job.hasBegun) count += 1;
+    }
+    return count;
+  }
+
+  /** Jobs whose records say that they ended before the time given. */
+  endedBefore(time: Instant): Job[] {
+    return [...this.jobs.values()].filter(
+      (job) =>
+        job.endedAt !== undefined &&
+        job.endedAt < time &&
+        !job.hasRuns &&
+        this.durableEnds.has(job.id),
+    );
+  }
+
+  /** The job has ended; callers see that once `durable` is called. */
+  close(job: Job): void {
+    this.openJobs.delete(job);
+  }
+
+  durable(job: Job): void {
+    this.durableEnds.add(job.id);
+  }
+
+  /** Forgets a job whose records were removed. */
+  forget(job: Job): void {
+    this.jobs.delete(job.id);
+    this.durableEnds.delete(job.id);
+  }
+
+  /**
+   * Takes submissions and cancellations; what is known already changes
+   * nothing. `progress` holds the records of earlier leaders by key.
+   */
+  take(
+    items: readonly StoredItem[],
+    progress: ReadonlyMap<string, StoredItem>,
+    now: Instant,
+  ): InboxEffects {
+    const placed: Run[] = [];
+    const unrecordedEnds: Job[] = [];
+    const cancelledIds: JobId[] = [];
+    for (const item of items) {
+      const parsed = parseInboxKey(item.key);
+      if (parsed === undefined) continue;
+      const {jobId} = parsed;
+      if (parsed.kind === 'cancelled') {
+        cancelledIds.push(jobId);
+        continue;
+      }
+      const job = this.add(item, jobId);
+      if (job === undefined) continue;
+      const record = progress.get(progressKey(jobId));
+      if (record !== undefined) placed.push(...this.restore(job, record, now));
+      if (!job.isEnded) this.openJobs.add(job);
+      else if (record === undefined) unrecordedEnds.push(job);
+      else this.durable(job);
+    }
+    const cancelled = cancelledIds.flatMap((jobId) => {
+      const job = this.jobs.get(jobId);
+      if (job === undefined || job.isEnded) return [];
+      job.end('cancelled', now);
+      return [job];
+    });
+    return {placed, unrecordedEnds, cancelled};
+  }
+
+  private add(item: StoredItem, jobId: JobId): Job | undefined {
+    if (this.jobs.has(jobId)) return undefined;
+    const decoded = decodeRecord(item.key, item.value, submissionSchema);
+    if (decoded.isErr) {
+      this.log.unreadableRecord(decoded.error.message);
+      return undefined;
+    }
+    const job = new Job(decoded.value, instant(decoded.value.submittedAt));
+    this.jobs.set(jobId, job);
+    return job;
+  }
+
+  private restore(job: Job, record: StoredItem, now: Instant): Run[] {
+    job.recordRevision = record.revision;
+    const decoded = decodeRecord(record.key, record.value, progressSchema);
+    if (decoded.isErr) {
+      this.log.unreadableRecord(decoded.error.message);
+      return [];
+    }
+    return job.restore(decoded.value, now);
+  }
+}
--- a/src/leader/record_cleaner.ts
+++ b/src/leader/record_cleaner.ts
@@ -31,7 +31,7 @@
   let isCleaning = false;
   const clean = async () => {
     const oldest = clock.now() - retentionMs - RETENTION_MARGIN_MS;
-    const jobs = session
+    const jobs = session.jobBook
       .endedBefore(instant(oldest))
       .slice(0, JOBS_PER_TRANSACTION);
     if (jobs.length === 0) return;
@@ -46,7 +46,7 @@
     });
     if (outcome.isErr) log.storeUnanswered('cleaning', outcome.error.message);
     else if (outcome.value.kind === 'committed') {
-      for (const job of jobs) session.forget(job);
+      for (const job of jobs) session.jobBook.forget(job);
     }
   };
   scope.every(CLEANING_INTERVAL_MS, () => {
--- a/src/leader/rooms.ts
+++ b/src/leader/rooms.ts
@@ -8,7 +8,6 @@
 import type {TaskShape} from '../model/submissions.js';
 import type {Run, Unit} from './jobs.js';
 import type {WorkerState} from './worker_state.js';
-import {silentZones, wasHeardLately} from './zone_reach.js';
 
 export class Room {
   private processorMillicores: number;
@@ -120,14 +119,10 @@
     now: SteadyTime,
     private readonly admits: (unit: Unit, worker: WorkerState) => boolean,
   ) {
-    const known = [...workers];
-    const silent = silentZones(known, now);
-    for (const worker of known) {
+    for (const worker of workers) {
       if (worker.entry.serviceId !== serviceId || !worker.accepts(now)) {
         continue;
       }
-      const isSilent = silent.has(worker.entry.zone);
-      if (isSilent && !wasHeardLately(worker, now)) continue;
       const room = new Room(worker);
       this.rooms.push(room);
       const {rackId} = worker.entry;
--- a/src/leader/session.ts
+++ b/src/leader/session.ts
@@ -7,11 +7,10 @@
 import type {CleanupScope} from '../lifecycle/cleanup_scope.js';
 import type {Clock, SteadyTime} from '../lifecycle/clock.js';
 import {steadyNow} from '../lifecycle/clock.js';
-import type {Instant, JobId, QueueId} from '../model/ids.js';
+import type {CustomerId, Instant, JobId, QueueId} from '../model/ids.js';
 import {instant} from '../model/ids.js';
 import type {HostedConfiguration} from '../model/queues.js';
 import type {JobStateName} from '../model/submissions.js';
-import {submissionSchema} from '../model/submissions.js';
 import {watchChanges} from '../parties/coordination_store.js';
 import type {
   CoordinationStore,
@@ -22,8 +21,9 @@
 import type {PlacementAdvisor} from '../parties/placement_advisor.js';
 import {Admissions} from './admissions.js';
 import {CommitQueue} from './commit_queue.js';
-import {Job, Run} from './jobs.js';
-import type {Unit} from './jobs.js';
+import {JobBook} from './job_book.js';
+import { Run} from './jobs.js';
+import type {Unit,Job} from './jobs.js';
 import type {LeaderLog} from './leader_log.js';
 import {planRound} from './placement.js';
 import type {Placement} from './placement.js';
@@ -31,14 +31,7 @@
 import type {PaceChange} from './pacing.js';
 import type {FollowedSource} from './prefix_follower.js';
 import {PrefixFollower} from './prefix_follower.js';
-import {
-  INBOX_PREFIX,
-  PROGRESS_PREFIX,
-  decodeRecord,
-  parseInboxKey,
-  progressKey,
-  progressSchema,
-} from './records.js';
+import {INBOX_PREFIX, PROGRESS_PREFIX} from './records.js';
 import {countWorkers, reportJob, summarizeJob} from './reports.js';
 import type {JobReport, JobSummary, WorkerCounts} from './reports.js';
 import {manageVms} from './vm_management.js';
@@ -86,11 +79,7 @@
 }
 
 export class LeaderSession {
-  private readonly jobs = new Map<JobId, Job>();
-  /** Jobs that have not ended, in order of acceptance. */
-  private readonly openJobs = new Set<Job>();
-  /** Ended jobs whose final record is in the store. */
-  private readonly durableEnds = new Set<JobId>();
+  private readonly jobs: JobBook;
   private readonly table: WorkerTable;
   private readonly commits: CommitQueue;
   private readonly admissions: Admissions;
@@ -109,6 +98,7 @@
     private readonly scope: CleanupScope,
   ) {
     const {store, log} = parties;
+    this.jobs = new JobBook(log);
     this.commits = new CommitQueue(store, authority.leaderRevision, scope, {
       deposed: () => authority.lose('another leader holds the key'),
       delayed: (reason) => log.commitDelayed(reason),
@@ -149,7 +139,7 @@
   }
 
   get openJobCount(): number {
-    return this.openJobs.size;
+    return this.jobs.open.size;
   }
 
   /** Reads everything, then follows changes until the scope closes. */
@@ -202,29 +192,20 @@
   }
 
   stateOf(jobId: JobId): JobStateName | undefined {
-    const job = this.jobs.get(jobId);
-    if (job === undefined || !this.isAdopted) return undefined;
-    // A final state is shown only once its record is durable.
-    if (job.isEnded && !this.durableEnds.has(jobId)) return 'running';
-    return job.state;
+    return this.isAdopted ? this.jobs.stateOf(jobId) : undefined;
   }
 
-  customerOf(jobId: JobId): string | undefined {
+  customerOf(jobId: JobId): CustomerId | undefined {
     return this.jobs.get(jobId)?.customerId;
   }
 
-  /** Accepted jobs of the queue of which no task has started. */
   pendingOf(queueId: QueueId): number {
-    let count = 0;
-    for (const job of this.openJobs) {
-      if (job.queueId === queueId && !job.hasBegun) count += 1;
-    }
-    return count;
+    return this.jobs.pendingOf(queueId);
   }
 
   /** Jobs that have not ended, in order of acceptance. */
   reportOpenJobs(): JobSummary[] {
-    return [...this.openJobs].map(summarizeJob);
+    return [...this.jobs.open].map(summarizeJob);
   }
 
   reportJob(jobId: JobId): JobReport | undefined {
@@ -244,21 +225,8 @@
     return countWorkers(this.table.workers.values(), now);
   }
 
-  /** Jobs whose records say that they ended before the time given. */
-  endedBefore(time: Instant): Job[] {
-    return [...this.jobs.values()].filter(
-      (job) =>
-        job.endedAt !== undefined &&
-        job.endedAt < time &&
-        !job.hasRuns &&
-        this.durableEnds.has(job.id),
-    );
-  }
-
-  /** Forgets a job whose records were removed. */
-  forget(job: Job): void {
-    this.jobs.delete(job.id);
-    this.durableEnds.delete(job.id);
+  get jobBook(): JobBook {
+    return this.jobs;
   }
 
   // Records.
@@ -307,48 +275,13 @@
     items: readonly StoredItem[],
     progress: ReadonlyMap<string, StoredItem>,
   ): void {
-    const cancelled: JobId[] = [];
-    for (const item of items) {
-      const parsed = parseInboxKey(item.key);
-      if (parsed === undefined) continue;
-      if (parsed.kind === 'cancelled') cancelled.push(parsed.jobId);
-      else this.submitted(item, parsed.jobId, progress);
-    }
-    for (const jobId of cancelled) this.cancelled(jobId);
+    const effects = this.jobs.take(items, progress, this.now());
+    for (const run of effects.placed) this.table.adopt(run);
+    for (const job of effects.unrecordedEnds) this.writeEnd(job);
+    for (const job of effects.cancelled) this.jobEnded(job);
     this.queueRound();
   }
 
-  private submitted(
-    item: StoredItem,
-    jobId: JobId,
-    progress: ReadonlyMap<string, StoredItem>,
-  ): void {
-    if (this.jobs.has(jobId)) return;
-    const decoded = decodeRecord(item.key, item.value, submissionSchema);
-    if (decoded.isErr) {
-      this.parties.log.unreadableRecord(decoded.error.message);
-      return;
-    }
-    const job = new Job(decoded.value, instant(decoded.value.submittedAt));
-    this.jobs.set(jobId, job);
-    const record = progress.get(progressKey(jobId));
-    if (record !== undefined) this.restore(job, record);
-    if (!job.isEnded) this.openJobs.add(job);
-    else if (record === undefined) this.writeEnd(job);
-    else this.durableEnds.add(jobId);
-  }
-
-  private restore(job: Job, record: StoredItem): void {
-    job.recordRevision = record.revision;
-    const decoded = decodeRecord(record.key, record.value, progressSchema);
-    if (decoded.isErr) {
-      this.parties.log.unreadableRecord(decoded.error.message);
-      return;
-    }
-    const placed = job.restore(decoded.value, this.now());
-    for (const run of placed) this.table.adopt(run);
-  }
-
   // Runs.
 
   private runStarted(run: Run): void {
@@ -417,7 +350,7 @@
   }
 
   private jobEnded(job: Job): void {
-    this.openJobs.delete(job);
+    this.jobs.close(job);
     this.admissions.forgetJob(job.id);
     this.parties.log.jobEnded(job, this.now());
     for (const unit of job.openUnits) {
@@ -427,7 +360,7 @@
   }
 
   private writeEnd(job: Job): void {
-    this.commits.write(job, () => this.durableEnds.add(job.id));
+    this.commits.write(job, () => this.jobs.durable(job));
   }
 
   private ticketFor(run: Run): string | undefined {
@@ -436,13 +369,6 @@
     return this.admissions.ticketFor(run.unit, worker, steadyNow());
   }
 
-  private cancelled(jobId: JobId): void {
-    const job = this.jobs.get(jobId);
-    if (job === undefined || job.isEnded) return;
-    job.end('cancelled', this.now());
-    this.jobEnded(job);
-  }
-
   private maximumAttempts(job: Job): number {
     const queue = this.configuration()?.queue(job.queueId);
     return queue?.maximumAttempts ?? ATTEMPTS_WITHOUT_QUEUE;
@@ -452,7 +378,7 @@
 
   private tick(): void {
     this.table.tick(steadyNow());
-    if (this.openJobs.size > 0) this.queueRound();
+    if (this.jobs.open.size > 0) this.queueRound();
   }
 
   private queueRound(): void {
@@ -472,7 +398,7 @@
     if (!this.authority.isCertain(steady)) return;
     const now = this.now();
     const plan = planRound({
-      jobs: this.openJobs,
+      jobs: this.jobs.open,
       workers: this.table.workers,
       configuration,
       now,
--- /dev/null
+++ b/src/standins/listening.ts
@@ -0,0 +1,23 @@
+/**
+ * Servers that listen for as long as a scope is open.
+ */
+
+import {once} from 'node:events';
+import type {AddressInfo, Server} from 'node:net';
+import type {CleanupScope} from '../lifecycle/cleanup_scope.js';
+
+/** Listens until the scope closes and returns host and port; 0 takes any. */
+export async function listenUntilClosed(
+  server: Server,
+  scope: CleanupScope,
+  host: string,
+  port: number,
+  close: () => Promise<void> | void,
+): Promise<string> {
+  const listening = once(server, 'listening');
+  server.listen(port, host);
+  await listening;
+  scope.add(close);
+  const address = server.address() as AddressInfo;
+  return `${host}:${address.port}`;
+}
