Have another daemon end the lease of a leader that the store turns away

While the store serves nobody the term goes on.

Ruled out: a shorter lease (the store's least is 1 s, and a slow store would end terms), and resigning without asking (in an outage for all, leadership would be lost without a successor).

--- a/emulator/daemon.ts
+++ b/emulator/daemon.ts
@@ -6,6 +6,9 @@
 import {DaemonLog} from '../src/daemon/log.js';
 import {LeaderLog} from '../src/leader/leader_log.js';
 import {Leadership} from '../src/leader/leadership.js';
+import {LEADER_KEY} from '../src/leader/records.js';
+import {StoreProxy} from '../src/leader/store_proxy.js';
+import type {CoordinationStore} from '../src/parties/coordination_store.js';
 import {SiteView} from '../src/leader/site_view.js';
 import {CleanupScope} from '../src/lifecycle/cleanup_scope.js';
 import {SystemClock} from '../src/lifecycle/clock.js';
@@ -26,6 +29,28 @@
   noStoreFaults,
 } from './site.js';
 
+/** Reaches the store through the first other daemon that it serves. */
+class EmulatedProxy extends StoreProxy {
+  constructor(
+    private readonly name: string,
+    private readonly daemons: ReadonlyMap<string, EmulatedDaemon>,
+  ) {
+    super();
+  }
+
+  override async findServed(): Promise<string | undefined> {
+    for (const [name, {store}] of this.daemons) {
+      if (name !== this.name && (await store.get(LEADER_KEY)).isOk) return name;
+    }
+    return undefined;
+  }
+
+  override async endLease(address: string, lease: number): Promise<boolean> {
+    const ended = await this.daemons.get(address)?.store.endLease(lease);
+    return ended?.isOk === true;
+  }
+}
+
 /** Longer than any run of the emulator, so that nothing is cleaned away. */
 const STATE_RETENTION_MS = 600_000;
 
@@ -45,6 +70,7 @@
   readonly storeFaults = noStoreFaults();
   readonly orderFaults = noOrderFaults();
   readonly vmFaults: VmFaults = {late: 0, lateMs: 0};
+  readonly store: CoordinationStore;
   readonly leadership: Leadership;
   readonly site: SiteView;
 
@@ -53,6 +79,11 @@
     const random = new SeededRandom(options.seed);
     const log = new DaemonLog(name, options.logLevel);
     const store = new EmulatedStore(emulated.store, this.storeFaults, random);
+    this.store = store;
+    emulated.daemons.set(name, this);
+    this.scope.add(() => {
+      emulated.daemons.delete(name);
+    });
     this.site = new SiteView(store, this.scope, log.part('membership'));
     this.leadership = new Leadership(
       {
@@ -60,6 +91,7 @@
         workers: new EmulatedWorkers(emulated, this.orderFaults, random),
         directory: emulated.directoryFor(store),
         advisor: emulated.advisor,
+        proxy: new EmulatedProxy(name, emulated.daemons),
         workerVms: {
           vmService: new EmulatedVmService(emulated, this.vmFaults, random),
           requests: new EmulatedMaintenanceRequests(store),
--- a/emulator/site.ts
+++ b/emulator/site.ts
@@ -50,6 +50,7 @@
   type WorkerListing,
   type WorkerWatchAnswer,
 } from '../src/parties/worker_directory.js';
+import type {EmulatedDaemon} from './daemon.js';
 import {Ledger} from './ledger.js';
 import {StoreState} from './store_state.js';
 import {EmulatedVms} from './vms.js';
@@ -417,6 +418,8 @@
   readonly ledger = new Ledger();
   readonly workers = new Map<WorkerId, EmulatedWorker>();
   readonly vms = new EmulatedVms(this);
+  /** Daemons that run, by name. */
+  readonly daemons = new Map<string, EmulatedDaemon>();
   readonly standbyPools: ReadonlySet<ServiceId> = new Set([STANDBY_POOL]);
   /** Set where workers take starts with a ticket only. */
   advisor: EmulatedAdvisor | undefined;
--- a/src/entry/calls.ts
+++ b/src/entry/calls.ts
@@ -78,6 +78,17 @@
 ]);
 export type LeaderReply = Readonly<z.infer<typeof leaderReplySchema>>;
 
+/** What a daemon that the store turns away asks another one to do for it. */
+export const storeErrandSchema = z.discriminatedUnion('kind', [
+  /** Tell whether the store answers. */
+  z.object({kind: z.literal('probe')}),
+  z.object({kind: z.literal('endLease'), lease: z.number()}),
+]);
+export type StoreErrand = Readonly<z.infer<typeof storeErrandSchema>>;
+
+export const errandReplySchema = z.object({isDone: z.boolean()});
+export type ErrandReply = Readonly<z.infer<typeof errandReplySchema>>;
+
 /** Returns what the daemon answers if this daemon leads. */
 export abstract class LeaderDesk {
   abstract answer(question: LeaderQuestion): LeaderReply;
@@ -94,4 +105,9 @@
     address: string,
     call: CallerCall,
   ): Promise<CallerAnswer | undefined>;
+
+  abstract run(
+    address: string,
+    errand: StoreErrand,
+  ): Promise<ErrandReply | undefined>;
 }
--- a/src/entry/entry_daemon.ts
+++ b/src/entry/entry_daemon.ts
@@ -37,6 +37,7 @@
 import type {HttpHandler} from './http_listener.js';
 import {HttpListener} from './http_listener.js';
 import {HttpSitePeers, peerHandler} from './http_peers.js';
+import {PeerStoreProxy, runErrand} from './peer_store_proxy.js';
 import type {EntrySettings} from './settings.js';
 import {SiteOperators} from './site_operators.js';
 
@@ -99,9 +100,11 @@
       log.part('configuration'),
     );
     this.site = new SiteView(parties.store, scope, log.part('membership'));
+    const peers = new HttpSitePeers(new ConnectionsByAddress(scope));
     this.leadership = new Leadership(
       {
         ...parties,
+        proxy: new PeerStoreProxy(peers, this.site, random, this.peerAddress),
         workerVms: workerVmOptions(settings, parties),
         clock,
         log: new LeaderLog(log),
@@ -126,7 +129,7 @@
         feed: this.feed,
         site: this.site,
         desk,
-        peers: new HttpSitePeers(new ConnectionsByAddress(scope)),
+        peers,
         clock,
         random,
         log: log.part('entry'),
@@ -151,6 +154,7 @@
           desk,
           operators: this.operators(),
           handleForwarded: (call) => this.answer(call, true),
+          runErrand: (errand) => runErrand(this.options.parties.store, errand),
           metrics: () => this.metrics.text(this.leadership.session),
         }),
         log.part('peers'),
--- a/src/entry/http_peers.ts
+++ b/src/entry/http_peers.ts
@@ -14,15 +14,19 @@
   CallerAnswer,
   CallerCall,
   LeaderDesk,
+  ErrandReply,
   LeaderQuestion,
   LeaderReply,
+  StoreErrand,
 } from './calls.js';
 import {
   SitePeers,
   callerAnswerSchema,
   callerCallSchema,
+  errandReplySchema,
   leaderQuestionSchema,
   leaderReplySchema,
+  storeErrandSchema,
 } from './calls.js';
 import type {HttpHandler} from './http_listener.js';
 import {SITE_PATH} from './site_operators.js';
@@ -30,6 +34,7 @@
 
 const ASK_PATH = '/peers/ask';
 const CALL_PATH = '/peers/calls';
+const ERRAND_PATH = '/peers/errands';
 export const METRICS_PATH = '/metrics';
 
 /** Answered from memory, a few milliseconds away. */
@@ -72,6 +77,19 @@
     );
   }
 
+  override run(
+    address: string,
+    errand: StoreErrand,
+  ): Promise<ErrandReply | undefined> {
+    return this.post(
+      address,
+      ERRAND_PATH,
+      errand,
+      errandReplySchema,
+      FORWARD_TIMEOUT_MS,
+    );
+  }
+
   private async post<T>(
     address: string,
     path: string,
@@ -99,6 +117,7 @@
   readonly desk: LeaderDesk;
   readonly operators: SiteOperators;
   handleForwarded(call: CallerCall): Promise<CallerAnswer>;
+  runErrand(errand: StoreErrand): Promise<ErrandReply>;
   metrics(): Promise<string>;
 }
 
@@ -131,6 +150,13 @@
         return;
       }
     }
+    if (request.url === ERRAND_PATH) {
+      const errand = storeErrandSchema.safeParse(message);
+      if (errand.success) {
+        sendJson(response, await target.runErrand(errand.data));
+        return;
+      }
+    }
     response.writeHead(400);
     response.end();
   };
--- a/src/leader/leader_log.ts
+++ b/src/leader/leader_log.ts
@@ -34,6 +34,11 @@
     this.leader.warn(`term ${term} ended: ${reason}`);
   }
 
+  handedOver(term: number, address: string, hasEnded: boolean): void {
+    const outcome = hasEnded ? 'ended' : 'did not end';
+    this.leader.info(`${address} ${outcome} the lease of term ${term}`);
+  }
+
   uncertain(term: number, reason: string): void {
     this.leader.warn(`term ${term} is not certain: ${reason}`);
   }
--- a/src/leader/leadership.ts
+++ b/src/leader/leadership.ts
@@ -23,6 +23,7 @@
 import {keepRecordsFor} from './record_cleaner.js';
 import type {Authority, SessionParties, SessionSettings} from './session.js';
 import {LeaderSession} from './session.js';
+import type {StoreProxy} from './store_proxy.js';
 import type {SiteView} from './site_view.js';
 
 /**
@@ -33,6 +34,14 @@
 const LEADER_RENEWAL_MS = 500;
 const RENEWAL_RETRY_MS = 100;
 
+/**
+ * After renewals were refused, or got no answer, for this long, another daemon
+ * is asked whether the store serves it. The second is longer than one call that
+ * got no answer, as the store may lose a single one.
+ */
+const REFUSED_MS = 150;
+const UNANSWERED_MS = 700;
+
 /** Share of the lease that counts, as the clocks of both sides may differ. */
 const COUNTED_LEASE_SHARE = 0.95;
 
@@ -64,13 +73,18 @@
   readonly stateRetentionMs: number;
 }
 
+export interface LeadershipParties extends SessionParties {
+  /** Absent where daemons cannot reach each other. */
+  readonly proxy?: StoreProxy | undefined;
+}
+
 export class Leadership {
   private current: Term | undefined;
   private isElecting = false;
   private isResigning = false;
 
   constructor(
-    private readonly parties: SessionParties,
+    private readonly parties: LeadershipParties,
     private readonly settings: LeadershipSettings,
     private readonly site: SiteView,
     private readonly configuration: () => HostedConfiguration | undefined,
@@ -235,9 +249,12 @@
   private clockOffsetMs: number;
   private wasCertain = true;
   private hasEnded = false;
+  /** When renewals began to fail. */
+  private failingSince: SteadyTime | undefined;
+  private isHandingOver = false;
 
   constructor(
-    private readonly parties: SessionParties,
+    private readonly parties: LeadershipParties,
     private readonly settings: LeadershipSettings,
     configuration: () => HostedConfiguration | undefined,
     private readonly election: Election,
@@ -309,6 +326,7 @@
         this.clockOffsetMs = offsetMs;
         if (!this.wasCertain) this.parties.log.certainAgain(this.term);
         this.wasCertain = true;
+        this.failingSince = undefined;
         await this.scope.sleep(LEADER_RENEWAL_MS);
         continue;
       }
@@ -316,6 +334,12 @@
         this.lose('the lease of its key has ended');
         return;
       }
+      this.failingSince ??= sentAt;
+      const isRefused = renewed.error.kind !== 'unknown-effect';
+      const patienceMs = isRefused ? REFUSED_MS : UNANSWERED_MS;
+      if (steadyNow() - this.failingSince >= patienceMs) {
+        void this.handOver();
+      }
       if (this.wasCertain && !this.isCertain(steadyNow())) {
         this.wasCertain = false;
         this.parties.log.uncertain(this.term, renewed.error.message);
@@ -324,6 +348,25 @@
     }
   }
 
+  /**
+   * Ends the term if another daemon can tell the store so. While the store
+   * serves nobody, the term goes on: a new leader could do no more.
+   */
+  private async handOver(): Promise<void> {
+    const {proxy, log} = this.parties;
+    if (proxy === undefined || this.isHandingOver) return;
+    this.isHandingOver = true;
+    const address = await proxy.findServed();
+    const isFailing = this.failingSince !== undefined;
+    if (address !== undefined && isFailing && !this.hasEnded) {
+      // Nothing is ordered any more before the lease ends.
+      await this.end(`the store serves ${address} and not this daemon`, false);
+      const ended = await proxy.endLease(address, this.election.lease);
+      log.handedOver(this.term, address, ended);
+    }
+    this.isHandingOver = false;
+  }
+
   /** Changes when the VM was suspended or its time of day was set. */
   private offsetMs(steady: SteadyTime): number {
     return this.parties.clock.now() - steady;
--- a/test/entry_gateway.test.ts
+++ b/test/entry_gateway.test.ts
@@ -74,6 +74,10 @@
     return Promise.resolve(this.reply);
   }
 
+  override run(): Promise<undefined> {
+    return Promise.resolve(undefined);
+  }
+
   override forward(address: string): Promise<CallerAnswer | undefined> {
     this.forwarded.push(address);
     return Promise.resolve(this.answer);
--- a/test/leader_faults.test.ts
+++ b/test/leader_faults.test.ts
@@ -129,6 +129,32 @@
     await until('the first follows', () => !first.leads);
   });
 
+  it('hands over soon when the store turns it away and serves another', async () => {
+    // Nothing was started for the rest of the lease, up to 2 s (inc-624d).
+    const first = await fixture.leader('first');
+    const second = fixture.add('second');
+    await until('the second sees the first', () => second.site.leader != null);
+    first.storeFaults.down = 'refused';
+    const startedAt = Date.now();
+    await until('the second leads', () => second.leads);
+    const tookMs = Date.now() - startedAt;
+    assert.ok(tookMs < 1_800, `the takeover took ${tookMs} ms`);
+  });
+
+  it('keeps its term while the store serves nobody', async () => {
+    const first = await fixture.leader('first');
+    const second = fixture.add('second');
+    await until('the second sees the first', () => second.site.leader != null);
+    const {term} = first.leadership;
+    fixture.site.pausesLeases = true;
+    for (const daemon of [first, second]) daemon.storeFaults.down = 'refused';
+    await delay(1_500);
+    for (const daemon of [first, second]) daemon.storeFaults.down = undefined;
+    await until('the first leads', () => first.leads);
+    assert.equal(first.leadership.term, term);
+    fixture.site.pausesLeases = false;
+  });
+
   it('voids a start whose first attempt got no answer', async () => {
     // The second attempt was refused, the unit was placed elsewhere, and the
     // first attempt was carried out seconds later.
