--- a/src/daemon/settings_reference.ts
+++ b/src/daemon/settings_reference.ts
@@ -3,6 +3,7 @@
  */
 
 import {z} from 'zod';
+import {entrySettingsSchema} from '../entry/settings.js';
 import {settingsSchema} from './settings.js';
 
 const referenceNodeSchema = z.object({
@@ -29,13 +30,26 @@
 | --- | --- | --- |
 `;
 
+const ENTRY_HEAD = `
+## The entry daemon of a hosted site
+
+The platform renders this file from \`deploy/settings.json\`. A field that is
+not listed here is refused. The unit is in the name, milliseconds or seconds.
+
+| setting | default | meaning |
+| --- | --- | --- |
+`;
+
 /** Returns the text of the page. */
 export function renderSettingsReference(): string {
-  const root = z.toJSONSchema(settingsSchema, {
-    io: 'input',
-    unrepresentable: 'any',
-  });
-  return HEAD + rowsOf('', referenceNodeSchema.parse(root)).join('');
+  return (
+    HEAD + tableOf(settingsSchema) + ENTRY_HEAD + tableOf(entrySettingsSchema)
+  );
+}
+
+function tableOf(schema: z.ZodType): string {
+  const root = z.toJSONSchema(schema, {io: 'input', unrepresentable: 'any'});
+  return rowsOf('', referenceNodeSchema.parse(root)).join('');
 }
 
 function rowsOf(path: string, node: ReferenceNode): string[] {
--- a/src/entry/settings.ts
+++ b/src/entry/settings.ts
@@ -13,7 +13,9 @@
 });
 
 const vmServiceSchema = z.strictObject({
-  address: addressSchema,
+  address: addressSchema.describe(
+    'Address of the service; without one, leave the whole section out.',
+  ),
   maintenanceS: z
     .number()
     .positive()
