--- a/soak/daemon_process.ts
+++ b/soak/daemon_process.ts
@@ -3,9 +3,9 @@
  * behind links that delay, reset, silence or cut connections.
  */
 
+import {randomInt} from 'node:crypto';
 import {mkdtemp, rm, writeFile} from 'node:fs/promises';
 import {createServer} from 'node:net';
-import type {AddressInfo} from 'node:net';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import {fileURLToPath} from 'node:url';
@@ -18,6 +18,10 @@
 const HOST = '127.0.0.1';
 const PROGRAM = fileURLToPath(new URL('../platform/main.js', import.meta.url));
 
+/** Linux takes ports of outgoing connections from 32,768 on. */
+const FIRST_PORT = 15_000;
+const FIRST_EPHEMERAL_PORT = 32_768;
+
 /** Lines of the log that are kept for the report of a failed seed. */
 const KEPT_LOG_LINES = 20_000;
 
@@ -138,10 +142,20 @@
   }
 }
 
+/**
+ * Returns a port that is free now and that no outgoing connection will take: a
+ * daemon needs it again after each restart.
+ */
 async function freePort(): Promise<number> {
-  const server = createServer();
-  await new Promise<void>((resolve) => server.listen(0, HOST, resolve));
-  const {port} = server.address() as AddressInfo;
-  await new Promise((resolve) => server.close(resolve));
-  return port;
+  for (;;) {
+    const port = randomInt(FIRST_PORT, FIRST_EPHEMERAL_PORT);
+    const server = createServer();
+    const isFree = await new Promise<boolean>((resolve) => {
+      server.once('error', () => resolve(false));
+      server.listen(port, HOST, () => resolve(true));
+    });
+    if (!isFree) continue;
+    await new Promise((resolve) => server.close(resolve));
+    return port;
+  }
 }
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -72,7 +72,18 @@
       if (chosen === undefined || this.isClosing) continue;
       const [name, fault] = chosen;
       this.played.push(name);
-      void fault(this.between(SHORTEST_FAULT_MS, LONGEST_FAULT_MS));
+      void this.run(name, fault);
+    }
+  }
+
+  /** A process that does not start again is a finding, not an error here. */
+  private async run(name: string, fault: Fault): Promise<void> {
+    try {
+      await fault(this.between(SHORTEST_FAULT_MS, LONGEST_FAULT_MS));
+    } catch (error) {
+      const detail = error instanceof Error ? error.message : String(error);
+      const {violations} = this.targets.platform.site.ledger;
+      violations.push(`FAULT: after "${name}": ${detail}`);
     }
   }
 
