--- a/soak/daemon_process.ts
+++ b/soak/daemon_process.ts
@@ -124,6 +124,11 @@
     this.isRestarting = false;
   }
 
+  /** Asks the process to stop and waits until it has ended. */
+  async stop(): Promise<void> {
+    await this.process?.stop();
+  }
+
   /** Stops the process from running for a time. */
   async pause(pauseMs: number): Promise<void> {
     const {process} = this;
--- a/src/leader/leadership.ts
+++ b/src/leader/leadership.ts
@@ -35,13 +35,16 @@
 const RENEWAL_RETRY_MS = 100;
 
 /**
- * After renewals were refused, or got no answer, for this long, another daemon
- * is asked whether the store serves it. The second is longer than one call that
- * got no answer, as the store may lose a single one.
+ * After renewals have failed for this long, another daemon is asked whether the
+ * store serves it. The second time is for renewals that failed by their time
+ * limit: it is longer than one such call, as the store may lose a single one.
  */
 const REFUSED_MS = 150;
 const UNANSWERED_MS = 700;
 
+/** A call that fails sooner was refused or its connection was reset. */
+const PROMPT_FAILURE_MS = 300;
+
 /** Share of the lease that counts, as the clocks of both sides may differ. */
 const COUNTED_LEASE_SHARE = 0.95;
 
@@ -335,9 +338,10 @@
         return;
       }
       this.failingSince ??= sentAt;
-      const isRefused = renewed.error.kind !== 'unknown-effect';
-      const patienceMs = isRefused ? REFUSED_MS : UNANSWERED_MS;
-      if (steadyNow() - this.failingSince >= patienceMs) {
+      const failedAt = steadyNow();
+      const isPrompt = failedAt - sentAt < PROMPT_FAILURE_MS;
+      const patienceMs = isPrompt ? REFUSED_MS : UNANSWERED_MS;
+      if (failedAt - this.failingSince >= patienceMs) {
         void this.handOver();
       }
       if (this.wasCertain && !this.isCertain(steadyNow())) {
--- /dev/null
+++ b/test/entry_stop.test.ts
@@ -0,0 +1,68 @@
+/**
+ * A planned stop of a real daemon ends within its grace time, also when what
+ * it waits for does not answer.
+ */
+
+import assert from 'node:assert/strict';
+import {connect} from 'node:net';
+import {after, before, describe, it} from 'node:test';
+import {setTimeout as delay} from 'node:timers/promises';
+import {HttpPlatform} from '../emulator/http_platform.js';
+import {DaemonProcess} from '../soak/daemon_process.js';
+import {CleanupScope} from '../src/lifecycle/cleanup_scope.js';
+import {SeededRandom} from '../src/lifecycle/random.js';
+import {linkFaultsSchema} from '../src/standins/fault_link.js';
+import {until} from './leader_fixture.js';
+
+const STOP_GRACE_S = 2;
+
+describe('a daemon that is asked to stop', () => {
+  const scope = new CleanupScope();
+  let daemon: DaemonProcess;
+
+  before(async () => {
+    const platform = await HttpPlatform.start(
+      {
+        racks: 1,
+        workersPerRack: 2,
+        acceleratorsPerWorker: 8,
+        holdMaximumMs: 3_000,
+      },
+      new SeededRandom(1),
+      scope,
+      (_vmId, address) => Promise.resolve(address),
+    );
+    platform.configure({version: 1, routes: []});
+    daemon = await DaemonProcess.create(
+      'entry-1',
+      platform,
+      await platform.openVmService(),
+      {workerLeaseMs: 3_000, stopGraceS: STOP_GRACE_S},
+      scope,
+    );
+    await daemon.start();
+    await until('it leads', () =>
+      daemon.logLines.some((line) => line.includes('adopted')),
+    );
+  });
+
+  after(() => scope.close());
+
+  it('ends in time while the store is silent and callers stay connected', async () => {
+    // One of 40 machines was still there when its time to stop was over.
+    const separator = daemon.address.lastIndexOf(':');
+    const caller = connect({
+      host: daemon.address.slice(0, separator),
+      port: Number(daemon.address.slice(separator + 1)),
+    });
+    caller.on('error', () => undefined);
+    caller.write('POST /unfinished HTTP/1.1\r\nContent-Length: 9\r\n\r\n');
+    daemon.storeLink.faults = linkFaultsSchema.parse({freeze: 'both'});
+    await delay(100);
+    const startedAt = Date.now();
+    await daemon.stop();
+    const tookMs = Date.now() - startedAt;
+    caller.destroy();
+    assert.ok(tookMs < STOP_GRACE_S * 1_000, `it took ${tookMs} ms`);
+  });
+});
