Let the soak's waves reach real daemons, and require that they end

The emulator kept waves of maintenance under keys of its own, so that the soak's daemons, which read the platform's keys, never saw one: the fault "maintenance" had done nothing in all seeds so far. Waves and their status now have the platform's form, read by the platform's own codec in process too, and the soak reports a wave that is not complete in the end.

--- a/emulator/daemon.ts
+++ b/emulator/daemon.ts
@@ -3,6 +3,7 @@
  */
 
 import type bunyan from 'bunyan';
+import {PlatformMaintenanceRequests} from '../platform/machines.js';
 import {DaemonLog} from '../src/daemon/log.js';
 import {LeaderLog} from '../src/leader/leader_log.js';
 import {Leadership} from '../src/leader/leadership.js';
@@ -16,11 +17,7 @@
 import {trustedId} from '../src/model/ids.js';
 import type {HostedConfiguration} from '../src/model/queues.js';
 import type {EmulatedSite} from './site.js';
-import {
-  EmulatedMaintenanceRequests,
-  EmulatedVmService,
-  MAINTENANCE_MS,
-} from './vms.js';
+import {EmulatedVmService, MAINTENANCE_MS} from './vms.js';
 import type {VmFaults} from './vms.js';
 import {
   EmulatedStore,
@@ -94,7 +91,7 @@
         proxy: new EmulatedProxy(name, emulated.daemons),
         workerVms: {
           vmService: new EmulatedVmService(emulated, this.vmFaults, random),
-          requests: new EmulatedMaintenanceRequests(store),
+          requests: new PlatformMaintenanceRequests(store, log.part('vms')),
           holder: trustedId(name),
           maintenanceMs: MAINTENANCE_MS,
           noticeMs: options.noticeMs ?? 0,
--- a/emulator/vms.ts
+++ b/emulator/vms.ts
@@ -5,20 +5,12 @@
  */
 
 import {Result} from 'true-myth';
+import {z} from 'zod';
 import type {RandomSource} from '../src/lifecycle/random.js';
 import {trustedId} from '../src/model/ids.js';
 import type {ServiceId, VmId, WorkerId} from '../src/model/ids.js';
-import {eventKey, watchChanges} from '../src/parties/coordination_store.js';
-import type {
-  ChangeBatch,
-  CoordinationStore,
-  StorePut,
-  StoreReadFailure,
-} from '../src/parties/coordination_store.js';
-import {MaintenanceRequests} from '../src/parties/maintenance_requests.js';
 import type {
   MaintenanceWave,
-  WaveListing,
   WaveStatus,
 } from '../src/parties/maintenance_requests.js';
 import {VmService} from '../src/parties/vm_service.js';
@@ -31,8 +23,11 @@
 import type {EmulatedSite} from './site.js';
 import {pause} from './site.js';
 
-const WAVE_PREFIX = 'requests/waves/';
-const STATUS_PREFIX = 'status/waves/';
+/** Keys and messages of the platform, see `platform/machines.ts`. */
+const WAVE_PREFIX = 'op/wave/';
+const STATUS_PREFIX = 'status/wave/';
+
+const statusSchema = z.object({state: z.enum(['running', 'complete'])});
 
 /** Time that a VM is down for maintenance, or under way to another pool. */
 export const MAINTENANCE_MS = 200;
@@ -81,24 +76,35 @@
 
   request(wave: MaintenanceWave): void {
     this.waves.set(wave.waveId, wave);
-    this.site.store.put(`${WAVE_PREFIX}${wave.waveId}`, JSON.stringify(wave));
+    const {waveId, vmIds, durationMs, maximumDown} = wave;
+    const message = {
+      wave: waveId,
+      machines: vmIds,
+      durationS: durationMs / 1_000,
+      cap: maximumDown,
+    };
+    this.site.store.put(`${WAVE_PREFIX}${waveId}`, JSON.stringify(message));
   }
 
   /** Returns the status that the operators read, and checks it. */
   statusOf(waveId: number): WaveStatus | undefined {
     const item = this.site.store.get(`${STATUS_PREFIX}${waveId}`);
-    const status = item?.value as WaveStatus | undefined;
-    if (status !== 'complete') return status;
+    if (item === undefined) return undefined;
+    const {state} = statusSchema.parse(JSON.parse(item.value));
+    if (state !== 'complete') return state;
     for (const vmId of this.waves.get(waveId)?.vmIds ?? []) {
       if (this.vms.get(vmId)?.maintainedIn.has(waveId) === false) {
         this.violation(`MIXED: wave ${waveId} is complete without ${vmId}`);
       }
     }
-    return status;
+    return state;
   }
 
-  poolOf(vmId: VmId): ServiceId | undefined {
-    return this.vms.get(vmId)?.poolId;
+  /** Waves that were asked for and are not complete. */
+  get openWaves(): number[] {
+    return [...this.waves.keys()].filter(
+      (waveId) => this.statusOf(waveId) !== 'complete',
+    );
   }
 
   list(): WorkerVm[] {
@@ -205,40 +211,3 @@
     return {kind: 'unknown', detail: 'no answer'};
   }
 }
-
-/** The operators' waves as one daemon reads them. */
-export class EmulatedMaintenanceRequests extends MaintenanceRequests {
-  constructor(private readonly store: CoordinationStore) {
-    super();
-  }
-
-  override async list(): Promise<Result<WaveListing, StoreReadFailure>> {
-    const listed = await this.store.list(WAVE_PREFIX);
-    return listed.map(({items, revision}) => ({
-      waves: items.map(({value}) => JSON.parse(value) as MaintenanceWave),
-      revision,
-    }));
-  }
-
-  override watch(
-    afterRevision: number,
-    waitMs: number,
-    signal: AbortSignal,
-  ): Promise<Result<ChangeBatch<MaintenanceWave>, StoreReadFailure>> {
-    return watchChanges(
-      this.store,
-      WAVE_PREFIX,
-      afterRevision,
-      waitMs,
-      signal,
-      (event) =>
-        event.kind === 'written' && eventKey(event).startsWith(WAVE_PREFIX)
-          ? [JSON.parse(event.item.value) as MaintenanceWave]
-          : [],
-    );
-  }
-
-  override statusPut(waveId: number, status: WaveStatus): StorePut {
-    return {key: `${STATUS_PREFIX}${waveId}`, value: status};
-  }
-}
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -108,6 +108,9 @@
     callers.stop();
     await this.untilEnded(callers);
     await this.checkConfiguration(platform, callers);
+    for (const waveId of platform.site.vms.openWaves) {
+      ledger.violations.push(`MIXED: wave ${waveId} did not end`);
+    }
     for (const jobId of callers.open.keys()) {
       ledger.violations.push(`LOST: ${jobId} did not end`);
     }
