--- a/soak/daemon_process.ts
+++ b/soak/daemon_process.ts
@@ -3,7 +3,6 @@
  * behind links that delay, reset, silence or cut connections.
  */
 
-import {randomInt} from 'node:crypto';
 import {mkdtemp, rm, writeFile} from 'node:fs/promises';
 import {createServer} from 'node:net';
 import {tmpdir} from 'node:os';
@@ -18,9 +17,15 @@
 const HOST = '127.0.0.1';
 const PROGRAM = fileURLToPath(new URL('../platform/main.js', import.meta.url));
 
-/** Linux takes ports of outgoing connections from 32,768 on. */
+/**
+ * Linux takes ports of outgoing connections from 32,768 on. Each process has a
+ * part of the range below for itself, which a hundred daemons do not use up.
+ */
 const FIRST_PORT = 15_000;
-const FIRST_EPHEMERAL_PORT = 32_768;
+const PORTS_PER_PROCESS = 350;
+const PROCESS_PARTS = 50;
+
+let nextPort = FIRST_PORT + (process.pid % PROCESS_PARTS) * PORTS_PER_PROCESS;
 
 /** Lines of the log that are kept for the report of a failed seed. */
 const KEPT_LOG_LINES = 20_000;
@@ -148,12 +153,13 @@
 }
 
 /**
- * Returns a port that is free now and that no outgoing connection will take: a
- * daemon needs it again after each restart.
+ * Returns a port that is free now and that neither an outgoing connection nor
+ * another soak will take: a daemon needs it again after each restart.
  */
 async function freePort(): Promise<number> {
   for (;;) {
-    const port = randomInt(FIRST_PORT, FIRST_EPHEMERAL_PORT);
+    const port = nextPort;
+    nextPort += 1;
     const server = createServer();
     const isFree = await new Promise<boolean>((resolve) => {
       server.once('error', () => resolve(false));
