Spread the soak's ports over more parts

With 50 parts two of the three test processes that start daemons would meet in one of 17 runs; they now have 290 parts, and count round their own.

--- a/soak/daemon_process.ts
+++ b/soak/daemon_process.ts
@@ -18,14 +18,19 @@
 const PROGRAM = fileURLToPath(new URL('../platform/main.js', import.meta.url));
 
 /**
- * Linux takes ports of outgoing connections from 32,768 on. Each process has a
- * part of the range below for itself, which a hundred daemons do not use up.
+ * Linux takes ports of outgoing connections from 32,768 on. Each process counts
+ * round a part of the range below: 20 daemons of three ports each. The factor
+ * puts processes that start together into parts that are far apart.
  */
 const FIRST_PORT = 15_000;
-const PORTS_PER_PROCESS = 350;
-const PROCESS_PARTS = 50;
+const PORTS_PER_PROCESS = 60;
+const PROCESS_PARTS = 290;
+const PART_FACTOR = 7_919;
 
-let nextPort = FIRST_PORT + (process.pid % PROCESS_PARTS) * PORTS_PER_PROCESS;
+const firstOwnPort =
+  FIRST_PORT +
+  ((process.pid * PART_FACTOR) % PROCESS_PARTS) * PORTS_PER_PROCESS;
+let portsGiven = 0;
 
 /** Lines of the log that are kept for the report of a failed seed. */
 const KEPT_LOG_LINES = 20_000;
@@ -158,8 +163,8 @@
  */
 async function freePort(): Promise<number> {
   for (;;) {
-    const port = nextPort;
-    nextPort += 1;
+    const port = firstOwnPort + (portsGiven % PORTS_PER_PROCESS);
+    portsGiven += 1;
     const server = createServer();
     const isFree = await new Promise<boolean>((resolve) => {
       server.once('error', () => resolve(false));
