--- a/soak/main.ts
+++ b/soak/main.ts
@@ -14,6 +14,7 @@
 import {soak} from './soak.js';
 
 const EXIT_BROKEN = 1;
+const EXIT_STOPPED = 130;
 
 class SoakCommand extends Command {
   static override paths = [Command.Default];
@@ -43,6 +44,10 @@
   });
 
   override async execute(): Promise<number> {
+    const stop = new AbortController();
+    for (const signal of ['SIGINT', 'SIGTERM'] as const) {
+      process.once(signal, () => stop.abort());
+    }
     let isBroken = false;
     for (let seed = this.seed; seed < this.seed + this.seeds; seed += 1) {
       const report = await soak({
@@ -51,7 +56,9 @@
         daemons: this.daemons,
         racks: this.racks,
         workersPerRack: 4,
+        stop: stop.signal,
       });
+      if (stop.signal.aborted) return EXIT_STOPPED;
       this.context.stdout.write(asText(seed, report));
       if (report.violations.length === 0) continue;
       isBroken = true;
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -39,6 +39,8 @@
   readonly daemons: number;
   readonly racks: number;
   readonly workersPerRack: number;
+  /** Ends the soak early, with the daemons that it started. */
+  readonly stop?: AbortSignal;
 }
 
 export interface SoakReport {
@@ -52,6 +54,7 @@
 
 export async function soak(options: SoakOptions): Promise<SoakReport> {
   const scope = new CleanupScope();
+  options.stop?.addEventListener('abort', () => void scope.close());
   try {
     return await new Soak(options, scope).run();
   } finally {
@@ -196,6 +199,8 @@
   private async untilEnded(callers: Callers): Promise<void> {
     const limit = Date.now() + FINISH_MS;
     while (callers.open.size > 0 && Date.now() < limit) {
+      // A sleep in a closed scope returns at once.
+      if (this.scope.closed) return;
       await this.scope.sleep(POLL_MS);
     }
   }
