--- a/src/standins/standin_server.ts
+++ b/src/standins/standin_server.ts
@@ -127,7 +127,13 @@
       socket.on('error', () => undefined);
       socket.on('close', () => this.sockets.delete(socket));
     });
-    this.router = polka({server: this.server});
+    this.router = polka();
+    this.server.on('request', (request, response) => {
+      this.router.handler(
+        request as Parameters<typeof this.router.handler>[0],
+        response,
+      );
+    });
   }
 
   /** Number of open connections. */
