End looks that are under way when an emulated worker crashes

Trace: worker-0-3 crashed at 38.35 s under a look that had 0.7 s left and acknowledged ends of the earlier life; on the next life the emulator went on with it, so that the ends 1 and 2 of that life were forgotten at 38.75 s before any answer told of them. On the platform a crash ends the connections of a worker. Ruled out: the leader's numbers of ends (they start anew with a life).

The emulated worker now ends such looks, over HTTP and in process; the new test was answered "seen" without the fix.

--- a/emulator/http_platform.ts
+++ b/emulator/http_platform.ts
@@ -327,7 +327,10 @@
 
 function workerRoutes(find: () => EmulatedWorker | undefined): Routes {
   const meant = (
-    handle: (worker: EmulatedWorker, body: unknown) => Answer | Promise<Answer>,
+    handle: (
+      worker: EmulatedWorker,
+      body: unknown,
+    ) => Answer | Promise<Answer | undefined>,
   ): Handler => {
     return (body, request) => {
       const worker = find();
@@ -364,27 +367,36 @@
         worker.pace({task, run: runId, percent, term: fence}, Date.now()),
       );
     }),
-    'POST /v1/hold': meant(async (worker, body) => {
-      const {fence, observed, deadlineMs, waitMs} = lookSchema.parse(body);
-      const until = Date.now() + Math.min(waitMs, LONGEST_LOOK_MS);
-      for (;;) {
-        const outcome = worker.look(
-          {
-            term: fence,
-            acknowledgedSequence: observed,
-            leaseUntilMs: deadlineMs,
-            waitMs,
-          },
-          Date.now(),
-        );
-        const hasNews = outcome.kind !== 'seen' || outcome.ended.length > 0;
-        if (hasNews || Date.now() >= until) return encodeLook(outcome);
-        await pause(POLL_MS);
-      }
-    }),
+    'POST /v1/hold': meant(answerLook),
   };
 }
 
+/** Waits for an end, as long as the caller allows. */
+async function answerLook(
+  worker: EmulatedWorker,
+  body: unknown,
+): Promise<Answer | undefined> {
+  const {fence, observed, deadlineMs, waitMs} = lookSchema.parse(body);
+  const until = Date.now() + Math.min(waitMs, LONGEST_LOOK_MS);
+  const {life} = worker.entry;
+  for (;;) {
+    // A crash ends the calls under way; numbers of ends are of one life.
+    if (worker.entry.life !== life || !worker.isUp) return undefined;
+    const outcome = worker.look(
+      {
+        term: fence,
+        acknowledgedSequence: observed,
+        leaseUntilMs: deadlineMs,
+        waitMs,
+      },
+      Date.now(),
+    );
+    const hasNews = outcome.kind !== 'seen' || outcome.ended.length > 0;
+    if (hasNews || Date.now() >= until) return encodeLook(outcome);
+    await pause(POLL_MS);
+  }
+}
+
 async function listen(scope: CleanupScope, routes: Routes): Promise<string> {
   const server = createServer();
   const router = polka();
--- a/emulator/site.ts
+++ b/emulator/site.ts
@@ -270,10 +270,13 @@
     signal: AbortSignal,
   ): Promise<LookOutcome> {
     const until = Date.now() + request.waitMs;
+    const life = this.reach(worker)?.entry.life;
     for (;;) {
       await pause(this.faults.lookMs);
       const held = this.reach(worker);
-      if (held === undefined || signal.aborted) {
+      // A crash ends the calls under way; numbers of ends are of one life.
+      const isSameLife = held?.entry.life === life;
+      if (held === undefined || !isSameLife || signal.aborted) {
         return {kind: 'unanswered', detail: 'the worker is cut off'};
       }
       const outcome = held.look(request, Date.now());
--- a/test/platform_machines.test.ts
+++ b/test/platform_machines.test.ts
@@ -7,6 +7,7 @@
 import {createServer} from 'node:http';
 import type {AddressInfo} from 'node:net';
 import {after, afterEach, before, beforeEach, describe, it} from 'node:test';
+import {setTimeout as delay} from 'node:timers/promises';
 import fc from 'fast-check';
 import {HttpPlatform} from '../emulator/http_platform.js';
 import {EmulatedStore, noStoreFaults} from '../emulator/site.js';
@@ -143,6 +144,38 @@
     assert.equal(older.kind, 'superseded');
   });
 
+  it('ends a look that is under way when its worker crashes', async () => {
+    // Its acknowledgement was applied to the ends of the next life, so that a
+    // gang that had ended ran again (soak, seed 610).
+    const platform = await HttpPlatform.start(
+      {
+        racks: 1,
+        workersPerRack: 1,
+        acceleratorsPerWorker: 8,
+        holdMaximumMs: 1_000,
+      },
+      new SeededRandom(1),
+      scope,
+      (_vmId, workerAddress) => Promise.resolve(workerAddress),
+    );
+    const worker = platform.site.workerOn(VM_ID);
+    assert.ok(worker !== undefined);
+    const workers = new PlatformWorkerClient(new ConnectionsByAddress(scope));
+    const look = workers.look(
+      worker.entry,
+      {
+        term: 1,
+        acknowledgedSequence: 5,
+        leaseUntilMs: undefined,
+        waitMs: 1_000,
+      },
+      scope.signal,
+    );
+    await delay(100);
+    platform.site.restart(worker.entry.workerId);
+    assert.equal((await look).kind, 'unanswered');
+  });
+
   it('reads waves, and leaves out what is none', async () => {
     const state = new StoreState();
     const random = new SeededRandom(1);
