Wait for the list of VMs before guarantees are checked

The list of VMs lags, and a daemon that has just started may have read it before the workers stand in it.

--- a/src/daemon/guarantee_check.ts
+++ b/src/daemon/guarantee_check.ts
@@ -21,6 +21,18 @@
   vms: VmController,
 ): ConfigurationValidator {
   return (wouldBe, current) => {
+    const addsGuarantees = [...guaranteedByZone(wouldBe)].some(
+      ([zone, accelerators]) =>
+        accelerators > (guaranteedByZone(current).get(zone) ?? 0),
+    );
+    if (addsGuarantees && !vms.loaded) {
+      return Result.err(
+        new RefusedError(
+          'this daemon has not read the list of VMs yet',
+          'try again in a second',
+        ),
+      );
+    }
     const before = guaranteedByZone(current);
     for (const [zone, accelerators] of guaranteedByZone(wouldBe)) {
       if (accelerators <= (before.get(zone) ?? 0)) continue;
