--- a/src/harness/example_site.ts
+++ b/src/harness/example_site.ts
@@ -103,8 +103,8 @@
   return workClassId === 'check';
 }
 
-/** Refusals of a daemon whose list of VMs does not have the workers yet. */
-const VM_LIST_LAGS = /list of VMs yet|do not fit its 0 workers/;
+/** Refusals of a daemon whose list of VMs does not have all workers yet. */
+const VM_LIST_LAGS = /list of VMs yet|do not fit its \d+ workers/;
 
 /** Starts the small site and puts its questionnaires in force everywhere. */
 export async function startSmallSite(
