Order waiting work by slack and reserve capacity for wide gangs

Waiting work was placed in order of acceptance, so late jobs came before those that could still be in time, and gangs that need most of a rack found no capacity between single tasks.

Change: within rank and priority, work that can still meet its objective goes first, by its slack; run times come from what the queue's tasks really took. Gangs that do not fit reserve the workers where they can start earliest, and work that ends before may use them. The single tasks of a step are placed together.

--- a/src/leader/free_capacity.ts
+++ b/src/leader/free_capacity.ts
@@ -4,11 +4,19 @@
  */
 
 import type {SteadyTime} from '../lifecycle/clock.js';
-import type {RackId, ServiceId} from '../model/ids.js';
+import type {Instant, RackId, ServiceId} from '../model/ids.js';
 import type {TaskShape} from '../model/submissions.js';
 import type {Run, Unit} from './jobs.js';
+import type {PlanningView} from './planning_view.js';
 import type {WorkerState} from './worker_state.js';
 
+/** Capacity that is reserved for a gang from `startsAt` on. */
+interface Hold {
+  readonly startsAt: Instant;
+  /** What is left at that time for runs that have not ended by then. */
+  remaining: TaskShape;
+}
+
 export class FreeCapacity {
   private processorMillicores: number;
   private memoryMegabytes: number;
@@ -17,6 +25,7 @@
   private spareProcessor: number;
   /** Number of tasks placed in this round, by job, step and occurrence. */
   private readonly placed = new Map<string, number>();
+  private reserved: Hold | undefined;
 
   constructor(readonly worker: WorkerState) {
     const free = worker.freeCapacity();
@@ -42,25 +51,60 @@
     return this.processorMillicores;
   }
 
+  /** True if a part of the capacity is reserved for a gang. */
+  get isHeld(): boolean {
+    return this.reserved !== undefined;
+  }
+
+  /**
+   * Reserves capacity for tasks of a gang that is to start at `startsAt`, when
+   * `released` will have become free.
+   */
+  hold(
+    {step: {shape}}: Unit,
+    tasks: number,
+    startsAt: Instant,
+    released: TaskShape,
+  ): void {
+    this.reserved = {
+      startsAt,
+      remaining: {
+        processorMillicores:
+          this.processorMillicores +
+          released.processorMillicores -
+          shape.processorMillicores * tasks,
+        memoryMegabytes:
+          this.memoryMegabytes +
+          released.memoryMegabytes -
+          shape.memoryMegabytes * tasks,
+        accelerators:
+          this.accelerators +
+          released.accelerators -
+          shape.accelerators * tasks,
+      },
+    };
+  }
+
+  /**
+   * Returns how many tasks of the unit's step can start now and run until
+   * `endsAt` without delaying the gang for which capacity is reserved.
+   */
+  slotsUntil(unit: Unit, endsAt: Instant): number {
+    const slots = this.slots(unit);
+    if (this.reserved === undefined || endsAt <= this.reserved.startsAt) {
+      return slots;
+    }
+    return Math.min(slots, fittingTasks(unit, this.reserved.remaining));
+  }
+
   /** Returns how many tasks of the unit's step fit if `extra` were free too. */
-  slots(unit: Unit, extra?: TaskShape): number {
+  slots(unit: Unit, extra: TaskShape = NO_SHAPE): number {
     const {step} = unit;
-    const {shape} = step;
-    let slots = Math.min(
-      slotsFor(
-        this.memoryMegabytes + (extra?.memoryMegabytes ?? 0),
-        shape.memoryMegabytes,
-      ),
-      slotsFor(
-        this.accelerators + (extra?.accelerators ?? 0),
-        shape.accelerators,
-      ),
-    );
-    if (step.usesSpareProcessor !== true) {
-      const processor =
-        this.processorMillicores + (extra?.processorMillicores ?? 0);
-      slots = Math.min(slots, slotsFor(processor, shape.processorMillicores));
-    }
+    let slots = fittingTasks(unit, {
+      processorMillicores: this.processorMillicores + extra.processorMillicores,
+      memoryMegabytes: this.memoryMegabytes + extra.memoryMegabytes,
+      accelerators: this.accelerators + extra.accelerators,
+    });
     if (step.maximumPerWorker !== undefined) {
       const remaining = step.maximumPerWorker - this.tasksOf(unit);
       slots = Math.min(slots, Math.max(0, remaining));
@@ -68,8 +112,11 @@
     return slots;
   }
 
-  /** Deducts the requests of `count` tasks; the rest may become negative. */
-  allocate(unit: Unit, count: number): void {
+  /**
+   * Deducts the requests of `count` tasks that run until `endsAt`; the rest may
+   * become negative.
+   */
+  allocate(unit: Unit, count: number, endsAt: Instant): void {
     const {step} = unit;
     const key = stepKey(unit);
     this.placed.set(key, (this.placed.get(key) ?? 0) + count);
@@ -78,6 +125,18 @@
     if (step.usesSpareProcessor !== true) this.processorMillicores -= processor;
     this.memoryMegabytes -= step.shape.memoryMegabytes * count;
     this.accelerators -= step.shape.accelerators * count;
+    const {reserved} = this;
+    if (reserved === undefined || endsAt <= reserved.startsAt) return;
+    const {remaining} = reserved;
+    reserved.remaining = {
+      processorMillicores:
+        step.usesSpareProcessor === true
+          ? remaining.processorMillicores
+          : remaining.processorMillicores - processor,
+      memoryMegabytes:
+        remaining.memoryMegabytes - step.shape.memoryMegabytes * count,
+      accelerators: remaining.accelerators - step.shape.accelerators * count,
+    };
   }
 
   /** Counts tasks of the unit's step and occurrence on the worker. */
@@ -112,7 +171,6 @@
 export class FreeCapacityTable {
   readonly capacities: FreeCapacity[] = [];
   private readonly byRack = new Map<RackId | undefined, FreeCapacity[]>();
-  private readonly reservedRacks = new Set<RackId | undefined>();
   /** Share of the accelerators in use when the round began, 0 to 1. */
   readonly acceleratorUtilization: number;
 
@@ -146,21 +204,11 @@
     return [...this.byRack.values()];
   }
 
-  /** Excludes a rack for the units that follow in this round. */
-  reserveRack(rackId: RackId | undefined): void {
-    this.reservedRacks.add(rackId);
-  }
-
-  get reservedRackCount(): number {
-    return this.reservedRacks.size;
-  }
-
-  /** Returns the capacities that the unit may use, without reserved racks. */
+  /** Returns the capacities that the unit may use. */
   eligible(capacities: readonly FreeCapacity[], unit: Unit): FreeCapacity[] {
     const {requiredLabel} = unit.step;
     return capacities.filter(({worker}) => {
       const {entry} = worker;
-      if (this.reservedRacks.has(entry.rackId)) return false;
       if (unit.avoidedWorkers.has(worker.workerId)) return false;
       if (requiredLabel !== undefined && !entry.labels.has(requiredLabel)) {
         return false;
@@ -170,6 +218,46 @@
   }
 }
 
+/** The capacity tables of the services in one round. */
+export class FreeCapacityTables {
+  private readonly byService = new Map<ServiceId, FreeCapacityTable>();
+
+  constructor(private readonly view: PlanningView) {}
+
+  /** Returns the table of the workers that serve the unit's queue. */
+  tableFor({job}: Unit): FreeCapacityTable {
+    const {configuration, workers, steady} = this.view;
+    const serviceId =
+      configuration.queue(job.queueId)?.serviceId ?? job.serviceId;
+    let table = this.byService.get(serviceId);
+    if (table === undefined) {
+      table = new FreeCapacityTable(
+        workers.values(),
+        serviceId,
+        steady,
+        (unit, worker) => this.view.admits(unit, worker),
+      );
+      this.byService.set(serviceId, table);
+    }
+    return table;
+  }
+}
+
+/** Returns how many tasks of the unit's step fit into the free resources. */
+function fittingTasks({step}: Unit, free: TaskShape): number {
+  const {shape} = step;
+  const slots = Math.min(
+    slotsFor(free.memoryMegabytes, shape.memoryMegabytes),
+    slotsFor(free.accelerators, shape.accelerators),
+  );
+  return step.usesSpareProcessor === true
+    ? slots
+    : Math.min(
+        slots,
+        slotsFor(free.processorMillicores, shape.processorMillicores),
+      );
+}
+
 /** Returns how many times `needed` fits into the free amount of a resource. */
 function slotsFor(free: number, needed: number): number {
   return needed <= 0 ? Infinity : Math.max(0, Math.floor(free / needed));
--- a/src/leader/jobs.ts
+++ b/src/leader/jobs.ts
@@ -72,6 +72,8 @@
   wasStartSent = false;
   /** A start got no answer and may still be carried out. */
   mayStartLate = false;
+  /** An earlier leader started the run, at an unknown time. */
+  wasAdopted = false;
 
   constructor(
     readonly unit: Unit,
@@ -128,6 +130,8 @@
   readySince: Instant | undefined;
   /** Highest run number with a counted failure; a gang fails once per run. */
   failedRun = 0;
+  /** Last run whose duration was recorded. */
+  lastRecordedRun = 0;
 
   constructor(
     readonly job: Job,
@@ -371,6 +375,7 @@
     for (const run of runs) {
       run.phase = 'ordered';
       run.wasStartSent = true;
+      run.wasAdopted = true;
       run.pacePercent = UNKNOWN_PACE_PERCENT;
       // The new term voids earlier leaders' orders, so any list is decisive.
       run.presenceDecidedAt = steadyTime(0);
--- /dev/null
+++ b/src/leader/planning_view.ts
@@ -0,0 +1,19 @@
+/** What a scheduling round knows: the leader's cached view at one time. */
+
+import type {SteadyTime} from '../lifecycle/clock.js';
+import type {Instant} from '../model/ids.js';
+import type {HostedConfiguration} from '../model/queues.js';
+import type {Job, Unit} from './jobs.js';
+import type {RunTimeTable} from './run_times.js';
+import type {WorkerState} from './worker_state.js';
+
+export interface PlanningView {
+  readonly jobs: Iterable<Job>;
+  readonly workers: ReadonlyMap<string, WorkerState>;
+  readonly configuration: HostedConfiguration;
+  readonly runTimes: RunTimeTable;
+  readonly now: Instant;
+  readonly steady: SteadyTime;
+  /** True if the worker may run the unit by its queue's policy. */
+  admits(unit: Unit, worker: WorkerState): boolean;
+}
--- a/src/leader/session.ts
+++ b/src/leader/session.ts
@@ -35,6 +35,7 @@
 import {INBOX_PREFIX, PROGRESS_PREFIX} from './records.js';
 import {countWorkers, reportJob, summarizeJob} from './reports.js';
 import type {JobReport, JobSummary, WorkerCounts} from './reports.js';
+import {RunTimeTable} from './run_times.js';
 import {startVmManagement} from './vm_management.js';
 import type {WorkerVmOptions} from './vm_management.js';
 import type {WorkerState} from './worker_state.js';
@@ -87,6 +88,7 @@
   private readonly workerTable: WorkerTable;
   private readonly commitQueue: CommitQueue;
   private readonly admissions: AdmissionTickets;
+  private readonly runTimes = new RunTimeTable();
   private readonly paceController = new PaceController();
   /** Units for which the last round found no free capacity. */
   private waitingUnits: readonly Unit[] = [];
@@ -341,6 +343,7 @@
       }
     } else if (ending === 'done') {
       worker?.countSuccess();
+      this.runTimes.recordDone(run, now);
     }
     this.handleRunEnd(run, wasEnded);
   }
@@ -420,6 +423,7 @@
       jobs: this.registry.open,
       workers: this.workerTable.workers,
       configuration,
+      runTimes: this.runTimes,
       now,
       steady,
       admits: (unit, worker) => this.admissions.admits(unit, worker, steady),
--- /dev/null
+++ b/src/leader/unit_ranking.ts
@@ -0,0 +1,173 @@
+/**
+ * Ranks the units that are ready to start: guaranteed work first, then urgent
+ * work beyond the guarantees, then the other queues by priority, and within
+ * these by the time that is left.
+ */
+
+import type {CustomerId, Instant} from '../model/ids.js';
+import type {Queue} from '../model/queues.js';
+import type {FreeCapacityTables} from './free_capacity.js';
+import type {Job, Unit} from './jobs.js';
+import type {PlanningView} from './planning_view.js';
+import type {Rank, WaitingWork} from './queue_order.js';
+import {
+  compareByDeadline,
+  startDeadlines,
+  timelinessAt,
+} from './queue_order.js';
+import {CROSS_RACK_SLOWDOWN, isTooWideForRack} from './worker_groups.js';
+
+export type NonEmpty<T> = readonly [T, ...T[]];
+
+/** A gang, or the ready single tasks of one step, which are alike. */
+export interface RankedBatch extends WaitingWork {
+  readonly units: NonEmpty<Unit>;
+  readonly rank: Rank;
+  readonly priority: number;
+  readonly expectedMs: number;
+}
+
+export interface RankedBatches {
+  /** Highest rank first. */
+  readonly batches: readonly RankedBatch[];
+  /** Earliest time at which a unit becomes ready without any other event. */
+  readonly nextDueAt: Instant | undefined;
+}
+
+export function rankBatches(
+  view: PlanningView,
+  tables: FreeCapacityTables,
+): RankedBatches {
+  const ranking = new Ranking(view, tables);
+  return {batches: ranking.rank(), nextDueAt: ranking.nextDueAt};
+}
+
+class Ranking {
+  nextDueAt: Instant | undefined;
+  /** Accelerators that each customer's most urgent jobs need. */
+  private readonly requested = new Map<CustomerId, number>();
+
+  constructor(
+    private readonly view: PlanningView,
+    private readonly tables: FreeCapacityTables,
+  ) {}
+
+  rank(): RankedBatch[] {
+    const {jobs, configuration} = this.view;
+    const ranked: RankedBatch[] = [];
+    for (const job of jobs) {
+      if (job.isEnded) continue;
+      const queue = configuration.queue(job.queueId);
+      const rank = this.rankOf(job, queue);
+      for (const units of this.readyBatches(job)) {
+        ranked.push(this.rankBatch(units, rank, queue));
+      }
+    }
+    return ranked.sort(compareRanked);
+  }
+
+  /**
+   * A customer's jobs use up its guarantee in the order of their acceptance.
+   */
+  private rankOf(job: Job, queue: Queue | undefined): Rank {
+    if (queue === undefined || queue.priority > 0) return 'other';
+    const {customerId} = job;
+    if (customerId === undefined) return 'urgent';
+    const customer = this.view.configuration.customer(customerId);
+    const total = (this.requested.get(customerId) ?? 0) + openAccelerators(job);
+    this.requested.set(customerId, total);
+    const guaranteed = customer?.guaranteedAccelerators ?? 0;
+    return total <= guaranteed ? 'guaranteed' : 'urgent';
+  }
+
+  private rankBatch(
+    units: NonEmpty<Unit>,
+    rank: Rank,
+    queue: Queue | undefined,
+  ): RankedBatch {
+    const {runTimes, now} = this.view;
+    const [unit] = units;
+    const slowdown = isTooWideForRack(unit, this.tables.tableFor(unit))
+      ? CROSS_RACK_SLOWDOWN
+      : 1;
+    const deadlines = startDeadlines(unit, queue, runTimes, slowdown);
+    return {
+      units,
+      unit,
+      rank,
+      priority: queue?.priority ?? Infinity,
+      deadlines,
+      timeliness: timelinessAt(now, deadlines),
+      expectedMs: runTimes.expectedMs(unit.job, unit.step) * slowdown,
+    };
+  }
+
+  /** Units with workers to avoid are placed one by one. */
+  private readyBatches(job: Job): Array<NonEmpty<Unit>> {
+    const batches: Array<NonEmpty<Unit>> = [];
+    const singles = new Map<string, [Unit, ...Unit[]]>();
+    for (const unit of job.openUnits) {
+      if (!this.isReady(job, unit)) continue;
+      if (unit.step.gang === true || unit.avoidedWorkers.size > 0) {
+        batches.push([unit]);
+        continue;
+      }
+      const key = `${unit.occurrence}.${unit.stepIndex}`;
+      const batch = singles.get(key);
+      if (batch === undefined) singles.set(key, [unit]);
+      else batch.push(unit);
+    }
+    return [...batches, ...singles.values()];
+  }
+
+  private isReady(job: Job, unit: Unit): boolean {
+    const {now} = this.view;
+    if (job.isReady(unit, now)) {
+      unit.readySince ??= now;
+      return true;
+    }
+    const eligibleAt = Math.max(
+      unit.retryAt,
+      job.isScheduled ? job.dueAt(unit.occurrence) : 0,
+    ) as Instant;
+    const waitsForTime = eligibleAt > now && unit.runs.length === 0;
+    if (waitsForTime && eligibleAt < (this.nextDueAt ?? Infinity)) {
+      this.nextDueAt = eligibleAt;
+    }
+    return false;
+  }
+}
+
+const RANK_ORDER: Readonly<Record<Rank, number>> = {
+  guaranteed: 0,
+  urgent: 1,
+  other: 2,
+};
+
+function compareRanked(a: RankedBatch, b: RankedBatch): number {
+  return (
+    Number(isLast(a)) - Number(isLast(b)) ||
+    RANK_ORDER[a.rank] - RANK_ORDER[b.rank] ||
+    a.priority - b.priority ||
+    compareByDeadline(a, b)
+  );
+}
+
+/** Guaranteed work has to start in time even if its result is useless. */
+function isLast({rank, timeliness}: RankedBatch): boolean {
+  return rank !== 'guaranteed' && timeliness === 'useless';
+}
+
+/** Returns the most accelerators that an open step needs concurrently. */
+function openAccelerators(job: Job): number {
+  const byStep = new Map<string, number>();
+  let maximum = 0;
+  for (const unit of job.openUnits) {
+    const key = `${unit.occurrence}.${unit.stepIndex}`;
+    const requested = unit.taskCount * unit.step.shape.accelerators;
+    const total = (byStep.get(key) ?? 0) + requested;
+    byStep.set(key, total);
+    maximum = Math.max(maximum, total);
+  }
+  return maximum;
+}
--- /dev/null
+++ b/src/leader/worker_groups.ts
@@ -0,0 +1,119 @@
+/**
+ * The groups of workers on which a unit may be placed as a whole: single racks
+ * for a gang that is slower when it is spread, the rack of a unit's data, or
+ * all workers of the service.
+ */
+
+import type {Instant} from '../model/ids.js';
+import type {Unit} from './jobs.js';
+import type {FreeCapacity, FreeCapacityTable} from './free_capacity.js';
+import type {Rank} from './queue_order.js';
+
+/** Factor by which a gang with `sameRack` runs longer when spread. */
+export const CROSS_RACK_SLOWDOWN = 3;
+
+/**
+ * Guaranteed work that waits longer for one rack is spread across racks. This
+ * leaves time to preempt within the 2.7 s start bound for guaranteed work.
+ */
+const GUARANTEED_RACK_WAIT_MS = 1_800;
+
+/** Waiting for the data's rack is worth up to this many estimated run times. */
+const DATA_RACK_WAIT_RUN_TIMES = 1.5;
+
+/**
+ * While accelerator utilization is below this share, a unit waits for a rack
+ * for a short time only: a job that waits 3 s beside idle workers counts as
+ * lost.
+ */
+const LOW_UTILIZATION_SHARE = 0.5;
+const LOW_UTILIZATION_RACK_WAIT_MS = 1_500;
+
+type Group = readonly FreeCapacity[];
+
+/** Groups to try in order; the unit has to fit into one of them. */
+export interface CandidateGroups {
+  readonly racks: readonly Group[];
+  /** The unit may run slower in these groups. */
+  readonly crossRack: readonly Group[];
+}
+
+export function candidateGroups(
+  unit: Unit,
+  rank: Rank,
+  table: FreeCapacityTable,
+  now: Instant,
+): CandidateGroups {
+  const {step} = unit;
+  const waitedMs = now - (unit.readySince ?? now);
+  const hasIdleWorkers = table.acceleratorUtilization < LOW_UTILIZATION_SHARE;
+  if (step.dataRack !== undefined) {
+    const onDataRack = table.capacities.filter(
+      ({worker}) => worker.entry.rackId === step.dataRack,
+    );
+    const patienceMs = hasIdleWorkers
+      ? LOW_UTILIZATION_RACK_WAIT_MS
+      : DATA_RACK_WAIT_RUN_TIMES * step.estimatedMs;
+    const keepsWaiting =
+      waitedMs < (rank === 'guaranteed' ? GUARANTEED_RACK_WAIT_MS : patienceMs);
+    const crossRack =
+      onDataRack.length > 0 && keepsWaiting ? [] : [table.capacities];
+    return {racks: [onDataRack], crossRack};
+  }
+  if (!wantsRack(unit)) return {racks: [table.capacities], crossRack: []};
+  const allowsCrossRack =
+    isTooWideForRack(unit, table) ||
+    (hasIdleWorkers && waitedMs >= LOW_UTILIZATION_RACK_WAIT_MS) ||
+    (rank === 'guaranteed' && waitedMs >= GUARANTEED_RACK_WAIT_MS);
+  return {
+    racks: racksByFewestSlots(unit, table),
+    crossRack: allowsCrossRack ? [table.capacities] : [],
+  };
+}
+
+export function wantsRack({step, taskCount}: Unit): boolean {
+  return step.sameRack === true && taskCount > 1;
+}
+
+/** True if the unit wants one rack but would not even fit an empty one. */
+export function isTooWideForRack(
+  unit: Unit,
+  table: FreeCapacityTable,
+): boolean {
+  return (
+    wantsRack(unit) &&
+    !table.racks().some((rack) => slotsIfEmpty(unit, rack) >= unit.taskCount)
+  );
+}
+
+function slotsIfEmpty(unit: Unit, rack: Group): number {
+  const {shape, maximumPerWorker} = unit.step;
+  let slots = 0;
+  for (const {worker} of rack) {
+    const {capacity} = worker.entry;
+    slots += Math.min(
+      shape.accelerators > 0
+        ? Math.floor(capacity.accelerators / shape.accelerators)
+        : Infinity,
+      shape.processorMillicores > 0
+        ? Math.floor(capacity.processorMillicores / shape.processorMillicores)
+        : Infinity,
+      maximumPerWorker ?? Infinity,
+    );
+  }
+  return slots;
+}
+
+/** Racks with the fewest free slots for the unit come first (best fit). */
+function racksByFewestSlots(unit: Unit, table: FreeCapacityTable): Group[] {
+  return table
+    .racks()
+    .map((rack) => ({
+      rack,
+      slots: table
+        .eligible(rack, unit)
+        .reduce((total, capacity) => total + capacity.slots(unit), 0),
+    }))
+    .sort((a, b) => a.slots - b.slots)
+    .map(({rack}) => rack);
+}
--- a/test/leader_placement.test.ts
+++ b/test/leader_placement.test.ts
@@ -8,6 +8,7 @@
 import {Job, Run} from '../src/leader/jobs.js';
 import {planRound} from '../src/leader/placement.js';
 import type {RoundPlan} from '../src/leader/placement.js';
+import {RunTimeTable} from '../src/leader/run_times.js';
 import {WorkerState} from '../src/leader/worker_state.js';
 import {steadyTime} from '../src/lifecycle/clock.js';
 import {instant, trustedId} from '../src/model/ids.js';
@@ -86,6 +87,7 @@
     jobs,
     workers: states,
     configuration: configuration(),
+    runTimes: new RunTimeTable(),
     now: instant(now),
     steady: steadyTime(now),
     admits: () => true,
