Write records in several transactions at a time

Change: up to eight transactions are under way, a record in one at a time. A full batch goes at once, fewer records after 30 ms at the latest while another transaction is under way, so that a fast store gets no more calls than before.

--- a/src/leader/commit_queue.ts
+++ b/src/leader/commit_queue.ts
@@ -1,5 +1,6 @@
 /**
- * Writes changed job records in batches, one transaction at a time. Each
+ * Writes changed job records in batches. Several transactions may be under way,
+ * for a store that answers slowly; a record is in one of them at a time. Each
  * transaction is conditional on the revisions of the leader's key and of every
  * record that this leader last saw, so a delayed write cannot replace a newer
  * record.
@@ -21,6 +22,15 @@
  */
 const RECORDS_PER_TRANSACTION = 10;
 
+/** Transactions under way at a time. */
+const MAXIMUM_TRANSACTIONS = 8;
+
+/**
+ * A transaction that takes longer is no reason for further changes to wait. Up
+ * to then they are collected, as each call to the store has a price.
+ */
+const COLLECTION_MS = 30;
+
 /** Delay between attempts to write while the store is unavailable. */
 const RETRY_MS = 150;
 
@@ -38,61 +48,109 @@
   readonly archive: StorePut | undefined;
 }
 
+/** Called when a record is durable, or all records that were changed before. */
+type Callback = () => void;
+
 export class CommitQueue {
-  private changedJobs = new Set<Job>();
-  private callbacks: Array<() => void> = [];
-  private isRunning = false;
+  /** Changed jobs whose records no transaction under way contains. */
+  private readonly changed = new Map<Job, Callback[]>();
+  private readonly underWay = new Map<Job, Callback[]>();
+  private transactionCount = 0;
+  private isScheduled = false;
   private isDelayed = false;
+  private isEnded = false;
+  private collectionTimer: NodeJS.Timeout | undefined;
 
   constructor(
     private readonly store: CoordinationStore,
     private readonly leaderRevision: number,
     private readonly scope: CleanupScope,
     private readonly events: CommitQueueEvents,
-  ) {}
-
-  /** True if no write is pending or under way. */
-  get isIdle(): boolean {
-    return !this.isRunning && this.changedJobs.size === 0;
+  ) {
+    scope.add(() => clearTimeout(this.collectionTimer));
   }
 
   /** Queues the job's record and calls `then` once it is durable. */
-  write(job: Job, then?: () => void): void {
-    this.changedJobs.add(job);
-    if (then !== undefined) this.callbacks.push(then);
-    this.start();
+  write(job: Job, then?: Callback): void {
+    const callbacks = this.changed.get(job) ?? [];
+    if (then !== undefined) callbacks.push(then);
+    this.changed.set(job, callbacks);
+    this.schedule();
   }
 
   /** Calls `then` once everything queued so far is durable. */
-  afterPending(then: () => void): void {
-    this.callbacks.push(then);
-    this.start();
+  afterPending(then: Callback): void {
+    const pending = [...this.changed.values(), ...this.underWay.values()];
+    let remaining = pending.length;
+    if (remaining === 0) {
+      setImmediate(then);
+      return;
+    }
+    for (const callbacks of pending) {
+      callbacks.push(() => {
+        remaining -= 1;
+        if (remaining === 0) then();
+      });
+    }
   }
 
-  private start(): void {
-    if (this.isRunning) return;
-    this.isRunning = true;
-    // Changes of one event loop turn share a transaction.
-    setImmediate(() => void this.writeChanges());
+  /** Changes of one event loop turn share a transaction. */
+  private schedule(): void {
+    if (this.isScheduled) return;
+    this.isScheduled = true;
+    setImmediate(() => {
+      this.isScheduled = false;
+      this.startTransactions(false);
+    });
   }
 
-  private async writeChanges(): Promise<void> {
+  private startTransactions(isCollected: boolean): void {
+    let mayStart = isCollected || this.transactionCount === 0;
     while (
       !this.scope.closed &&
-      (this.changedJobs.size > 0 || this.callbacks.length > 0)
+      !this.isEnded &&
+      this.transactionCount < MAXIMUM_TRANSACTIONS
     ) {
-      const jobs = [...this.changedJobs];
-      const callbacks = this.callbacks;
-      this.changedJobs = new Set();
-      this.callbacks = [];
-      const records = jobs.map((job) => pendingRecord(job));
-      for (let i = 0; i < records.length; i += RECORDS_PER_TRANSACTION) {
-        const chunk = records.slice(i, i + RECORDS_PER_TRANSACTION);
-        if (!(await this.commit(chunk))) return;
-      }
-      for (const callback of callbacks) callback();
+      const jobs = this.writableJobs();
+      const isFull = jobs.length === RECORDS_PER_TRANSACTION;
+      if (jobs.length === 0 || !(isFull || mayStart)) break;
+      mayStart = false;
+      void this.writeJobs(jobs);
+    }
+    clearTimeout(this.collectionTimer);
+    if (this.changed.size === 0) return;
+    this.collectionTimer = setTimeout(
+      () => this.startTransactions(true),
+      COLLECTION_MS,
+    );
+  }
+
+  private writableJobs(): Job[] {
+    const jobs: Job[] = [];
+    for (const job of this.changed.keys()) {
+      if (this.underWay.has(job)) continue;
+      jobs.push(job);
+      if (jobs.length === RECORDS_PER_TRANSACTION) break;
+    }
+    return jobs;
+  }
+
+  private async writeJobs(jobs: readonly Job[]): Promise<void> {
+    this.transactionCount += 1;
+    for (const job of jobs) {
+      this.underWay.set(job, this.changed.get(job) ?? []);
+      this.changed.delete(job);
+    }
+    const isDurable = await this.commit(jobs.map((job) => pendingRecord(job)));
+    this.transactionCount -= 1;
+    if (!isDurable) {
+      this.isEnded = true;
+      return;
     }
-    this.isRunning = false;
+    const callbacks = jobs.flatMap((job) => this.underWay.get(job) ?? []);
+    for (const job of jobs) this.underWay.delete(job);
+    for (const callback of callbacks) callback();
+    this.startTransactions(false);
   }
 
   /** Returns false if leadership was lost or the scope has closed. */
