Bound the time of a scheduling round and predict run times by queue

Change: the next round waits as long as the last one took; reservations are searched for 12 units at most, and shapes that found no capacity are not tried again in the round. A start counts as in time only within 85 % of the slack. The caller's estimate or the usual run time of the queue is used, whichever predicted its last tasks better.

--- a/src/leader/free_capacity.ts
+++ b/src/leader/free_capacity.ts
@@ -8,8 +8,14 @@
 import type {TaskShape} from '../model/submissions.js';
 import type {Run, Unit} from './jobs.js';
 import type {PlanningView} from './planning_view.js';
+import type {RunTimeTable} from './run_times.js';
 import type {WorkerState} from './worker_state.js';
 
+export interface ExpectedEnd {
+  readonly run: Run;
+  readonly at: Instant;
+}
+
 /** Capacity that is reserved for a gang from `startsAt` on. */
 interface Hold {
   readonly startsAt: Instant;
@@ -26,6 +32,8 @@
   /** Number of tasks placed in this round, by job, step and occurrence. */
   private readonly placed = new Map<string, number>();
   private reserved: Hold | undefined;
+  /** Computed when first needed, as it is the same for the whole round. */
+  private ends: readonly ExpectedEnd[] | undefined;
 
   constructor(readonly worker: WorkerState) {
     const free = worker.freeCapacity();
@@ -51,6 +59,14 @@
     return this.processorMillicores;
   }
 
+  /** Returns the worker's runs in the order of their expected ends. */
+  expectedEnds(runTimes: RunTimeTable, now: Instant): readonly ExpectedEnd[] {
+    this.ends ??= [...this.worker.runs.values()]
+      .map((run) => ({run, at: runTimes.expectedEnd(run, now)}))
+      .sort((a, b) => a.at - b.at);
+    return this.ends;
+  }
+
   /** True if a part of the capacity is reserved for a gang. */
   get isHeld(): boolean {
     return this.reserved !== undefined;
--- a/src/leader/placement.ts
+++ b/src/leader/placement.ts
@@ -8,6 +8,7 @@
 import {instant} from '../model/ids.js';
 import type {FreeCapacity, FreeCapacityTable} from './free_capacity.js';
 import {FreeCapacityTables} from './free_capacity.js';
+import {ExhaustedShapes} from './exhausted_shapes.js';
 import type {Run, Unit} from './jobs.js';
 import type {PlanningView} from './planning_view.js';
 import {selectVictims, coreSecondsOf} from './preemption.js';
@@ -42,6 +43,9 @@
 /** Limit of reservations, so that small jobs still find free capacity. */
 const MAXIMUM_RESERVATIONS = 8;
 
+/** Limit of searches for capacity to reserve, each over all workers. */
+const MAXIMUM_RESERVATION_SEARCHES = 12;
+
 /**
  * Guaranteed work preempts runs whose work would be lost unless capacity is
  * expected to become free within this time after the work became ready. This
@@ -70,6 +74,8 @@
   private readonly waiting: Unit[] = [];
   private readonly tables: FreeCapacityTables;
   private reservationCount = 0;
+  private reservationSearches = 0;
+  private readonly exhausted = new ExhaustedShapes();
 
   constructor(private readonly view: PlanningView) {
     this.tables = new FreeCapacityTables(view);
@@ -90,9 +96,14 @@
     const {unit, rank} = batch;
     const {now} = this.view;
     const table = this.tables.tableFor(unit);
+    if (this.exhausted.covers(batch, table)) {
+      this.waiting.push(...batch.units);
+      return;
+    }
     const {racks, crossRack} = candidateGroups(unit, rank, table, now);
     let units = this.tryPlace(batch, batch.units, racks, table);
     if (units.length === 0) return;
+    if (units.length === batch.units.length) this.exhausted.add(batch, table);
     const reservation = this.reservationFor(unit, table, racks);
     const request = {
       table,
@@ -155,9 +166,11 @@
   ): Reservation | undefined {
     const {runTimes, now} = this.view;
     const isSmall = unit.taskCount === 1 && unit.step.shape.accelerators <= 1;
-    if (isSmall || this.reservationCount >= MAXIMUM_RESERVATIONS) {
-      return undefined;
-    }
+    const isLimitReached =
+      this.reservationCount >= MAXIMUM_RESERVATIONS ||
+      this.reservationSearches >= MAXIMUM_RESERVATION_SEARCHES;
+    if (isSmall || isLimitReached || groups.length === 0) return undefined;
+    this.reservationSearches += 1;
     const eligible = groups.map((group) => table.eligible(group, unit));
     return findReservation(unit, eligible, runTimes, now);
   }
--- a/src/leader/queue_order.ts
+++ b/src/leader/queue_order.ts
@@ -22,6 +22,13 @@
  */
 export type Rank = 'guaranteed' | 'urgent' | 'other';
 
+/**
+ * Share of the slack that may pass before a start counts as too late. Run times
+ * vary, and of a long queue only the work at its end would else be started,
+ * all of it just too late.
+ */
+const SAFE_SLACK_SHARE = 0.85;
+
 /** A result is useless after this multiple of its job's objective. */
 const USELESS_AFTER_OBJECTIVES = 3;
 
@@ -68,9 +75,10 @@
   const ownMs = runTimes.expectedMs(job, unit.step);
   const remainingMs = (chains[unit.stepIndex] ?? 0) + ownMs * (slowdown - 1);
   const objectiveMs = queue.objectiveFactor * longest + queue.targetLatencyMs;
+  const slackMs = objectiveMs - remainingMs;
   const dueAt = job.dueAt(unit.occurrence);
   return {
-    inTime: instant(dueAt + objectiveMs - remainingMs),
+    inTime: instant(dueAt + slackMs * SAFE_SLACK_SHARE),
     useful: instant(
       dueAt + objectiveMs * USELESS_AFTER_OBJECTIVES - remainingMs,
     ),
--- a/src/leader/reservation.ts
+++ b/src/leader/reservation.ts
@@ -62,8 +62,8 @@
 ): void {
   for (const {capacity, tasks} of holds) {
     let released = NO_SHAPE;
-    for (const run of capacity.worker.runs.values()) {
-      if (runTimes.expectedEnd(run, now) > startsAt) continue;
+    for (const {run, at} of capacity.expectedEnds(runTimes, now)) {
+      if (at > startsAt) break;
       released = addShape(released, run);
     }
     capacity.hold(unit, tasks, startsAt, released);
@@ -109,11 +109,8 @@
   const releases: Release[] = [];
   let slots = capacity.slots(unit);
   if (slots > 0) releases.push({at: now, capacity, slots});
-  const ends = [...capacity.worker.runs.values()]
-    .map((run) => ({run, at: runTimes.expectedEnd(run, now)}))
-    .sort((a, b) => a.at - b.at);
   let released = NO_SHAPE;
-  for (const {run, at} of ends) {
+  for (const {run, at} of capacity.expectedEnds(runTimes, now)) {
     released = addShape(released, run);
     const total = capacity.slots(unit, released);
     if (total <= slots) continue;
--- a/src/leader/run_times.ts
+++ b/src/leader/run_times.ts
@@ -1,7 +1,8 @@
 /**
  * Expected run times. Callers' estimates may be several times too long or too
- * short, while the tasks of one queue are alike, so the median of the queue's
- * last finished tasks is used as soon as there are a few of them.
+ * short, while the tasks of one queue are alike. Each queue's finished tasks
+ * show which of the two predicts better: the task's estimate, corrected by the
+ * usual ratio, or the usual run time itself.
  */
 
 import type {Instant, QueueId} from '../model/ids.js';
@@ -10,7 +11,10 @@
 import type {Job, Run} from './jobs.js';
 
 /** Finished tasks of a queue that are remembered. */
-const SAMPLES = 25;
+const SAMPLES = 40;
+
+/** With fewer samples the caller's estimate is used. */
+const MINIMUM_SAMPLES = 5;
 
 /** Time until a run that is being stopped has ended. */
 const STOP_MS = 150;
@@ -21,12 +25,20 @@
 /** Less progress says little about the time that remains. */
 const RELIABLE_PROGRESS_PERCENT = 15;
 
-/** With fewer samples the caller's estimate is used. */
-const MINIMUM_SAMPLES = 5;
+interface Sample {
+  readonly estimatedMs: number;
+  readonly actualMs: number;
+}
+
+interface QueueModel {
+  readonly usesEstimate: boolean;
+  /** Of the run times, or of their ratios to the estimates. */
+  readonly median: number;
+}
 
 export class RunTimeTable {
-  private readonly samplesByQueue = new Map<QueueId, number[]>();
-  private readonly medianByQueue = new Map<QueueId, number>();
+  private readonly samplesByQueue = new Map<QueueId, Sample[]>();
+  private readonly modelByQueue = new Map<QueueId, QueueModel>();
 
   /** Records the end of a run that did the whole work of its task. */
   recordDone(run: Run, now: Instant): void {
@@ -37,18 +49,23 @@
     unit.lastRecordedRun = runNumber;
     const {queueId} = unit.job;
     const samples = this.samplesByQueue.get(queueId) ?? [];
-    samples.push(now - plannedAt);
+    samples.push({
+      estimatedMs: Math.max(1, unit.step.estimatedMs),
+      actualMs: Math.max(1, now - plannedAt),
+    });
     if (samples.length > SAMPLES) samples.shift();
     this.samplesByQueue.set(queueId, samples);
     if (samples.length < MINIMUM_SAMPLES) return;
-    const sorted = [...samples].sort((a, b) => a - b);
-    const median = sorted[Math.floor(sorted.length / 2)];
-    if (median !== undefined) this.medianByQueue.set(queueId, median);
+    this.modelByQueue.set(queueId, createModel(samples));
   }
 
-  /** Returns how long a run of the step is expected to take. */
-  expectedMs(job: Job, step: Step): number {
-    return this.medianByQueue.get(job.queueId) ?? step.estimatedMs;
+  /** Returns how long a run of the step usually takes, in milliseconds. */
+  expectedMs({queueId}: Job, {estimatedMs}: Step): number {
+    const model = this.modelByQueue.get(queueId);
+    if (model === undefined) return estimatedMs;
+    return model.usesEstimate
+      ? model.median * Math.max(1, estimatedMs)
+      : model.median;
   }
 
   /** Returns when the run is expected to end, from its progress if known. */
@@ -64,3 +81,29 @@
     return instant(now + Math.max(MINIMUM_REMAINING_MS, remainingMs));
   }
 }
+
+function createModel(samples: readonly Sample[]): QueueModel {
+  const actual = sorted(samples.map(({actualMs}) => actualMs));
+  const ratios = sorted(
+    samples.map(({actualMs, estimatedMs}) => actualMs / estimatedMs),
+  );
+  const usesEstimate = relativeSpread(ratios) < relativeSpread(actual);
+  const values = usesEstimate ? ratios : actual;
+  return {
+    usesEstimate,
+    median: quantile(values, 0.5),
+  };
+}
+
+function sorted(values: readonly number[]): number[] {
+  return [...values].sort((a, b) => a - b);
+}
+
+/** Ratio between the upper and the lower quartile of sorted values. */
+function relativeSpread(values: readonly number[]): number {
+  return quantile(values, 0.75) / quantile(values, 0.25);
+}
+
+function quantile(values: readonly number[], share: number): number {
+  return values[Math.floor((values.length - 1) * share)] ?? 0;
+}
--- a/src/leader/session.ts
+++ b/src/leader/session.ts
@@ -7,7 +7,7 @@
 
 import type {CleanupScope} from '../lifecycle/cleanup_scope.js';
 import type {Clock, SteadyTime} from '../lifecycle/clock.js';
-import {steadyNow} from '../lifecycle/clock.js';
+import {steadyNow, steadyTime} from '../lifecycle/clock.js';
 import type {CustomerId, Instant, JobId, QueueId} from '../model/ids.js';
 import {instant} from '../model/ids.js';
 import type {HostedConfiguration} from '../model/queues.js';
@@ -93,6 +93,8 @@
   /** Units for which the last round found no free capacity. */
   private waitingUnits: readonly Unit[] = [];
   private roundTimer: NodeJS.Timeout | undefined;
+  private delayedRoundTimer: NodeJS.Timeout | undefined;
+  private earliestRoundAt: SteadyTime = steadyTime(0);
   private isRoundScheduled = false;
   private isAdopted = false;
 
@@ -137,7 +139,10 @@
           this.admissions.discardTicket(run.unit, run.workerId),
       },
     });
-    scope.add(() => clearTimeout(this.roundTimer));
+    scope.add(() => {
+      clearTimeout(this.roundTimer);
+      clearTimeout(this.delayedRoundTimer);
+    });
   }
 
   /** True once the records of earlier leaders have been read. */
@@ -403,14 +408,25 @@
     if (this.registry.open.size > 0) this.scheduleRound();
   }
 
+  /**
+   * Plans as soon as the changes of this event loop turn are handled, but not
+   * before the time that the last round took has passed again, so that lease
+   * renewals and orders always get half of the processor time.
+   */
   private scheduleRound(): void {
     if (this.isRoundScheduled || this.scope.closed) return;
     this.isRoundScheduled = true;
-    // One round handles all changes of this event loop turn.
-    setImmediate(() => {
+    const waitMs = this.earliestRoundAt - steadyNow();
+    const run = () => {
       this.isRoundScheduled = false;
-      if (!this.scope.closed) this.runRound();
-    });
+      if (this.scope.closed) return;
+      const startedAt = steadyNow();
+      this.runRound();
+      const endedAt = steadyNow();
+      this.earliestRoundAt = steadyTime(2 * endedAt - startedAt);
+    };
+    if (waitMs < 1) setImmediate(run);
+    else this.delayedRoundTimer = setTimeout(run, waitMs);
   }
 
   private runRound(): void {
