Do not rely on a configuration from before a pause

Cause: told by operators and found by reading. The age of the configuration and of the site view was taken on the steady clock, which does not count a suspension of the VM, and an answer that waited in a socket buffer while the process was stopped counted as confirmed when it was read. For up to 2.7 s a daemon could accept a key that had been withdrawn, or follow an older version.

Change: a pause, or a jump of the time of day against the steady clock, makes the cached view unconfirmed and starts a poll that returns at once.

Measured: test/prefix_follower.test.ts; both new tests fail without the detector.

--- a/src/entry/configuration_feed.ts
+++ b/src/entry/configuration_feed.ts
@@ -5,6 +5,7 @@
 
 import type {CleanupScope} from '../lifecycle/cleanup_scope.js';
 import type {SteadyTime} from '../lifecycle/clock.js';
+import type {PauseDetector} from '../lifecycle/pause_detector.js';
 import type {ComponentLog} from '../daemon/log.js';
 import {PrefixFollower} from '../leader/prefix_follower.js';
 import type {HostedConfiguration} from '../model/queues.js';
@@ -22,6 +23,7 @@
     source: ConfigurationSource,
     scope: CleanupScope,
     private readonly log: ComponentLog,
+    pauses?: PauseDetector,
   ) {
     this.follower = new PrefixFollower(
       {
@@ -35,6 +37,8 @@
       },
       scope,
       (reason) => log.warn(`cannot follow the configuration: ${reason}`),
+      undefined,
+      pauses,
     );
   }
 
--- a/src/entry/entry_daemon.ts
+++ b/src/entry/entry_daemon.ts
@@ -7,6 +7,7 @@
 import {CleanupScope} from '../lifecycle/cleanup_scope.js';
 import type {Clock} from '../lifecycle/clock.js';
 import {steadyNow} from '../lifecycle/clock.js';
+import {PauseDetector} from '../lifecycle/pause_detector.js';
 import type {RandomSource} from '../lifecycle/random.js';
 import {LeaderLog} from '../leader/leader_log.js';
 import {Leadership} from '../leader/leadership.js';
@@ -94,15 +95,19 @@
     const {scope} = this;
     this.log = log.component('daemon');
     this.peerAddress = `${settings.peerHost}:${settings.peerPort}`;
+    const pauses = new PauseDetector(clock, scope);
+    pauses.onPause(() => this.log.warn('was paused, polls the store again'));
     this.feed = new ConfigurationFeed(
       dependencies.configuration,
       scope,
       log.component('configuration'),
+      pauses,
     );
     this.site = new SiteView(
       dependencies.store,
       scope,
       log.component('membership'),
+      pauses,
     );
     const peers = new HttpSitePeers(new ConnectionsByAddress(scope));
     this.leadership = new Leadership(
--- a/src/leader/prefix_follower.ts
+++ b/src/leader/prefix_follower.ts
@@ -8,6 +8,7 @@
 import type {CleanupScope} from '../lifecycle/cleanup_scope.js';
 import type {SteadyTime} from '../lifecycle/clock.js';
 import {steadyNow} from '../lifecycle/clock.js';
+import type {PauseDetector} from '../lifecycle/pause_detector.js';
 import type {
   ChangeBatch,
   StoreReadFailure,
@@ -34,17 +35,31 @@
   private revision = 0;
   private confirmedAt: SteadyTime | undefined;
   private isFailing = false;
+  private pollAbort = new AbortController();
 
   constructor(
     private readonly source: FollowedSource<State, Change>,
     private readonly scope: CleanupScope,
     private readonly onFailure: (reason: string) => void,
     private readonly waitMs = WATCH_TIMEOUT_MS,
-  ) {}
+    /** Absent if nobody relies on the age of the view. */
+    private readonly pauses?: PauseDetector,
+  ) {
+    // The poll under way may return long after the pause, or not at all.
+    pauses?.onPause(() => this.pollAbort.abort());
+    scope.add(() => this.pollAbort.abort());
+  }
 
-  /** Age of the cached view: milliseconds since the store last answered. */
+  /**
+   * Age of the cached view: milliseconds since the store last answered, or
+   * infinite if this process has paused since.
+   */
   ageMs(now: SteadyTime): number {
-    return this.confirmedAt === undefined ? Infinity : now - this.confirmedAt;
+    if (this.confirmedAt === undefined) return Infinity;
+    if (this.pauses?.hasPausedSince(this.confirmedAt, now) === true) {
+      return Infinity;
+    }
+    return now - this.confirmedAt;
   }
 
   /** Resolves after the first listing; watches until the scope is closed. */
@@ -79,29 +94,42 @@
     onChanges: (changes: readonly Change[]) => void,
   ): Promise<void> {
     while (!this.scope.closed) {
-      // After a failure, a poll that returns immediately confirms sooner than a
-      // long poll that the cached view is current again.
-      const waitMs = this.isFailing ? 0 : this.waitMs;
+      const sentAt = steadyNow();
+      this.pollAbort = new AbortController();
+      // After a failure or a pause, a poll that returns immediately confirms
+      // sooner than a long poll that the cached view is current again.
+      const isConfirmed = this.ageMs(sentAt) < Infinity && !this.isFailing;
       const answer = await this.source.watch(
         this.revision,
-        waitMs,
-        this.scope.signal,
+        isConfirmed ? this.waitMs : 0,
+        this.pollAbort.signal,
       );
       if (this.scope.closed) return;
       if (answer.isErr) {
+        // A poll that was aborted after a pause is repeated at once.
+        if (this.pollAbort.signal.aborted) continue;
         this.recordFailure(answer.error.message);
         await this.scope.sleep(RETRY_INTERVAL_MS);
       } else if (answer.value.kind === 'historyLost') {
         await this.listUntilAnswered(onListing);
       } else {
         this.revision = answer.value.revision;
-        // The answer reflects the state at the end of the poll.
-        this.recordSuccess(steadyNow());
+        this.recordPoll(sentAt);
         if (answer.value.changes.length > 0) onChanges(answer.value.changes);
       }
     }
   }
 
+  /**
+   * The answer reflects the state at the end of the poll, unless it waited to
+   * be read while this process paused.
+   */
+  private recordPoll(sentAt: SteadyTime): void {
+    const now = steadyNow();
+    const mayBeOld = this.pauses?.hasPausedSince(sentAt, now) === true;
+    this.recordSuccess(mayBeOld ? sentAt : now);
+  }
+
   private recordSuccess(asOf: SteadyTime): void {
     this.isFailing = false;
     this.confirmedAt = asOf;
--- a/src/leader/site_view.ts
+++ b/src/leader/site_view.ts
@@ -6,6 +6,7 @@
 
 import type {CleanupScope} from '../lifecycle/cleanup_scope.js';
 import type {SteadyTime} from '../lifecycle/clock.js';
+import type {PauseDetector} from '../lifecycle/pause_detector.js';
 import type {ComponentLog} from '../daemon/log.js';
 import {eventKey, watchChanges} from '../interfaces/coordination_store.js';
 import type {
@@ -33,6 +34,7 @@
     store: CoordinationStore,
     scope: CleanupScope,
     private readonly log: ComponentLog,
+    pauses?: PauseDetector,
   ) {
     this.follower = new PrefixFollower(
       {
@@ -54,6 +56,8 @@
       scope,
       (reason) =>
         log.warn(`cannot watch the site records in the store: ${reason}`),
+      undefined,
+      pauses,
     );
   }
 
--- a/test/prefix_follower.test.ts
+++ b/test/prefix_follower.test.ts
@@ -5,12 +5,14 @@
 
 import assert from 'node:assert/strict';
 import {it} from 'node:test';
-import {setTimeout as delay} from 'node:timers/promises';
+import {setImmediate, setTimeout as delay} from 'node:timers/promises';
 import {Result} from 'true-myth';
 import {PrefixFollower} from '../src/leader/prefix_follower.js';
 import {CleanupScope} from '../src/lifecycle/cleanup_scope.js';
-import {steadyNow} from '../src/lifecycle/clock.js';
+import {Clock, steadyNow} from '../src/lifecycle/clock.js';
+import {PauseDetector} from '../src/lifecycle/pause_detector.js';
 import {UnavailableError} from '../src/model/errors.js';
+import {instant} from '../src/model/ids.js';
 
 /** Retry delay after a failed poll, with a margin for the next answer. */
 const RECOVERY_LIMIT_MS = 500;
@@ -47,3 +49,74 @@
   await scope.close();
   assert.ok(ageMs < RECOVERY_LIMIT_MS, `the cached view is ${ageMs} ms old`);
 });
+
+/** A time of day that a test can move, as a suspension of the VM does. */
+class MovableClock extends Clock {
+  suspendedMs = 0;
+
+  override now() {
+    return instant(Date.now() + this.suspendedMs);
+  }
+}
+
+/** Follows a source whose polls stay open until the test answers them. */
+async function followHeldPolls() {
+  const scope = new CleanupScope();
+  const clock = new MovableClock();
+  const waits: number[] = [];
+  let answerPoll: () => void = () => undefined;
+  const follower = new PrefixFollower<undefined, never>(
+    {
+      list: () => Promise.resolve(Result.ok({state: undefined, revision: 1})),
+      watch: (_revision, waitMs, signal) => {
+        waits.push(waitMs);
+        return new Promise((resolve) => {
+          answerPoll = () =>
+            resolve(Result.ok({kind: 'changes', changes: [], revision: 1}));
+          signal.addEventListener('abort', () =>
+            resolve(Result.err(new UnavailableError('aborted', 'retry'))),
+          );
+        });
+      },
+    },
+    scope,
+    () => undefined,
+    2_000,
+    new PauseDetector(clock, scope),
+  );
+  await follower.start(
+    () => undefined,
+    () => undefined,
+  );
+  return {scope, clock, waits, follower, answerPoll: () => answerPoll()};
+}
+
+it('does not rely on what it knew before the VM was suspended', async () => {
+  // The steady clock does not count a suspension, so that a withdrawn key
+  // looked as if it had just been confirmed.
+  const {scope, clock, waits, follower, answerPoll} = await followHeldPolls();
+  assert.ok(follower.ageMs(steadyNow()) < RECOVERY_LIMIT_MS);
+  clock.suspendedMs = 5_000;
+  assert.equal(follower.ageMs(steadyNow()), Infinity);
+  await setImmediate();
+  assert.equal(waits.at(-1), 0);
+  answerPoll();
+  await setImmediate();
+  const ageMs = follower.ageMs(steadyNow());
+  await scope.close();
+  assert.ok(ageMs < RECOVERY_LIMIT_MS, `the cached view is ${ageMs} ms old`);
+});
+
+it('does not take an answer for new that waited while it was paused', async () => {
+  const {scope, waits, follower, answerPoll} = await followHeldPolls();
+  answerPoll();
+  // Blocks the event loop, so that the answer is read only afterwards.
+  Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 1_000);
+  await setImmediate();
+  assert.equal(follower.ageMs(steadyNow()), Infinity);
+  assert.equal(waits.at(-1), 0);
+  answerPoll();
+  await setImmediate();
+  assert.ok(follower.ageMs(steadyNow()) < RECOVERY_LIMIT_MS);
+  await scope.close();
+});
