Survive an unexpected error in a timer or a callback

Cause: told by operators, found by reading: nothing handled an exception thrown outside a request, so that one ended the whole process, and with it the calls under way and the term.

Change: it is logged with its stack, and a leader ends its term, as its memory may be inconsistent; the next term starts from the stored records.

--- a/soak/daemon_process.ts
+++ b/soak/daemon_process.ts
@@ -110,14 +110,15 @@
     return this.process?.isRunning === true;
   }
 
-  async start(): Promise<void> {
+  /** `environment` is added to the variables of the process. */
+  async start(environment: Record<string, string> = {}): Promise<void> {
     const {process} = await ManagedProcess.start(
       this.scope,
       this.name,
       PROGRAM,
       [],
       (line) => this.keepLogLine(line),
-      {BRAMLEYSTEP_SETTINGS: this.settingsPath},
+      {...environment, BRAMLEYSTEP_SETTINGS: this.settingsPath},
     );
     this.process = process;
   }
--- a/src/entry/entry_daemon.ts
+++ b/src/entry/entry_daemon.ts
@@ -218,6 +218,17 @@
     void this.registerMember();
   }
 
+  /**
+   * Continues after an error that no caller handled. What a leader keeps in
+   * memory may be inconsistent then, so the term ends and the next one starts
+   * from the stored records.
+   */
+  recover(error: unknown): void {
+    const detail = error instanceof Error ? error.stack : String(error);
+    this.log.error(`unexpected error, continuing: ${detail ?? 'no detail'}`);
+    this.leadership.abandonTerm('an unexpected error occurred');
+  }
+
   /** Resigns as leader, answers calls in progress and closes all listeners. */
   async stop(): Promise<void> {
     if (this.isStopping) return;
--- a/src/leader/leadership.ts
+++ b/src/leader/leadership.ts
@@ -128,6 +128,11 @@
     await this.currentTerm?.end('this daemon is shutting down', true);
   }
 
+  /** Ends the current term, if any; this daemon may be elected again. */
+  abandonTerm(reason: string): void {
+    void this.currentTerm?.end(reason, true);
+  }
+
   private startElectionIfNeeded(): void {
     const {site, scope} = this;
     if (this.currentTerm !== undefined || this.isElecting || this.isResigning) {
--- a/test/leader_faults.test.ts
+++ b/test/leader_faults.test.ts
@@ -106,6 +106,22 @@
     assert.equal(fixture.site.ledger.counts.starts, 8, 'starts');
   });
 
+  it('keeps its runs when it abandons its term after an error', async () => {
+    const leader = await fixture.startLeader('first');
+    const jobId = fixture.submit(
+      submission({steps: [step({taskCount: 8, gang: true})]}),
+      1_500,
+    );
+    await until('all tasks run', () => runCount(fixture) === 8);
+    const {term} = leader.leadership;
+    leader.leadership.abandonTerm('a test');
+    assert.equal(leader.isLeader, false);
+    await until('it leads again', () => leader.isLeader);
+    assert.ok(leader.leadership.term > term);
+    await untilState(leader, jobId, 'complete');
+    assert.equal(fixture.site.ledger.counts.starts, 8, 'starts');
+  });
+
   it('hands over immediately when it resigns', async () => {
     const first = await fixture.startLeader('first');
     const second = fixture.addDaemon('second');
