Do not order jobs by the clock of the VM that accepted them

Cause: found by reading, since jobs are now ordered by their slack: the time of acceptance came from the accepting VM, whose time of day may be seconds off, and the leader compared it with its own, which may jump.

Change: the leader takes its own time for a submission that it sees happen, and at most its own time for one that it lists. Periods within a term are measured on the steady clock.

--- a/src/leader/job_registry.ts
+++ b/src/leader/job_registry.ts
@@ -27,6 +27,9 @@
   readonly cancelled: readonly Job[];
 }
 
+/** `watched`: the items have been written a moment ago. */
+export type InboxSource = 'listed' | 'watched';
+
 export class JobRegistry {
   private readonly jobs = new Map<JobId, Job>();
   /** Jobs that have not ended, in order of acceptance. */
@@ -99,6 +102,7 @@
   applyInboxItems(
     items: readonly StoredItem[],
     progress: ReadonlyMap<string, StoredItem>,
+    source: InboxSource,
     now: Instant,
   ): InboxEffects {
     const placed: Run[] = [];
@@ -112,7 +116,7 @@
         cancelledIds.push(jobId);
         continue;
       }
-      const job = this.addJob(item, jobId);
+      const job = this.addJob(item, jobId, source, now);
       if (job === undefined) continue;
       const record = progress.get(progressKey(jobId));
       if (record !== undefined) placed.push(...this.restore(job, record, now));
@@ -129,14 +133,26 @@
     return {placed, unrecordedEnds, cancelled};
   }
 
-  private addJob(item: StoredItem, jobId: JobId): Job | undefined {
+  /**
+   * Another VM's time of day may be seconds away from the leader's, so its
+   * account of the submission counts only if the leader did not see it happen.
+   */
+  private addJob(
+    item: StoredItem,
+    jobId: JobId,
+    source: InboxSource,
+    now: Instant,
+  ): Job | undefined {
     if (this.jobs.has(jobId)) return undefined;
     const decoded = decodeRecord(item.key, item.value, submissionSchema);
     if (decoded.isErr) {
       this.log.unreadableRecord(decoded.error.message);
       return undefined;
     }
-    const job = new Job(decoded.value, instant(decoded.value.submittedAt));
+    const submittedAt = instant(decoded.value.submittedAt);
+    const acceptedAt =
+      source === 'watched' || submittedAt > now ? now : submittedAt;
+    const job = new Job(decoded.value, acceptedAt);
     this.jobs.set(jobId, job);
     return job;
   }
--- a/src/leader/session.ts
+++ b/src/leader/session.ts
@@ -7,7 +7,7 @@
 
 import type {CleanupScope} from '../lifecycle/cleanup_scope.js';
 import type {Clock, SteadyTime} from '../lifecycle/clock.js';
-import {steadyNow, steadyTime} from '../lifecycle/clock.js';
+import {SteadyClock, steadyNow, steadyTime} from '../lifecycle/clock.js';
 import type {CustomerId, Instant, JobId, QueueId} from '../model/ids.js';
 import {instant} from '../model/ids.js';
 import type {HostedConfiguration} from '../model/queues.js';
@@ -23,6 +23,7 @@
 import {AdmissionTickets} from './admissions.js';
 import {CommitQueue} from './commit_queue.js';
 import {JobRegistry} from './job_registry.js';
+import type {InboxSource} from './job_registry.js';
 import {Run} from './jobs.js';
 import type {Unit, Job} from './jobs.js';
 import type {LeaderLog} from './leader_log.js';
@@ -85,6 +86,7 @@
 
 export class LeaderSession {
   private readonly registry: JobRegistry;
+  private readonly clock: Clock;
   private readonly workerTable: WorkerTable;
   private readonly commitQueue: CommitQueue;
   private readonly admissions: AdmissionTickets;
@@ -106,6 +108,7 @@
     private readonly scope: CleanupScope,
   ) {
     const {store, log} = dependencies;
+    this.clock = new SteadyClock(dependencies.clock);
     this.registry = new JobRegistry(log);
     this.commitQueue = new CommitQueue(store, authority.leaderRevision, scope, {
       leadershipLost: () =>
@@ -172,11 +175,12 @@
         this.scheduleRound();
       },
     );
-    const readItems = (items: readonly StoredItem[]) =>
-      this.processInbox(items, progress);
     await new PrefixFollower(this.inboxSource(), this.scope, (reason) =>
       log.requestFailed('jobs', reason),
-    ).start(readItems, readItems);
+    ).start(
+      (items) => this.processInbox(items, progress, 'listed'),
+      (items) => this.processInbox(items, progress, 'watched'),
+    );
     if (this.scope.closed) return;
     progress.clear();
     this.isAdopted = true;
@@ -286,8 +290,14 @@
   private processInbox(
     items: readonly StoredItem[],
     progress: ReadonlyMap<string, StoredItem>,
+    source: InboxSource,
   ): void {
-    const effects = this.registry.applyInboxItems(items, progress, this.now());
+    const effects = this.registry.applyInboxItems(
+      items,
+      progress,
+      source,
+      this.now(),
+    );
     for (const run of effects.placed) this.workerTable.adopt(run);
     for (const job of effects.unrecordedEnds) this.recordJobEnd(job);
     for (const job of effects.cancelled) this.handleJobEnd(job);
@@ -488,7 +498,7 @@
   }
 
   private now(): Instant {
-    return this.dependencies.clock.now();
+    return this.clock.now();
   }
 }
 
--- a/src/lifecycle/clock.ts
+++ b/src/lifecycle/clock.ts
@@ -31,3 +31,21 @@
 export function steadyNow(): SteadyTime {
   return performance.now() as SteadyTime;
 }
+
+/**
+ * Time of day that follows the steady clock after its creation, so that periods
+ * measured with it are right although the VM's time of day is changed. It lags
+ * behind by the time that the VM was suspended.
+ */
+export class SteadyClock extends Clock {
+  private readonly offsetMs: number;
+
+  constructor(clock: Clock) {
+    super();
+    this.offsetMs = clock.now() - steadyNow();
+  }
+
+  override now(): Instant {
+    return instant(Math.round(steadyNow() + this.offsetMs));
+  }
+}
--- a/test/leader_faults.test.ts
+++ b/test/leader_faults.test.ts
@@ -106,6 +106,28 @@
     assert.equal(fixture.site.ledger.counts.starts, 8, 'starts');
   });
 
+  it('keeps its runs when all daemons die at the same moment', async () => {
+    const daemons = [
+      await fixture.startLeader('first'),
+      fixture.addDaemon('second'),
+      fixture.addDaemon('third'),
+    ];
+    const jobId = fixture.submit(
+      submission({steps: [step({taskCount: 8, gang: true})]}),
+      6_000,
+    );
+    await until('all tasks run', () => runCount(fixture) === 8);
+    await Promise.all(daemons.map((daemon) => daemon.kill()));
+    const successors = ['fourth', 'fifth', 'sixth'].map((name) =>
+      fixture.addDaemon(name),
+    );
+    await until('one leads', () => successors.some(({isLeader}) => isLeader));
+    const leader = successors.find(({isLeader}) => isLeader);
+    assert.ok(leader !== undefined);
+    await untilState(leader, jobId, 'complete');
+    assert.equal(fixture.site.ledger.counts.starts, 8, 'starts');
+  });
+
   it('keeps its runs when it abandons its term after an error', async () => {
     const leader = await fixture.startLeader('first');
     const jobId = fixture.submit(
