End the collection timer of the commit queue with its term

Cause: a term that ended with unwritten changes set its timer again every 30 ms for ever, in the daemon that had led.

Change: no timer is set once the scope is closed.

--- a/src/leader/commit_queue.ts
+++ b/src/leader/commit_queue.ts
@@ -118,7 +118,8 @@
       void this.writeJobs(jobs);
     }
     clearTimeout(this.collectionTimer);
-    if (this.changed.size === 0) return;
+    const isOver = this.scope.closed || this.isEnded;
+    if (isOver || this.changed.size === 0) return;
     this.collectionTimer = setTimeout(
       () => this.startTransactions(true),
       COLLECTION_MS,
--- a/test/commit_queue.test.ts
+++ b/test/commit_queue.test.ts
@@ -55,7 +55,11 @@
 }
 
 function withQueue(
-  test: (queue: CommitQueue, store: HeldStore) => Promise<void>,
+  test: (
+    queue: CommitQueue,
+    store: HeldStore,
+    scope: CleanupScope,
+  ) => Promise<void>,
 ): () => Promise<void> {
   return async () => {
     const scope = new CleanupScope();
@@ -64,7 +68,7 @@
       leadershipLost: () => assert.fail('the leader key did not change'),
       delayed: (reason) => assert.fail(reason),
     });
-    await test(queue, store);
+    await test(queue, store, scope);
     await scope.close();
   };
 }
@@ -124,6 +128,23 @@
     }),
   );
 
+  it(
+    'leaves no timer behind when the term ends with changes unwritten',
+    withQueue(async (queue, store, scope) => {
+      const [first, second] = jobs(2);
+      assert.ok(first !== undefined && second !== undefined);
+      queue.write(first);
+      await setImmediate();
+      queue.write(second);
+      await setImmediate();
+      await scope.close();
+      store.commitNext();
+      await delay(100);
+      const resources = process.getActiveResourcesInfo();
+      assert.ok(!resources.includes('Timeout'), resources.join());
+    }),
+  );
+
   it(
     'reports earlier changes as durable only after all of them are',
     withQueue(async (queue, store) => {
