--- a/src/model/queues.ts
+++ b/src/model/queues.ts
@@ -61,6 +61,9 @@
     readonly standbyPools: ReadonlySet<ServiceId> = new Set(),
   ) {
     for (const queue of queues) this.addQueue(queue);
+    for (const sameHost of this.queuesByHost.values()) {
+      sameHost.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
+    }
     for (const customer of customers) {
       this.customerById.set(customer.customerId, customer);
       for (const key of customer.keys) this.customerByKey.set(key, customer);
@@ -100,7 +103,6 @@
     const host = queue.host.toLowerCase();
     const queues = this.queuesByHost.get(host) ?? [];
     queues.push(queue);
-    queues.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
     this.queuesByHost.set(host, queues);
   }
 }
