Reserve nothing for patient work beside idle workers

Cause: found by reading: a gang that waits for most of a site's workers held idle ones back from small jobs also while less than half of the accelerators were in use, and a job that waits 3 s beside idle workers counts as lost.

Change: below half, only guaranteed and urgent work reserves.

Measured: leader_placement.test.ts, whose new test of it is red without the change; tests of the reservation, of backfilling and of late work are added.

--- a/src/leader/placement.ts
+++ b/src/leader/placement.ts
@@ -20,6 +20,7 @@
 import {
   CROSS_RACK_SLOWDOWN,
   candidateGroups,
+  isMostlyIdleService,
   wantsRack,
 } from './worker_groups.js';
 import type {WorkerState} from './worker_state.js';
@@ -116,6 +117,8 @@
     units = units.filter((each) => !this.preempt(each, request, groups));
     if (units.length === 0) return;
     this.waiting.push(...units);
+    // Beside idle workers a waiting small job counts as lost after 3 s.
+    if (rank === 'other' && isMostlyIdleService(table)) return;
     this.reserve(
       batch,
       reservation ?? this.reservationFor(unit, table, crossRack),
--- a/src/leader/worker_groups.ts
+++ b/src/leader/worker_groups.ts
@@ -46,12 +46,12 @@
 ): CandidateGroups {
   const {step} = unit;
   const waitedMs = now - (unit.readySince ?? now);
-  const hasIdleWorkers = table.acceleratorUtilization < LOW_UTILIZATION_SHARE;
+  const isMostlyIdle = isMostlyIdleService(table);
   if (step.dataRack !== undefined) {
     const onDataRack = table.capacities.filter(
       ({worker}) => worker.entry.rackId === step.dataRack,
     );
-    const patienceMs = hasIdleWorkers
+    const patienceMs = isMostlyIdle
       ? LOW_UTILIZATION_RACK_WAIT_MS
       : DATA_RACK_WAIT_RUN_TIMES * step.estimatedMs;
     const keepsWaiting =
@@ -63,7 +63,7 @@
   if (!wantsRack(unit)) return {racks: [table.capacities], crossRack: []};
   const allowsCrossRack =
     isTooWideForRack(unit, table) ||
-    (hasIdleWorkers && waitedMs >= LOW_UTILIZATION_RACK_WAIT_MS) ||
+    (isMostlyIdle && waitedMs >= LOW_UTILIZATION_RACK_WAIT_MS) ||
     (rank === 'guaranteed' && waitedMs >= GUARANTEED_RACK_WAIT_MS);
   return {
     racks: racksByFewestSlots(unit, table),
@@ -71,6 +71,13 @@
   };
 }
 
+/** True if less than half of the service's accelerators are in use. */
+export function isMostlyIdleService({
+  acceleratorUtilization,
+}: FreeCapacityTable): boolean {
+  return acceleratorUtilization < LOW_UTILIZATION_SHARE;
+}
+
 export function wantsRack({step, taskCount}: Unit): boolean {
   return step.sameRack === true && taskCount > 1;
 }
--- a/test/leader_placement.test.ts
+++ b/test/leader_placement.test.ts
@@ -222,4 +222,45 @@
     plan([guaranteed], states, 10);
     assert.equal(plan([guaranteed], states, 5_000).preemptions.length, 1);
   });
+
+  /** A gang that needs all six workers while `busyWorkers` of them are full. */
+  function planBesideWideGang(busyWorkers: number, smallTaskMs: number) {
+    const states = workers();
+    const names = [...states.keys()];
+    for (const name of names.slice(0, busyWorkers)) {
+      const run = occupy(states, name, 8);
+      run.progressPercent = 50;
+    }
+    const gang = job({
+      steps: [shaped(8, {gang: true, taskCount: 6, estimatedMs: 10_000})],
+    });
+    const small = job({steps: [shaped(1, {estimatedMs: smallTaskMs})]}, 1);
+    // The runs that started at 0 are halfway and end at 8,000 ms.
+    const {placements} = plan([gang, small], states, 4_000);
+    return placements.map(({unit}) => unit.job === small);
+  }
+
+  it('keeps reserved workers from tasks that would delay a wide gang', () => {
+    assert.deepEqual(planBesideWideGang(4, 20_000), []);
+  });
+
+  it('lets tasks use reserved workers if they end before its start', () => {
+    assert.deepEqual(planBesideWideGang(4, 1_000), [true]);
+  });
+
+  it('reserves nothing while most accelerators are idle', () => {
+    assert.deepEqual(planBesideWideGang(2, 20_000), [true]);
+  });
+
+  it('places work that can still be in time before work that is late', () => {
+    const states = workers();
+    for (const name of [...states.keys()].slice(1)) occupy(states, name, 8);
+    const late = job({steps: [shaped(8, {estimatedMs: 1_000})]}, 0);
+    const inTime = job({steps: [shaped(8, {estimatedMs: 1_000})]}, 4_000);
+    const {placements} = plan([late, inTime], states, 4_100);
+    assert.deepEqual(
+      placements.map(({unit}) => unit.job === inTime),
+      [true],
+    );
+  });
 });
