Throw in the daemon under test only once it leads

Change: it throws at a signal, which the test sends when the daemon leads. The set-up that this test and entry_stop share is in one place.

--- a/test/entry_errors.test.ts
+++ b/test/entry_errors.test.ts
@@ -10,16 +10,19 @@
 import {join} from 'node:path';
 import {after, before, describe, it} from 'node:test';
 import {pathToFileURL} from 'node:url';
-import {HttpPlatform} from '../emulator/http_platform.js';
-import {DaemonProcess} from '../soak/daemon_process.js';
+import type {DaemonProcess} from '../soak/daemon_process.js';
 import {CleanupScope} from '../src/lifecycle/cleanup_scope.js';
-import {SeededRandom} from '../src/lifecycle/random.js';
+import {createEntryDaemon} from './entry_process.js';
 import {until} from './leader_fixture.js';
 
-/** Throws twice in a process, once in a timer and once in a promise. */
+/** Throws in a timer at the first SIGHUP, and rejects a promise at the next. */
 const THROWING_MODULE = `
-setTimeout(() => { throw new Error('thrown in a timer'); }, 1_000);
-setTimeout(() => Promise.reject(new Error('rejected unhandled')), 2_500);
+let signals = 0;
+process.on('SIGHUP', () => {
+  signals += 1;
+  if (signals > 1) void Promise.reject(new Error('rejected unhandled'));
+  else setTimeout(() => { throw new Error('thrown in a timer'); }, 1);
+});
 `;
 
 describe('a daemon in which an unexpected error is thrown', () => {
@@ -27,25 +30,7 @@
   let daemon: DaemonProcess;
 
   before(async () => {
-    const platform = await HttpPlatform.start(
-      {
-        racks: 1,
-        workersPerRack: 2,
-        acceleratorsPerWorker: 8,
-        holdMaximumMs: 3_000,
-      },
-      new SeededRandom(1),
-      scope,
-      (_vmId, address) => Promise.resolve(address),
-    );
-    platform.configure({version: 1, routes: []});
-    daemon = await DaemonProcess.create(
-      'entry-1',
-      platform,
-      await platform.openVmService(),
-      {workerLeaseMs: 3_000, stopGraceS: 2},
-      scope,
-    );
+    daemon = await createEntryDaemon(scope);
     const folder = await mkdtemp(join(tmpdir(), 'bramleystep-error-'));
     scope.add(() => rm(folder, {recursive: true, force: true}));
     const path = join(folder, 'throwing.mjs');
@@ -60,8 +45,11 @@
   it('logs it, starts a new term and goes on', async () => {
     const hasLogged = (text: string) =>
       daemon.logLines.some((line) => line.includes(text));
+    await until('it leads', () => hasLogged('elected for term 1'));
+    daemon.reload();
     await until('the timer has thrown', () => hasLogged('thrown in a timer'));
     await until('it leads again', () => hasLogged('elected for term 2'));
+    daemon.reload();
     await until('a promise is rejected', () => hasLogged('rejected unhandled'));
     await until('it leads again', () => hasLogged('elected for term 3'));
     assert.ok(daemon.isRunning);
--- /dev/null
+++ b/test/entry_process.ts
@@ -0,0 +1,36 @@
+/** Starts a real entry daemon against a small emulated platform, for tests. */
+
+import {HttpPlatform} from '../emulator/http_platform.js';
+import {DaemonProcess} from '../soak/daemon_process.js';
+import type {CleanupScope} from '../src/lifecycle/cleanup_scope.js';
+import {SeededRandom} from '../src/lifecycle/random.js';
+
+/** Grace time of a stop of the daemon. */
+export const STOP_GRACE_S = 2;
+
+const WORKER_LEASE_MS = 3_000;
+
+/** Returns a daemon that is not started yet. */
+export async function createEntryDaemon(
+  scope: CleanupScope,
+): Promise<DaemonProcess> {
+  const platform = await HttpPlatform.start(
+    {
+      racks: 1,
+      workersPerRack: 2,
+      acceleratorsPerWorker: 8,
+      holdMaximumMs: WORKER_LEASE_MS,
+    },
+    new SeededRandom(1),
+    scope,
+    (_vmId, address) => Promise.resolve(address),
+  );
+  platform.configure({version: 1, routes: []});
+  return DaemonProcess.create(
+    'entry-1',
+    platform,
+    await platform.openVmService(),
+    {workerLeaseMs: WORKER_LEASE_MS, stopGraceS: STOP_GRACE_S},
+    scope,
+  );
+}
--- a/test/entry_stop.test.ts
+++ b/test/entry_stop.test.ts
@@ -7,39 +7,18 @@
 import {connect} from 'node:net';
 import {after, before, describe, it} from 'node:test';
 import {setTimeout as delay} from 'node:timers/promises';
-import {HttpPlatform} from '../emulator/http_platform.js';
-import {DaemonProcess} from '../soak/daemon_process.js';
+import type {DaemonProcess} from '../soak/daemon_process.js';
 import {CleanupScope} from '../src/lifecycle/cleanup_scope.js';
-import {SeededRandom} from '../src/lifecycle/random.js';
 import {linkFaultsSchema} from '../src/standins/fault_link.js';
+import {STOP_GRACE_S, createEntryDaemon} from './entry_process.js';
 import {until} from './leader_fixture.js';
 
-const STOP_GRACE_S = 2;
-
 describe('a daemon that is asked to stop', () => {
   const scope = new CleanupScope();
   let daemon: DaemonProcess;
 
   before(async () => {
-    const platform = await HttpPlatform.start(
-      {
-        racks: 1,
-        workersPerRack: 2,
-        acceleratorsPerWorker: 8,
-        holdMaximumMs: 3_000,
-      },
-      new SeededRandom(1),
-      scope,
-      (_vmId, address) => Promise.resolve(address),
-    );
-    platform.configure({version: 1, routes: []});
-    daemon = await DaemonProcess.create(
-      'entry-1',
-      platform,
-      await platform.openVmService(),
-      {workerLeaseMs: 3_000, stopGraceS: STOP_GRACE_S},
-      scope,
-    );
+    daemon = await createEntryDaemon(scope);
     await daemon.start();
     await until('it leads', () =>
       daemon.logLines.some((line) => line.includes('adopted')),
