Search for a reservation only for work that may reserve

Late and patient work searched all workers for a reservation that it was not allowed to make, and used up the round's limited searches; whether a gang fits one rack was computed twice a round; a gang that preempts was expected to end without its slowdown across racks.

Ruled out: a different order or limit; only the place of the check moves.

--- a/src/leader/placement.ts
+++ b/src/leader/placement.ts
@@ -65,6 +65,7 @@
 type PreemptibleRuns = 'none' | 'checkpointing' | 'all';
 
 interface PreemptionRequest {
+  readonly batch: RankedBatch;
   readonly table: FreeCapacityTable;
   readonly preemptible: PreemptibleRuns;
 }
@@ -94,34 +95,36 @@
   }
 
   private place(batch: RankedBatch): void {
-    const {unit, rank} = batch;
+    const {unit} = batch;
     const {now} = this.view;
     const table = this.tables.tableFor(unit);
     if (this.exhausted.covers(batch, table)) {
       this.waiting.push(...batch.units);
       return;
     }
-    const {racks, crossRack} = candidateGroups(unit, rank, table, now);
+    const {racks, crossRack} = candidateGroups(batch, table, now);
     let units = this.tryPlace(batch, batch.units, racks, table);
     if (units.length === 0) return;
     if (units.length === batch.units.length) this.exhausted.add(batch, table);
-    const reservation = this.reservationFor(unit, table, racks);
+    const reservation = this.mayReserve(batch, table)
+      ? this.findReservation(unit, table, racks)
+      : undefined;
     const request = {
+      batch,
       table,
       preemptible: this.preemptibleFor(batch, reservation),
     };
     const preferred = wantsRack(unit) ? racks : [];
-    if (this.preemptInRack(unit, request, preferred)) return;
+    if (this.preemptInRack(request, preferred)) return;
     units = this.tryPlace(batch, units, crossRack, table);
     const groups = wantsRack(unit) ? crossRack : [...racks, ...crossRack];
     units = units.filter((each) => !this.preempt(each, request, groups));
     if (units.length === 0) return;
     this.waiting.push(...units);
-    // Beside idle workers a waiting small job counts as lost after 3 s.
-    if (rank === 'other' && isMostlyIdleService(table)) return;
+    if (!this.mayReserve(batch, table)) return;
     this.reserve(
-      batch,
-      reservation ?? this.reservationFor(unit, table, crossRack),
+      unit,
+      reservation ?? this.findReservation(unit, table, crossRack),
     );
   }
 
@@ -162,17 +165,29 @@
 
   // Reservations.
 
-  private reservationFor(
+  /**
+   * Late results do not justify idle workers, except for urgent work. Beside
+   * idle workers a small job that waits for a gang counts as lost after 3 s.
+   */
+  private mayReserve(
+    {unit, rank, timeliness}: RankedBatch,
+    table: FreeCapacityTable,
+  ): boolean {
+    const isSmall = unit.taskCount === 1 && unit.step.shape.accelerators <= 1;
+    if (isSmall || this.reservationCount >= MAXIMUM_RESERVATIONS) return false;
+    if (rank !== 'other') return true;
+    return timeliness === 'inTime' && !isMostlyIdleService(table);
+  }
+
+  private findReservation(
     unit: Unit,
     table: FreeCapacityTable,
     groups: ReadonlyArray<readonly FreeCapacity[]>,
   ): Reservation | undefined {
     const {runTimes, now} = this.view;
-    const isSmall = unit.taskCount === 1 && unit.step.shape.accelerators <= 1;
     const isLimitReached =
-      this.reservationCount >= MAXIMUM_RESERVATIONS ||
       this.reservationSearches >= MAXIMUM_RESERVATION_SEARCHES;
-    if (isSmall || isLimitReached || groups.length === 0) return undefined;
+    if (isLimitReached || groups.length === 0) return undefined;
     this.reservationSearches += 1;
     const eligible = groups.map((group) => table.eligible(group, unit));
     return findReservation(unit, eligible, runTimes, now);
@@ -207,12 +222,8 @@
     return reservation.startsAt + RESERVATION_MARGIN_MS <= latestAt;
   }
 
-  private reserve(
-    {unit, rank, timeliness}: RankedBatch,
-    reservation: Reservation | undefined,
-  ): void {
-    const isWorthIt = timeliness === 'inTime' || rank !== 'other';
-    if (reservation === undefined || !isWorthIt) return;
+  private reserve(unit: Unit, reservation: Reservation | undefined): void {
+    if (reservation === undefined) return;
     const {runTimes, now} = this.view;
     this.reservationCount += 1;
     applyReservation(unit, reservation, runTimes, now);
@@ -225,17 +236,17 @@
    * waste by running spread across racks.
    */
   private preemptInRack(
-    unit: Unit,
     request: PreemptionRequest,
     racks: ReadonlyArray<readonly FreeCapacity[]>,
   ): boolean {
+    const {unit} = request.batch;
     const selection = this.selectVictimsFor(unit, request, racks);
     const crossRackWork = coreSecondsOf(
       unit,
       unit.step.estimatedMs * (CROSS_RACK_SLOWDOWN - 1),
     );
     if (selection === undefined || selection.cost > crossRackWork) return false;
-    this.applyVictims(unit, selection);
+    this.applyVictims(unit, request, selection);
     return true;
   }
 
@@ -245,7 +256,7 @@
     groups: ReadonlyArray<readonly FreeCapacity[]>,
   ): boolean {
     const selection = this.selectVictimsFor(unit, request, groups);
-    if (selection !== undefined) this.applyVictims(unit, selection);
+    if (selection !== undefined) this.applyVictims(unit, request, selection);
     return selection !== undefined;
   }
 
@@ -270,10 +281,10 @@
   /** Preempts the victims and allocates their capacity to the unit. */
   private applyVictims(
     unit: Unit,
+    {batch}: PreemptionRequest,
     {victims, allocations}: VictimSelection,
   ): void {
-    const {runTimes, now} = this.view;
-    const endsAt = instant(now + runTimes.expectedMs(unit.job, unit.step));
+    const endsAt = instant(this.view.now + batch.expectedMs);
     this.waiting.push(unit);
     for (const run of victims) this.preemptions.add(run);
     for (const {capacity, count} of allocations) {
--- a/src/leader/unit_ranking.ts
+++ b/src/leader/unit_ranking.ts
@@ -15,14 +15,14 @@
   startDeadlines,
   timelinessAt,
 } from './queue_order.js';
+import type {GroupedWork} from './worker_groups.js';
 import {CROSS_RACK_SLOWDOWN, isTooWideForRack} from './worker_groups.js';
 
 export type NonEmpty<T> = readonly [T, ...T[]];
 
 /** A gang, or the ready single tasks of one step, which are alike. */
-export interface RankedBatch extends WaitingWork {
+export interface RankedBatch extends WaitingWork, GroupedWork {
   readonly units: NonEmpty<Unit>;
-  readonly rank: Rank;
   readonly priority: number;
   readonly expectedMs: number;
 }
@@ -87,14 +87,14 @@
   ): RankedBatch {
     const {runTimes, now} = this.view;
     const [unit] = units;
-    const slowdown = isTooWideForRack(unit, this.tables.tableFor(unit))
-      ? CROSS_RACK_SLOWDOWN
-      : 1;
+    const isTooWide = isTooWideForRack(unit, this.tables.tableFor(unit));
+    const slowdown = isTooWide ? CROSS_RACK_SLOWDOWN : 1;
     const deadlines = startDeadlines(unit, queue, runTimes, slowdown);
     return {
       units,
       unit,
       rank,
+      isTooWide,
       priority: queue?.priority ?? Infinity,
       deadlines,
       timeliness: timelinessAt(now, deadlines),
--- a/src/leader/worker_groups.ts
+++ b/src/leader/worker_groups.ts
@@ -29,6 +29,14 @@
 const LOW_UTILIZATION_SHARE = 0.5;
 const LOW_UTILIZATION_RACK_WAIT_MS = 1_500;
 
+/** What decides where a unit may be placed. */
+export interface GroupedWork {
+  readonly unit: Unit;
+  readonly rank: Rank;
+  /** See `isTooWideForRack`. */
+  readonly isTooWide: boolean;
+}
+
 type Group = readonly FreeCapacity[];
 
 /** Groups to try in order; the unit has to fit into one of them. */
@@ -39,8 +47,7 @@
 }
 
 export function candidateGroups(
-  unit: Unit,
-  rank: Rank,
+  {unit, rank, isTooWide}: GroupedWork,
   table: FreeCapacityTable,
   now: Instant,
 ): CandidateGroups {
@@ -62,7 +69,7 @@
   }
   if (!wantsRack(unit)) return {racks: [table.capacities], crossRack: []};
   const allowsCrossRack =
-    isTooWideForRack(unit, table) ||
+    isTooWide ||
     (isMostlyIdle && waitedMs >= LOW_UTILIZATION_RACK_WAIT_MS) ||
     (rank === 'guaranteed' && waitedMs >= GUARANTEED_RACK_WAIT_MS);
   return {
