Derive which run of a gang counts as a sample of its run time

Cause: found on reading the diff: a unit kept the number of its last recorded run only so that a gang counts once, which its first member shows as well.

Measured: leader_load.test.ts passes as before; no other test reads the field.

--- a/src/leader/jobs.ts
+++ b/src/leader/jobs.ts
@@ -130,8 +130,6 @@
   readySince: Instant | undefined;
   /** Highest run number with a counted failure; a gang fails once per run. */
   failedRun = 0;
-  /** Last run whose duration was recorded. */
-  lastRecordedRun = 0;
 
   constructor(
     readonly job: Job,
--- a/src/leader/run_times.ts
+++ b/src/leader/run_times.ts
@@ -42,11 +42,10 @@
 
   /** Records the end of a run that did the whole work of its task. */
   recordDone(run: Run, now: Instant): void {
-    const {unit, runNumber, plannedAt} = run;
+    const {unit, plannedAt} = run;
     const isWhole = unit.checkpoint === '' && !run.wasAdopted;
-    if (!isWhole || unit.lastRecordedRun === runNumber) return;
     // The members of a gang end together and count once.
-    unit.lastRecordedRun = runNumber;
+    if (!isWhole || run.taskIndex !== unit.firstIndex) return;
     const {queueId} = unit.job;
     const samples = this.samplesByQueue.get(queueId) ?? [];
     samples.push({
