--- a/src/entry/configuration_feed.ts
+++ b/src/entry/configuration_feed.ts
@@ -37,8 +37,7 @@
       },
       scope,
       (reason) => log.warn(`cannot follow the configuration: ${reason}`),
-      undefined,
-      pauses,
+      {pauses},
     );
   }
 
--- a/src/leader/maintenance.ts
+++ b/src/leader/maintenance.ts
@@ -109,7 +109,7 @@
       },
       this.scope,
       (reason) => log.requestFailed('maintenance', reason),
-      WAVE_POLL_TIMEOUT_MS,
+      {waitMs: WAVE_POLL_TIMEOUT_MS},
     );
     const open = (waves: readonly MaintenanceWave[]) => {
       for (const wave of waves) void this.open(wave);
--- a/src/leader/prefix_follower.ts
+++ b/src/leader/prefix_follower.ts
@@ -31,20 +31,29 @@
   ): Promise<Result<ChangeBatch<Change>, StoreReadFailure>>;
 }
 
+export interface FollowerOptions {
+  /** Longest wait of a poll, in milliseconds; 2 s by default. */
+  readonly waitMs?: number;
+  /** Absent if nobody relies on the age of the view. */
+  readonly pauses?: PauseDetector | undefined;
+}
+
 export class PrefixFollower<State, Change> {
   private revision = 0;
   private confirmedAt: SteadyTime | undefined;
   private isFailing = false;
   private pollAbort = new AbortController();
+  private readonly waitMs: number;
+  private readonly pauses: PauseDetector | undefined;
 
   constructor(
     private readonly source: FollowedSource<State, Change>,
     private readonly scope: CleanupScope,
     private readonly onFailure: (reason: string) => void,
-    private readonly waitMs = WATCH_TIMEOUT_MS,
-    /** Absent if nobody relies on the age of the view. */
-    private readonly pauses?: PauseDetector,
+    {waitMs = WATCH_TIMEOUT_MS, pauses}: FollowerOptions = {},
   ) {
+    this.waitMs = waitMs;
+    this.pauses = pauses;
     // The poll under way may return long after the pause, or not at all.
     pauses?.onPause(() => this.pollAbort.abort());
     scope.add(() => this.pollAbort.abort());
--- a/src/leader/site_view.ts
+++ b/src/leader/site_view.ts
@@ -56,8 +56,7 @@
       scope,
       (reason) =>
         log.warn(`cannot watch the site records in the store: ${reason}`),
-      undefined,
-      pauses,
+      {pauses},
     );
   }
 
--- a/test/prefix_follower.test.ts
+++ b/test/prefix_follower.test.ts
@@ -81,8 +81,7 @@
     },
     scope,
     () => undefined,
-    2_000,
-    new PauseDetector(clock, scope),
+    {pauses: new PauseDetector(clock, scope)},
   );
   await follower.start(
     () => undefined,
