--- a/test/entry_process.ts
+++ b/test/entry_process.ts
@@ -8,13 +8,11 @@
 /** Grace time of a stop of the daemon. */
 export const STOP_GRACE_S = 2;
 
-const WORKER_LEASE_MS = 3_000;
+export const WORKER_LEASE_MS = 3_000;
 
-/** Returns a daemon that is not started yet. */
-export async function createEntryDaemon(
-  scope: CleanupScope,
-): Promise<DaemonProcess> {
-  const platform = await HttpPlatform.start(
+/** Starts a platform with one rack of two workers. */
+export function startSmallPlatform(scope: CleanupScope): Promise<HttpPlatform> {
+  return HttpPlatform.start(
     {
       racks: 1,
       workersPerRack: 2,
@@ -25,6 +23,13 @@
     scope,
     (_vmId, address) => Promise.resolve(address),
   );
+}
+
+/** Returns a daemon that is not started yet. */
+export async function createEntryDaemon(
+  scope: CleanupScope,
+): Promise<DaemonProcess> {
+  const platform = await startSmallPlatform(scope);
   platform.configure({version: 1, routes: []});
   return DaemonProcess.create(
     'entry-1',
--- a/test/leader_clocks.test.ts
+++ b/test/leader_clocks.test.ts
@@ -11,20 +11,13 @@
 import type {InboxSource} from '../src/leader/job_registry.js';
 import {LeaderLog} from '../src/leader/leader_log.js';
 import {submittedKey} from '../src/leader/records.js';
-import {Clock, SteadyClock} from '../src/lifecycle/clock.js';
+import {SteadyClock} from '../src/lifecycle/clock.js';
 import {instant} from '../src/model/ids.js';
 import {submission} from './leader_fixture.js';
+import {MovableClock} from './movable_clock.js';
 
 const NOW = instant(1_000_000);
 
-class MovableClock extends Clock {
-  movedByMs = 0;
-
-  override now() {
-    return instant(Date.now() + this.movedByMs);
-  }
-}
-
 /** Returns when the leader considers a job accepted. */
 function acceptedAt(submittedAt: number, source: InboxSource): number {
   const registry = new JobRegistry(new LeaderLog(new DaemonLog('a', 'fatal')));
--- a/test/prefix_follower.test.ts
+++ b/test/prefix_follower.test.ts
@@ -9,10 +9,10 @@
 import {Result} from 'true-myth';
 import {PrefixFollower} from '../src/leader/prefix_follower.js';
 import {CleanupScope} from '../src/lifecycle/cleanup_scope.js';
-import {Clock, steadyNow} from '../src/lifecycle/clock.js';
+import {steadyNow} from '../src/lifecycle/clock.js';
 import {PauseDetector} from '../src/lifecycle/pause_detector.js';
 import {UnavailableError} from '../src/model/errors.js';
-import {instant} from '../src/model/ids.js';
+import {MovableClock} from './movable_clock.js';
 
 /** Retry delay after a failed poll, with a margin for the next answer. */
 const RECOVERY_LIMIT_MS = 500;
@@ -50,15 +50,6 @@
   assert.ok(ageMs < RECOVERY_LIMIT_MS, `the cached view is ${ageMs} ms old`);
 });
 
-/** A time of day that a test can move, as a suspension of the VM does. */
-class MovableClock extends Clock {
-  suspendedMs = 0;
-
-  override now() {
-    return instant(Date.now() + this.suspendedMs);
-  }
-}
-
 /** Follows a source whose polls stay open until the test answers them. */
 async function followHeldPolls() {
   const scope = new CleanupScope();
@@ -95,7 +86,7 @@
   // looked as if it had just been confirmed.
   const {scope, clock, waits, follower, answerPoll} = await followHeldPolls();
   assert.ok(follower.ageMs(steadyNow()) < RECOVERY_LIMIT_MS);
-  clock.suspendedMs = 5_000;
+  clock.movedByMs = 5_000;
   assert.equal(follower.ageMs(steadyNow()), Infinity);
   await setImmediate();
   assert.equal(waits.at(-1), 0);
--- a/test/site_operators.test.ts
+++ b/test/site_operators.test.ts
@@ -8,10 +8,9 @@
 import {after, before, describe, it} from 'node:test';
 import {fileURLToPath} from 'node:url';
 import {promisify} from 'node:util';
-import {HttpPlatform} from '../emulator/http_platform.js';
 import {DaemonProcess} from '../soak/daemon_process.js';
 import {CleanupScope} from '../src/lifecycle/cleanup_scope.js';
-import {SeededRandom} from '../src/lifecycle/random.js';
+import {WORKER_LEASE_MS, startSmallPlatform} from './entry_process.js';
 
 const TOOL = fileURLToPath(new URL('../src/cli/main.js', import.meta.url));
 const KEY = 'caller-key';
@@ -63,17 +62,7 @@
   };
 
   before(async () => {
-    const platform = await HttpPlatform.start(
-      {
-        racks: 1,
-        workersPerRack: 2,
-        acceleratorsPerWorker: 8,
-        holdMaximumMs: 3_000,
-      },
-      new SeededRandom(1),
-      scope,
-      (_vmId, address) => Promise.resolve(address),
-    );
+    const platform = await startSmallPlatform(scope);
     platform.configure({
       version: 3,
       routes: [
@@ -87,7 +76,7 @@
       tenants: [{name: 'customer', apiKeys: [KEY]}],
     });
     const vmService = await platform.openVmService();
-    const times = {workerLeaseMs: 3_000, stopGraceS: 1};
+    const times = {workerLeaseMs: WORKER_LEASE_MS, stopGraceS: 1};
     daemons = await Promise.all(
       ['entry-1', 'entry-2'].map((name) =>
         DaemonProcess.create(name, platform, vmService, times, scope),
