--- a/src/leader/session.ts
+++ b/src/leader/session.ts
@@ -7,12 +7,11 @@
 
 import type {CleanupScope} from '../lifecycle/cleanup_scope.js';
 import type {Clock, SteadyTime} from '../lifecycle/clock.js';
-import {SteadyClock, steadyNow, steadyTime} from '../lifecycle/clock.js';
+import {SteadyClock, steadyNow} from '../lifecycle/clock.js';
 import type {CustomerId, Instant, JobId, QueueId} from '../model/ids.js';
 import {instant} from '../model/ids.js';
 import type {HostedConfiguration} from '../model/queues.js';
 import type {JobStateName} from '../model/submissions.js';
-import {watchChanges} from '../interfaces/coordination_store.js';
 import type {
   CoordinationStore,
   StoredItem,
@@ -31,11 +30,11 @@
 import type {Placement} from './placement.js';
 import {PaceController} from './pacing.js';
 import type {PaceChange} from './pacing.js';
-import type {FollowedSource} from './prefix_follower.js';
 import {PrefixFollower} from './prefix_follower.js';
-import {INBOX_PREFIX, PROGRESS_PREFIX} from './records.js';
+import {inboxSource, readProgress, workerSource} from './record_sources.js';
 import {countWorkers, reportJob, summarizeJob} from './reports.js';
 import type {JobReport, JobSummary, WorkerCounts} from './reports.js';
+import {RoundTimer} from './round_timer.js';
 import {RunTimeTable} from './run_times.js';
 import {startVmManagement} from './vm_management.js';
 import type {WorkerVmOptions} from './vm_management.js';
@@ -51,9 +50,6 @@
 /** Delay before a failed task is retried, multiplied by its failure count. */
 const RETRY_DELAY_MS = 100;
 
-/** Upper bound on the round timer, as Node.js timers overflow at 2^31 ms. */
-const MAXIMUM_ROUND_DELAY_MS = 60_000;
-
 export interface SessionSettings {
   /** Longest lease that a worker accepts, in milliseconds. */
   readonly holdMaximumMs: number;
@@ -90,14 +86,11 @@
   private readonly workerTable: WorkerTable;
   private readonly commitQueue: CommitQueue;
   private readonly admissions: AdmissionTickets;
+  private readonly roundTimer: RoundTimer;
   private readonly runTimes = new RunTimeTable();
   private readonly paceController = new PaceController();
   /** Units for which the last round found no free capacity. */
   private waitingUnits: readonly Unit[] = [];
-  private roundTimer: NodeJS.Timeout | undefined;
-  private delayedRoundTimer: NodeJS.Timeout | undefined;
-  private earliestRoundAt: SteadyTime = steadyTime(0);
-  private isRoundScheduled = false;
   private isAdopted = false;
 
   constructor(
@@ -109,6 +102,7 @@
   ) {
     const {store, log} = dependencies;
     this.clock = new SteadyClock(dependencies.clock);
+    this.roundTimer = new RoundTimer(scope, () => this.runRound());
     this.registry = new JobRegistry(log);
     this.commitQueue = new CommitQueue(store, authority.leaderRevision, scope, {
       leadershipLost: () =>
@@ -142,10 +136,6 @@
           this.admissions.discardTicket(run.unit, run.workerId),
       },
     });
-    scope.add(() => {
-      clearTimeout(this.roundTimer);
-      clearTimeout(this.delayedRoundTimer);
-    });
   }
 
   /** True once the records of earlier leaders have been read. */
@@ -162,9 +152,10 @@
     const startedAt = steadyNow();
     const {log} = this.dependencies;
     // All listings are read at the same time, as each may take long.
-    const progressRead = this.readProgress();
+    const {store, directory} = this.dependencies;
+    const progressRead = readProgress(store, this.scope, log);
     const workersListed = new PrefixFollower(
-      this.workerSource(),
+      workerSource(directory),
       this.scope,
       (reason) => log.requestFailed('workers', reason),
     ).start(
@@ -181,8 +172,10 @@
     const required = Promise.all([progressRead, workersListed]);
     let progress: Map<string, StoredItem> = new Map();
     void progressRead.then((records) => (progress = records));
-    await new PrefixFollower(this.inboxSource(required), this.scope, (reason) =>
-      log.requestFailed('jobs', reason),
+    await new PrefixFollower(
+      inboxSource(store, required),
+      this.scope,
+      (reason) => log.requestFailed('jobs', reason),
     ).start(
       (items) => this.processInbox(items, progress, 'listed'),
       (items) => this.processInbox(items, progress, 'watched'),
@@ -253,51 +246,6 @@
 
   // Records.
 
-  private workerSource() {
-    const {directory} = this.dependencies;
-    return {
-      list: async () =>
-        (await directory.list()).map(({entries, revision}) => ({
-          state: entries,
-          revision,
-        })),
-      watch: (revision: number, waitMs: number, signal: AbortSignal) =>
-        directory.watch(revision, waitMs, signal),
-    };
-  }
-
-  /** A listing is returned only after `required` has been read. */
-  private inboxSource(
-    required: Promise<unknown>,
-  ): FollowedSource<readonly StoredItem[], StoredItem> {
-    const {store} = this.dependencies;
-    return {
-      list: async () => {
-        const [listed] = await Promise.all([
-          store.list(INBOX_PREFIX),
-          required,
-        ]);
-        return listed.map(({items, revision}) => ({state: items, revision}));
-      },
-      watch: (revision, waitMs, signal) =>
-        watchChanges(store, INBOX_PREFIX, revision, waitMs, signal, (event) =>
-          event.kind === 'written' ? [event.item] : [],
-        ),
-    };
-  }
-
-  private async readProgress(): Promise<Map<string, StoredItem>> {
-    while (!this.scope.closed) {
-      const listed = await this.dependencies.store.list(PROGRESS_PREFIX);
-      if (listed.isOk) {
-        return new Map(listed.value.items.map((item) => [item.key, item]));
-      }
-      this.dependencies.log.requestFailed('progress', listed.error.message);
-      await this.scope.sleep(TICK_MS);
-    }
-    return new Map();
-  }
-
   private processInbox(
     items: readonly StoredItem[],
     progress: ReadonlyMap<string, StoredItem>,
@@ -429,25 +377,8 @@
     if (this.registry.open.size > 0) this.scheduleRound();
   }
 
-  /**
-   * Plans as soon as the changes of this event loop turn are handled, but not
-   * before the time that the last round took has passed again, so that lease
-   * renewals and orders always get half of the processor time.
-   */
   private scheduleRound(): void {
-    if (this.isRoundScheduled || this.scope.closed) return;
-    this.isRoundScheduled = true;
-    const waitMs = this.earliestRoundAt - steadyNow();
-    const run = () => {
-      this.isRoundScheduled = false;
-      if (this.scope.closed) return;
-      const startedAt = steadyNow();
-      this.runRound();
-      const endedAt = steadyNow();
-      this.earliestRoundAt = steadyTime(2 * endedAt - startedAt);
-    };
-    if (waitMs < 1) setImmediate(run);
-    else this.delayedRoundTimer = setTimeout(run, waitMs);
+    this.roundTimer.request();
   }
 
   private runRound(): void {
@@ -478,14 +409,10 @@
       this.workerTable.stop(run);
     }
     for (const placement of plan.placements) this.place(placement, now);
-    this.scheduleRoundAt(plan.nextDueAt, now);
-  }
-
-  private scheduleRoundAt(dueAt: Instant | undefined, now: Instant): void {
-    clearTimeout(this.roundTimer);
-    if (dueAt === undefined) return;
-    const waitMs = Math.min(Math.max(1, dueAt - now), MAXIMUM_ROUND_DELAY_MS);
-    this.roundTimer = setTimeout(() => this.scheduleRound(), waitMs);
+    const {nextDueAt} = plan;
+    this.roundTimer.requestAfter(
+      nextDueAt === undefined ? undefined : nextDueAt - now,
+    );
   }
 
   /** Records the placement. Starts are sent once the record is durable. */
