--- a/test/crash_monitor.test.ts
+++ b/test/crash_monitor.test.ts
@@ -10,7 +10,9 @@
 import {Job, Run} from '../src/leader/jobs.js';
 import {LeaderLog} from '../src/leader/leader_log.js';
 import type {WorkerState} from '../src/leader/worker_state.js';
+import {progressSchema} from '../src/leader/records.js';
 import {instant} from '../src/model/ids.js';
+import {checkTarget} from './known_red.js';
 import {idleWorker, step, submission} from './leader_fixture.js';
 
 const NOW = instant(1_000);
@@ -115,3 +117,24 @@
   }
   assert.ok(crashes > 2, 'two crashes in the middle do not end a job');
 });
+
+/** A later leader's view of the job, read from its record. */
+function adopt(job: Job): {adopted: Job; runs: Run[]} {
+  const adopted = new Job(job.submission, NOW);
+  const record: unknown = JSON.parse(JSON.stringify(job.toRecord()));
+  return {adopted, runs: adopted.restore(progressSchema.parse(record), NOW)};
+}
+
+// Guards against a job that is given up for runs that were never started.
+checkTarget('does not blame a task for a crash if its start is unknown', () => {
+  const crashMonitor = monitor();
+  let job = new Job(submission(), NOW);
+  for (let number = 1; number <= 3; number += 1) {
+    const worker = idleWorker(`worker-${number}`, INCARNATION);
+    worker.remove(startOn(worker, job, number));
+    const {adopted, runs} = adopt(job);
+    crashMonitor.recordLosses(worker, runs, 'crashed', NOW);
+    assert.equal(adopted.isEnded, false, `after ${number} takeovers`);
+    job = adopted;
+  }
+});
--- a/test/leader_crashes.test.ts
+++ b/test/leader_crashes.test.ts
@@ -187,6 +187,46 @@
   completesAfterCrashes({taskCount: 4, gang: true, maximumPerWorker: 1}, 2),
 );
 
+/** Runs a job of one long step whose workers crash soon after takeovers. */
+async function completesAfterTakeovers(
+  changes: Partial<Step>,
+  takeovers: number,
+): Promise<void> {
+  await withFixture(async (fixture) => {
+    let leader = await fixture.startLeader('daemon-0');
+    const jobId = fixture.submit(submission({steps: [step(changes)]}), 5_500);
+    const {workers, vms} = fixture.site;
+    const holders = () =>
+      [...workers.values()].filter(({runNames}) => runNames.length > 0);
+    for (let number = 1; number <= takeovers; number += 1) {
+      await until('the job runs', () => holders().length > 0);
+      await delay(2_400);
+      await leader.kill();
+      leader = await fixture.startLeader(`daemon-${number}`);
+      await delay(150);
+      for (const {entry} of holders()) {
+        if (entry.vmId !== undefined) vms.crash(entry.vmId);
+      }
+      assert.equal(holders().length, 0);
+    }
+    await until('the job has ended', () => {
+      const state = stateOf([leader], jobId);
+      assert.notEqual(state, 'failed', 'it was given up');
+      return state === 'complete';
+    });
+  });
+}
+
+// Guards against a job that is given up as its leader does not know how long its task has run.
+checkTarget('a task goes on after two crashes soon after takeovers', () =>
+  completesAfterTakeovers({}, 2),
+);
+
+// Guards against a gang that is given up as its leader does not know how long it has run.
+checkTarget('a gang goes on after two crashes soon after takeovers', () =>
+  completesAfterTakeovers({taskCount: 2, gang: true, maximumPerWorker: 1}, 2),
+);
+
 checkTarget('work on workers that crash by themselves completes', () =>
   withFixture(async (fixture) => {
     const leader = await fixture.startLeader();
