--- a/src/leader/crash_monitor.ts
+++ b/src/leader/crash_monitor.ts
@@ -54,7 +54,7 @@
     if (fate === 'crashed') this.workerCrashes += 1;
     this.log.workerLost(worker, fate, runs.length, units.size);
     for (const run of runs) {
-      this.log.runLost(run, `its worker's fate: ${fate}`);
+      this.log.lossFacts(run, fate, units.size);
       if (fate === 'crashed' || fate === 'unknown') continue;
       run.unit.job.runEnded(run, 'lost', run.checkpoint, Infinity, now);
     }
--- a/src/leader/leader_log.ts
+++ b/src/leader/leader_log.ts
@@ -211,6 +211,23 @@
     );
   }
 
+  /** What is known of a run that was lost with an incarnation of its worker. */
+  lossFacts(run: Run, fate: WorkerFate, units: number): void {
+    const {incarnation, wasAdopted, wasStartSent, confirmedAt} = run;
+    const origin = wasAdopted ? 'adopted' : 'of this term';
+    const start = wasStartSent ? 'start sent' : 'start not sent';
+    const seen =
+      confirmedAt === undefined
+        ? 'never seen at work'
+        : `seen at work for ${run.seenForMs} ms`;
+    this.logRun(
+      run,
+      `${run.task} run ${run.runNumber} is lost with incarnation ` +
+        `${incarnation}, fate ${fate}: ${origin}, ${start}, ${seen}, ` +
+        `${units} units there`,
+    );
+  }
+
   lossCounted(
     {job, occurrence, stepIndex, firstIndex, crashes}: Unit,
     isGivenUp: boolean,
