Give up a task only for crashes that are known to be its own

Cause: a loss says yes or no where the leader does not know. A placement in a record counted as a started run, lists that a leader has not read as no time at work, and a notice or an order that an earlier leader saw as none. So each crash near a takeover was alone and soon after its start, and two of them end a job. Lists that are missing for other reasons, such as a cut link, had the same effect.

A loss now counts as a known crash only if a leader has seen the run at work, and as early only if this leader confirmed the start and the end is known to have followed within 1 s: by a successor or since the address refuses calls. A run without a record on the worker excludes that the task was alone. The end of an incarnation is a crash only if this leader has followed its entry. The start of a run is recorded where it decides what a crash means: for suspects and long-running tasks, whose 60 s now go on across takeovers. All other ends are possible crashes.

--- a/emulator/site.ts
+++ b/emulator/site.ts
@@ -249,7 +249,11 @@
       // A crash ends pending calls: sequence numbers belong to one incarnation.
       const isSameIncarnation = target?.entry.incarnation === incarnation;
       if (target === undefined || !isSameIncarnation || signal.aborted) {
-        return {kind: 'unanswered', detail: 'the worker is unreachable'};
+        const isCut = this.faults.unreachable.has(worker.workerId);
+        const wasDown = incarnation === undefined;
+        const isGone = wasDown && !isCut && this.hasEnded(worker);
+        const kind = isGone ? 'gone' : 'unanswered';
+        return {kind, detail: 'the worker is unreachable'};
       }
       const outcome = target.renewLease(request, Date.now());
       const hasUpdate = outcome.kind !== 'seen' || outcome.ended.length > 0;
@@ -273,7 +277,7 @@
   ): Promise<OrderOutcome> {
     await pause(1);
     const target = this.reachableWorker(worker);
-    if (this.site.workers.get(worker.workerId)?.isUp === false) {
+    if (this.hasEnded(worker)) {
       // Its address refuses connections, so that the order was not sent.
       return {kind: 'unhealthy'};
     }
@@ -286,6 +290,11 @@
     return {kind: 'unknown', detail: 'no answer from the worker'};
   }
 
+  /** The worker has ended; a successor may already be at its address. */
+  private hasEnded({workerId}: WorkerEntry): boolean {
+    return this.site.workers.get(workerId)?.isUp === false;
+  }
+
   private reachableWorker(worker: WorkerEntry): EmulatedWorker | undefined {
     if (this.faults.unreachable.has(worker.workerId)) return undefined;
     const target = this.site.workers.get(worker.workerId);
--- a/src/interfaces/task_worker.ts
+++ b/src/interfaces/task_worker.ts
@@ -109,7 +109,13 @@
   readonly waitMs: number;
 }
 
-/** `seen`: the worker processed the call; `unanswered`: no valid answer. */
+/**
+ * - `seen`: the worker processed the call;
+ * - `superseded`: the worker has seen a higher term;
+ * - `otherLife`: another incarnation of the worker answered;
+ * - `gone`: no process listens at the worker's address;
+ * - `unanswered`: no valid answer.
+ */
 export type LeaseRenewalOutcome =
   | {
       readonly kind: 'seen';
@@ -120,7 +126,7 @@
     }
   | {readonly kind: 'superseded'}
   | {readonly kind: 'otherLife'}
-  | {readonly kind: 'unanswered'; readonly detail: string};
+  | {readonly kind: 'gone' | 'unanswered'; readonly detail: string};
 
 /** Orders to workers. Implementations do not retry. */
 export abstract class TaskWorkerClient {
--- a/src/leader/crash_monitor.ts
+++ b/src/leader/crash_monitor.ts
@@ -6,7 +6,6 @@
 
 import type {Instant} from '../model/ids.js';
 import type {WorkerFate} from './crash_history.js';
-import {PROVEN_AFTER_MS} from './jobs.js';
 import type {Job, Run, Unit} from './jobs.js';
 import type {LeaderLog} from './leader_log.js';
 import type {WorkerLoss} from './records.js';
@@ -53,16 +52,26 @@
     const units = unitsOnIncarnation(worker, runs);
     if (fate === 'crashed') this.workerCrashes += 1;
     this.log.workerLost(worker, fate, runs.length, units.size);
+    const isBlameless = fate === 'left' || fate === 'answers';
     for (const run of runs) {
       this.log.lossFacts(run, fate, units.size);
-      if (fate === 'crashed' || fate === 'unknown') continue;
+      if (!isBlameless) continue;
       run.unit.job.runEnded(run, 'lost', run.checkpoint, Infinity, now);
     }
-    if (fate !== 'crashed' && fate !== 'unknown') return;
+    if (isBlameless) return;
     for (const unit of new Set(runs.map((run) => run.unit))) {
       const lost = runs.filter((run) => run.unit === unit);
-      const loss = lossOf(lost, fate === 'crashed', units.size === 1);
-      if (loss === undefined) continue;
+      const [first] = lost;
+      if (first === undefined) continue;
+      const endedBefore =
+        worker.goneSince(first.incarnation) ??
+        (fate === 'unknown' ? undefined : now);
+      const hadOthers =
+        worker.incarnationWithUnrecordedRuns === first.incarnation;
+      const loss = lossOf(first, lost, fate, {
+        isAlone: units.size === 1 && !hadOthers,
+        endedBefore,
+      });
       const {job} = unit;
       this.update(unit, () => job.runsLostWithWorker(unit, lost, loss, now));
     }
@@ -118,21 +127,21 @@
 
 /** Describes the loss of one unit's runs on one worker. */
 function lossOf(
+  {runNumber, workerId, incarnation, vmId}: Run,
   runs: readonly Run[],
-  isCrash: boolean,
-  isAlone: boolean,
-): WorkerLoss | undefined {
-  const [first] = runs;
-  if (first === undefined) return undefined;
-  const {runNumber, workerId, incarnation, vmId} = first;
+  fate: WorkerFate,
+  known: {isAlone: boolean; endedBefore: Instant | undefined},
+): WorkerLoss {
   return {
     run: runNumber,
     tasks: runs.map(({taskIndex}) => taskIndex),
     workerId,
     life: incarnation,
     ...(vmId === undefined ? {} : {vmId}),
-    isCrash,
-    isAlone,
-    isEarly: runs.some(({seenForMs}) => seenForMs < PROVEN_AFTER_MS),
+    isCrash: fate === 'crashed',
+    hasEnded: fate === 'crashed' || fate === 'ended',
+    wasStarted: runs.every(({confirmedAt}) => confirmedAt !== undefined),
+    isAlone: known.isAlone,
+    isEarly: runs.every((run) => run.hasEndedEarly(known.endedBefore)),
   };
 }
--- a/src/leader/jobs.ts
+++ b/src/leader/jobs.ts
@@ -84,9 +84,9 @@
   wasStartSent = false;
   /** A start got no answer and may still be carried out. */
   mayStartLate = false;
-  /** An earlier leader started the run, at an unknown time. */
+  /** An earlier leader placed the run. */
   wasAdopted = false;
-  /** When the run was first known to be on its worker. */
+  /** When the run was first known to be on its worker, to any leader. */
   confirmedAt: Instant | undefined;
   /** The run was placed on a worker that other units must not use. */
   isIsolated = false;
@@ -124,17 +124,34 @@
     else this.fullyActiveSince ??= now;
   }
 
-  /** False once the run has outlived any crash that it would have caused. */
+  /** False once the run may have outlived any crash that it would cause. */
   get isOnCrashProbation(): boolean {
     if (this.step.longRunning !== true) return true;
-    return this.seenForMs < CRASH_PROBATION_MS;
+    return this.mayHaveRunForMs < CRASH_PROBATION_MS;
+  }
+
+  /** True if the run is known to have ended soon after its start. */
+  hasEndedEarly(endedBefore: Instant | undefined): boolean {
+    const {confirmedAt, wasAdopted} = this;
+    // The time of day of an earlier leader is not comparable.
+    if (wasAdopted || confirmedAt === undefined) return false;
+    return (endedBefore ?? Infinity) - confirmedAt < PROVEN_AFTER_MS;
   }
 
   /** How long lists have shown the run since its start was confirmed. */
   get seenForMs(): number {
-    const {confirmedAt, listedAt} = this;
-    if (confirmedAt === undefined || listedAt === undefined) return 0;
-    return listedAt - confirmedAt;
+    return this.sinceConfirmed(this.listedAt);
+  }
+
+  /** An adopted run may have been at work until the takeover. */
+  private get mayHaveRunForMs(): number {
+    const adoptedAt = this.wasAdopted ? this.plannedAt : undefined;
+    return this.sinceConfirmed(this.listedAt ?? adoptedAt);
+  }
+
+  private sinceConfirmed(time: Instant | undefined): number {
+    if (this.confirmedAt === undefined || time === undefined) return 0;
+    return Math.max(0, time - this.confirmedAt);
   }
 
   get task(): string {
@@ -348,6 +365,14 @@
     return failed;
   }
 
+  /**
+   * True if a later leader has to know that the unit's runs were started, as
+   * this decides what a crash under them means.
+   */
+  mustRecordStart({step, crashes}: Unit): boolean {
+    return step.longRunning === true || crashes.hasLosses;
+  }
+
   /** Removes a unit's runs that were lost with a worker; may end the job. */
   runsLostWithWorker(
     unit: Unit,
@@ -438,8 +463,20 @@
     if (unit.crashes.isSuspect) this.hasSuspects = true;
     this.openUnits.add(unit);
     const runs = saved.placements.map(
-      ({index, workerId, life: incarnation, vmId}) =>
-        new Run(unit, index, saved.lastRun, workerId, incarnation, now, vmId),
+      ({index, workerId, life: incarnation, vmId, startedAt}) => {
+        const {lastRun} = saved;
+        const run = new Run(
+          unit,
+          index,
+          lastRun,
+          workerId,
+          incarnation,
+          now,
+          vmId,
+        );
+        if (startedAt !== undefined) run.confirmedAt = instant(startedAt);
+        return run;
+      },
     );
     for (const run of runs) {
       run.phase = 'ordered';
@@ -493,11 +530,12 @@
     failedRun: unit.failedRun,
     checkpoint: unit.checkpoint,
     placements: unit.runs.map(
-      ({taskIndex: index, workerId, incarnation, vmId}) => ({
+      ({taskIndex: index, workerId, incarnation, vmId, confirmedAt}) => ({
         index,
         workerId,
         life: incarnation,
         ...(vmId === undefined ? {} : {vmId}),
+        ...(confirmedAt === undefined ? {} : {startedAt: confirmedAt}),
       }),
     ),
     ...(losses.length === 0 ? {} : {losses: [...losses]}),
--- a/src/leader/leader_log.ts
+++ b/src/leader/leader_log.ts
@@ -181,12 +181,12 @@
 
   unresponsive(
     worker: WorkerState,
-    outcome: LeaseRenewalOutcome & {kind: 'otherLife' | 'unanswered'},
+    outcome: Exclude<LeaseRenewalOutcome, {kind: 'seen' | 'superseded'}>,
   ): void {
     const reason =
-      outcome.kind === 'unanswered'
-        ? outcome.detail
-        : 'another incarnation answered';
+      outcome.kind === 'otherLife'
+        ? 'another incarnation answered'
+        : outcome.detail;
     this.workers.warn(`lease renewal failed: ${reason}`, {
       workerId: worker.workerId,
     });
@@ -232,12 +232,13 @@
     {job, occurrence, stepIndex, firstIndex, crashes}: Unit,
     isGivenUp: boolean,
   ): void {
-    const {crashCount, decisiveCrashCount} = crashes;
+    const {possibleCrashCount, crashCount, decisiveCrashCount} = crashes;
     this.jobs.warn(
       `${occurrence}.${stepIndex}.${firstIndex} lost ` +
-        `${crashes.toRecord().length} workers, ${crashCount} crashed under ` +
-        `one task, ${decisiveCrashCount} of them alone and soon after its ` +
-        `start: ${isGivenUp ? 'job is given up' : 'goes on'}`,
+        `${crashes.toRecord().length} workers, under one task ` +
+        `${possibleCrashCount} possibly crashed, ${crashCount} of them known ` +
+        `to, ${decisiveCrashCount} alone and soon after its start: ` +
+        `${isGivenUp ? 'job is given up' : 'goes on'}`,
       {jobId: job.id},
     );
   }
--- a/src/leader/records.ts
+++ b/src/leader/records.ts
@@ -73,12 +73,16 @@
   /** The worker's incarnation. */
   life: z.number(),
   vmId: hostedVmIdSchema.optional(),
-  /** False while it is open whether the worker has crashed. */
+  /** True if the worker is known to have crashed with the tasks. */
   isCrash: z.boolean(),
-  /** True if the worker had no runs of other units. */
+  /** True if the worker has ended, and may have crashed with the tasks. */
+  hasEnded: z.boolean().default(false),
+  /** True if the tasks are known to have been started. */
+  wasStarted: z.boolean().default(false),
+  /** True if the worker is known to have had no runs of other units. */
   isAlone: z.boolean(),
-  /** True if the tasks had not been seen at work for long enough. */
-  isEarly: z.boolean().default(true),
+  /** True if the worker is known to have crashed soon after the start. */
+  isEarly: z.boolean().default(false),
 });
 export type WorkerLoss = Readonly<z.infer<typeof workerLossSchema>>;
 
@@ -102,6 +106,8 @@
       workerId: workerIdSchema,
       life: z.number(),
       vmId: hostedVmIdSchema.optional(),
+      /** Unix milliseconds; absent if the start may not have been sent. */
+      startedAt: z.number().optional(),
     }),
   ),
   /** Absent if no run was lost with its worker. */
--- a/src/leader/worker_link.ts
+++ b/src/leader/worker_link.ts
@@ -234,7 +234,9 @@
         return false;
       case 'otherLife':
       case 'unanswered':
+      case 'gone':
         if (outcome.kind === 'otherLife') worker.isReplaced = true;
+        if (outcome.kind === 'gone') worker.markGone(this.events.now());
         worker.failedRenewals += 1;
         if (worker.failedRenewals === 1) this.log.unresponsive(worker, outcome);
         return false;
@@ -304,6 +306,7 @@
     for (const running of outcome.running) {
       const run = worker.find(running.task, running.run);
       if (run === undefined) {
+        worker.incarnationWithUnrecordedRuns = outcome.incarnation;
         void this.stopUnknownRun(running.task, running.run);
         continue;
       }
@@ -328,12 +331,8 @@
     }
     const [first] = earlier;
     if (first === undefined) return;
-    const wasExpected = worker.wasEndExpected(first.incarnation);
-    events.runsLostWithWorker(
-      worker,
-      earlier,
-      wasExpected ? 'left' : 'crashed',
-    );
+    const fate = worker.fateOfEnded(first.incarnation);
+    events.runsLostWithWorker(worker, earlier, fate);
   }
 
   /** Stops a run without a record, so that the free capacity is known. */
@@ -345,7 +344,7 @@
   private confirmStart(run: Run, at: SteadyTime): void {
     run.presenceDecidedAt = at;
     run.phase = 'running';
-    run.confirmedAt = this.events.now();
+    run.confirmedAt ??= this.events.now();
     this.log.startConfirmed(run, this.events.now());
     this.events.runStarted(run);
   }
--- a/src/leader/worker_state.ts
+++ b/src/leader/worker_state.ts
@@ -5,9 +5,10 @@
 
 import type {SteadyTime} from '../lifecycle/clock.js';
 import {steadyTime} from '../lifecycle/clock.js';
-import type {JobId, WorkerId} from '../model/ids.js';
+import type {Instant, JobId, WorkerId} from '../model/ids.js';
 import type {TaskShape} from '../model/submissions.js';
 import type {WorkerEntry} from '../interfaces/task_worker.js';
+import type {WorkerFate} from './crash_history.js';
 import type {Run} from './jobs.js';
 
 /** Fraction by which a worker's clock may be slower than the leader's. */
@@ -50,12 +51,18 @@
   failedRenewals = 0;
   /** Another worker answers at its address. */
   isReplaced = false;
+  /** Last incarnation that listed runs without a record. */
+  incarnationWithUnrecordedRuns: number | undefined;
   /** The worker has answered since its leases last lapsed. */
   private hasAnswered = false;
   /** Last incarnation that announced its end. */
   private drainedIncarnation: number | undefined;
   /** Last incarnation that was running when its end was ordered. */
   private incarnationOrderedToEnd: number | undefined;
+  /** Incarnations up to this one may have been told to end unnoticed. */
+  private lastUnwatchedIncarnation: number;
+  /** Incarnation after whose start no process listened at the address. */
+  private gone: {incarnation: number; since: Instant} | undefined;
   private clock: {clockMs: number; at: SteadyTime} | undefined;
   /** When a start may first have reached an incarnation without a list. */
   private mayHaveRestartedAt: SteadyTime | undefined;
@@ -68,6 +75,8 @@
   private drainEndsAt: SteadyTime | undefined;
 
   constructor(private currentEntry: WorkerEntry) {
+    // Earlier leaders may have seen notices of earlier incarnations.
+    this.lastUnwatchedIncarnation = currentEntry.incarnation - 1;
     this.noteDrain();
   }
 
@@ -112,13 +121,42 @@
     );
   }
 
+  /** What the end of an incarnation that is known to have ended means. */
+  fateOfEnded(incarnation: number): WorkerFate {
+    if (this.wasEndExpected(incarnation)) return 'left';
+    const wasWatched = incarnation > this.lastUnwatchedIncarnation;
+    return wasWatched ? 'crashed' : 'ended';
+  }
+
+  /** No process listens at the worker's address. */
+  markGone(now: Instant): void {
+    if (this.gone?.incarnation === this.incarnation) return;
+    this.gone = {incarnation: this.incarnation, since: now};
+  }
+
+  /** When the incarnation was first known to have ended, by its address. */
+  goneSince(incarnation: number): Instant | undefined {
+    return this.gone?.incarnation === incarnation ? this.gone.since : undefined;
+  }
+
   /** Maintenance or a move of its VM is being ordered. */
   expectEnd(): void {
-    // A worker that is silent already may have crashed before the order.
-    if (this.failedRenewals > 0 || !this.isListed) return;
+    if (this.failedRenewals > 0 || !this.isListed) {
+      // It may have crashed before the order.
+      this.markUnwatched();
+      return;
+    }
     this.incarnationOrderedToEnd = this.incarnation;
   }
 
+  /** The current incarnation may have been told to end unnoticed. */
+  markUnwatched(): void {
+    this.lastUnwatchedIncarnation = Math.max(
+      this.lastUnwatchedIncarnation,
+      this.incarnation,
+    );
+  }
+
   private noteDrain(): void {
     const {isDraining, incarnation} = this.currentEntry;
     if (isDraining) this.drainedIncarnation = incarnation;
@@ -321,6 +359,7 @@
 
   /** Notes which incarnation sent a list; returns true if it is a new one. */
   recordIncarnation(incarnation: number, sentAt: SteadyTime): boolean {
+    if (this.gone?.incarnation === incarnation) this.gone = undefined;
     if (sentAt >= (this.mayHaveRestartedAt ?? Infinity)) {
       this.mayHaveRestartedAt = undefined;
     }
--- a/src/leader/worker_table.ts
+++ b/src/leader/worker_table.ts
@@ -104,9 +104,12 @@
   // The directory.
 
   replace(entries: readonly WorkerEntry[]): void {
-    const present = new Set(entries.map(({workerId}) => workerId));
-    for (const workerId of [...this.workerStates.keys()]) {
-      if (!present.has(workerId)) this.markUnlisted(workerId);
+    const listed = new Map(entries.map((entry) => [entry.workerId, entry]));
+    for (const worker of [...this.workerStates.values()]) {
+      const entry = listed.get(worker.workerId);
+      // Notices between two listings are not seen.
+      if (entry?.incarnation !== worker.incarnation) worker.markUnwatched();
+      if (entry === undefined) this.markUnlisted(worker.workerId);
     }
     for (const entry of entries) this.addOrUpdate(entry);
   }
@@ -178,6 +181,7 @@
     if (worker === undefined) {
       worker = new WorkerState(placeholderEntry(run));
       worker.isListed = false;
+      worker.markUnwatched();
       this.workerStates.set(run.workerId, worker);
     }
     if (worker.hasKnownRuns) this.assumeLeases(worker);
@@ -240,9 +244,7 @@
     const hasSuccessor =
       Math.max(newest ?? 0, worker?.incarnation ?? 0) > life ||
       worker?.isReplaced === true;
-    if (hasSuccessor) {
-      return worker?.wasEndExpected(life) === true ? 'left' : 'crashed';
-    }
+    if (hasSuccessor) return worker?.fateOfEnded(life) ?? 'ended';
     return worker?.isAnswering(life) === true ? 'answers' : 'unknown';
   }
 
@@ -264,7 +266,7 @@
     );
     if (sentRuns.length === 0) return;
     worker.isReplaced = true;
-    const fate = worker.wasEndExpected(worker.incarnation) ? 'left' : 'crashed';
+    const fate = worker.fateOfEnded(earliestIncarnation(sentRuns));
     for (const run of sentRuns) worker.remove(run);
     this.options.events.runsLostWithWorker(worker, sentRuns, fate);
   }
@@ -277,9 +279,15 @@
     );
     if (sentRuns.length === 0) return;
     this.options.log.leasesLapsed(worker, sentRuns.length);
+    const incarnation = earliestIncarnation(sentRuns);
+    const hasEnded =
+      incarnation < worker.incarnation ||
+      worker.goneSince(incarnation) !== undefined ||
+      worker.wasEndExpected(incarnation);
+    const fate = hasEnded ? worker.fateOfEnded(incarnation) : 'unknown';
     worker.markRunsUnknown();
     for (const run of sentRuns) worker.remove(run);
-    this.options.events.runsLostWithWorker(worker, sentRuns, 'unknown');
+    this.options.events.runsLostWithWorker(worker, sentRuns, fate);
   }
 
   private checkRuns(worker: WorkerState, steady: SteadyTime): void {
@@ -343,6 +351,10 @@
   return isReplaced || (isSilent && (onVm ?? incarnation) > incarnation);
 }
 
+function earliestIncarnation(runs: readonly Run[]): number {
+  return Math.min(...runs.map(({incarnation}) => incarnation));
+}
+
 function isStalled(run: Run): boolean {
   const {longRunning, usesSpareProcessor} = run.step;
   // Work on spare processors may be slowed down to 0 %.
--- a/test/leader_placement.test.ts
+++ b/test/leader_placement.test.ts
@@ -424,6 +424,8 @@
     workerId: trustedId('w20'),
     life: 1,
     isCrash: true,
+    hasEnded: true,
+    wasStarted: true,
     isAlone: false,
     isEarly: false,
   });
@@ -447,6 +449,8 @@
       workerId: trustedId(`gone-${run}`),
       life: 1,
       isCrash: true,
+      hasEnded: true,
+      wasStarted: true,
       isAlone: false,
       isEarly: false,
     });
