Withdraw the expectation of an end whose order was rejected

Its end may still follow from an earlier order without an answer, so it is a possible crash now.

Measured: the new test of leader_workers failed to build before; 19 of 19 pass.

--- a/src/interfaces/vm_service.ts
+++ b/src/interfaces/vm_service.ts
@@ -57,6 +57,21 @@
     }
   | {readonly kind: 'refused' | 'unknown'; readonly detail: string};
 
+/** True if the service did nothing and will do nothing because of the order. */
+export function isRejection({kind}: VmOrderOutcome): boolean {
+  switch (kind) {
+    case 'busy':
+    case 'notRequested':
+    case 'impossible':
+    case 'refused':
+      return true;
+    case 'done':
+    case 'superseded':
+    case 'unknown':
+      return false;
+  }
+}
+
 export type VmListFailure =
   RefusedError | TimeoutError | UnavailableError | ProtocolError;
 
--- a/src/leader/maintenance.ts
+++ b/src/leader/maintenance.ts
@@ -14,6 +14,7 @@
   MaintenanceRequests,
   MaintenanceWave,
 } from '../interfaces/maintenance_requests.js';
+import {isRejection} from '../interfaces/vm_service.js';
 import type {VmOrderOutcome, VmService} from '../interfaces/vm_service.js';
 import type {LeaderLog} from './leader_log.js';
 import {planMaintenance, progressOf} from './maintenance_plan.js';
@@ -255,6 +256,7 @@
     });
     if (this.scope.closed) return;
     this.dependencies.log.maintenanceRequested(waveId, vmId, outcome);
+    if (isRejection(outcome)) this.table.withdrawExpectedEnd(vmId);
     await this.recordOutcome(open, vmId, outcome);
   }
 
--- a/src/leader/pools.ts
+++ b/src/leader/pools.ts
@@ -8,6 +8,7 @@
 import {steadyNow} from '../lifecycle/clock.js';
 import type {Instant, VmId} from '../model/ids.js';
 import type {HostedConfiguration} from '../model/queues.js';
+import {isRejection} from '../interfaces/vm_service.js';
 import type {VmService} from '../interfaces/vm_service.js';
 import type {Unit} from './jobs.js';
 import type {LeaderLog} from './leader_log.js';
@@ -117,6 +118,7 @@
     });
     if (this.scope.closed) return;
     this.dependencies.log.moveRequested(move, outcome);
+    if (isRejection(outcome)) this.table.withdrawExpectedEnd(move.vmId);
     switch (outcome.kind) {
       case 'done':
       case 'busy':
--- a/src/leader/worker_state.ts
+++ b/src/leader/worker_state.ts
@@ -149,6 +149,13 @@
     this.incarnationOrderedToEnd = this.incarnation;
   }
 
+  /** The order to end was rejected; an earlier one may still be carried out. */
+  withdrawExpectedEnd(): void {
+    if (this.incarnationOrderedToEnd !== this.incarnation) return;
+    this.incarnationOrderedToEnd = undefined;
+    this.markUnwatched();
+  }
+
   /** The current incarnation may have been told to end unnoticed. */
   markUnwatched(): void {
     this.lastUnwatchedIncarnation = Math.max(
--- a/src/leader/worker_table.ts
+++ b/src/leader/worker_table.ts
@@ -88,6 +88,11 @@
     this.workersByVm().get(vmId)?.expectEnd();
   }
 
+  /** The order for the VM was rejected. */
+  withdrawExpectedEnd(vmId: VmId): void {
+    this.workersByVm().get(vmId)?.withdrawExpectedEnd();
+  }
+
   private isClosedToNewRuns({vmId}: WorkerEntry): boolean {
     if (vmId === undefined) return false;
     return [...this.closedVmsByReason.values()].some((vmIds) =>
--- a/test/leader_workers.test.ts
+++ b/test/leader_workers.test.ts
@@ -201,6 +201,14 @@
     assert.equal(worker.fateOfEnded(incarnation - 1), 'ended');
   });
 
+  // Guards against starts that no limit counts.
+  it('may be a crash if the order was rejected', () => {
+    const worker = idleWorker('worker', incarnation);
+    worker.expectEnd();
+    worker.withdrawExpectedEnd();
+    assert.equal(worker.fateOfEnded(incarnation), 'ended');
+  });
+
   it('is expected after the order', () => {
     const worker = idleWorker('worker', incarnation);
     worker.expectEnd();
