Do not blame a task for a crash if its run may have ended before

The next leader adopted the run, whose worker had crashed meanwhile, and counted this against the task.

A crash is known to be a task's own only if this leader has seen the run at work, in a list or in the answer to its own start. What an earlier leader has recorded of the run says nothing about its end. So the time of the start is recorded for long-running tasks only, for their 60 s.

--- a/src/leader/crash_history.ts
+++ b/src/leader/crash_history.ts
@@ -7,8 +7,8 @@
  * lost. A worker that is only silent is no reason to give up its work. The
  * history is part of the job's record, so that its limits hold across leaders.
  *
- * A leader may not know whether a run was started, how long it was at work or
- * whether its worker's end was announced. Such a loss is a possible crash: it is
+ * A leader may not know whether a run was started or had ended, how long it was
+ * at work, or whether its worker's end was announced. Such a loss is a possible crash: it is
  * a reason for caution, and counts only towards the users' limit of starts.
  */
 
@@ -74,10 +74,6 @@
     return this.possibleCrashCount >= CRASHES_UNTIL_ISOLATION;
   }
 
-  get hasLosses(): boolean {
-    return this.losses.length > 0;
-  }
-
   get isOverLimit(): boolean {
     return [...this.byTask.values()].some(
       ({losses, possibleCrashes, crashes, decisiveCrashes}) =>
@@ -168,7 +164,7 @@
     this.losses = losses;
     this.byTask.clear();
     for (const loss of losses) {
-      const isKnownCrash = loss.isCrash && loss.wasStarted;
+      const isKnownCrash = loss.isCrash && loss.wasAtWork;
       const isDecisive = isKnownCrash && loss.isAlone && loss.isEarly;
       for (const task of loss.tasks) {
         const counts = this.byTask.get(task) ?? {
--- a/src/leader/crash_monitor.ts
+++ b/src/leader/crash_monitor.ts
@@ -140,7 +140,7 @@
     ...(vmId === undefined ? {} : {vmId}),
     isCrash: fate === 'crashed',
     hasEnded: fate === 'crashed' || fate === 'ended',
-    wasStarted: runs.every(({confirmedAt}) => confirmedAt !== undefined),
+    wasAtWork: runs.every(({wasSeenAtWork}) => wasSeenAtWork),
     isAlone: known.isAlone,
     isEarly: runs.every((run) => run.hasEndedEarly(known.endedBefore)),
   };
--- a/src/leader/jobs.ts
+++ b/src/leader/jobs.ts
@@ -130,6 +130,13 @@
     return this.mayHaveRunForMs < CRASH_PROBATION_MS;
   }
 
+  /** True if this leader knows that the run has been at work. */
+  get wasSeenAtWork(): boolean {
+    // A run that only an earlier leader has seen may have ended since then.
+    if (this.wasAdopted) return this.listedAt !== undefined;
+    return this.confirmedAt !== undefined;
+  }
+
   /** True if the run is known to have ended soon after its start. */
   hasEndedEarly(endedBefore: Instant | undefined): boolean {
     const {confirmedAt, wasAdopted} = this;
@@ -365,14 +372,6 @@
     return failed;
   }
 
-  /**
-   * True if a later leader has to know that the unit's runs were started, as
-   * this decides what a crash under them means.
-   */
-  mustRecordStart({step, crashes}: Unit): boolean {
-    return step.longRunning === true || crashes.hasLosses;
-  }
-
   /** Removes a unit's runs that were lost with a worker; may end the job. */
   runsLostWithWorker(
     unit: Unit,
@@ -535,7 +534,9 @@
         workerId,
         life: incarnation,
         ...(vmId === undefined ? {} : {vmId}),
-        ...(confirmedAt === undefined ? {} : {startedAt: confirmedAt}),
+        ...(unit.step.longRunning === true && confirmedAt !== undefined
+          ? {startedAt: confirmedAt}
+          : {}),
       }),
     ),
     ...(losses.length === 0 ? {} : {losses: [...losses]}),
--- a/src/leader/records.ts
+++ b/src/leader/records.ts
@@ -77,8 +77,8 @@
   isCrash: z.boolean(),
   /** True if the worker has ended, and may have crashed with the tasks. */
   hasEnded: z.boolean().default(false),
-  /** True if the tasks are known to have been started. */
-  wasStarted: z.boolean().default(false),
+  /** True if the tasks are known to have been at work on the worker. */
+  wasAtWork: z.boolean().default(false),
   /** True if the worker is known to have had no runs of other units. */
   isAlone: z.boolean(),
   /** True if the worker is known to have crashed soon after the start. */
@@ -106,7 +106,7 @@
       workerId: workerIdSchema,
       life: z.number(),
       vmId: hostedVmIdSchema.optional(),
-      /** Unix milliseconds; absent if the start may not have been sent. */
+      /** Unix milliseconds; only for a long-running task that has started. */
       startedAt: z.number().optional(),
     }),
   ),
--- a/test/crash_monitor.test.ts
+++ b/test/crash_monitor.test.ts
@@ -192,7 +192,7 @@
   worker.remove(startOn(worker, job, 1));
   const {adopted, runs} = adopt(job, instant(NOW + 70_000));
   crashMonitor.recordLosses(worker, runs, 'crashed', instant(NOW + 70_150));
-  assert.equal(adopted.units[0]?.crashes.hasLosses, false);
+  assert.deepEqual(adopted.units[0]?.crashes.toRecord(), []);
 });
 
 // Guards against a job that is given up for a run that its leader cannot know.
@@ -208,3 +208,17 @@
     assert.equal(job.isEnded, false, `after ${number} crashes`);
   }
 });
+
+// Guards against a job that is given up for runs that were done before a takeover.
+it('does not blame a task for a crash if its run may have ended before', () => {
+  const crashMonitor = monitor();
+  let job = new Job(submission({steps: [step({longRunning: true})]}), NOW);
+  for (let number = 1; number <= 4; number += 1) {
+    const worker = idleWorker(`worker-${number}`, INCARNATION);
+    worker.remove(startOn(worker, job, number));
+    const {adopted, runs} = adopt(job);
+    crashMonitor.recordLosses(worker, runs, 'crashed', NOW);
+    assert.equal(adopted.isEnded, false, `after ${number} takeovers`);
+    job = adopted;
+  }
+});
--- a/test/leader_placement.test.ts
+++ b/test/leader_placement.test.ts
@@ -425,7 +425,7 @@
     life: 1,
     isCrash: true,
     hasEnded: true,
-    wasStarted: true,
+    wasAtWork: true,
     isAlone: false,
     isEarly: false,
   });
@@ -450,7 +450,7 @@
       life: 1,
       isCrash: true,
       hasEnded: true,
-      wasStarted: true,
+      wasAtWork: true,
       isAlone: false,
       isEarly: false,
     });
