Give the soak jobs whose tasks work for seconds

The soak's tasks worked for 1.6 s at most, so that a crash hardly ever hit one that had been at work for long. A fifth of the jobs now has up to three tasks of 3 to 6 s, single ones and gangs, half of them with checkpoints. The ledger's rules and bounds are as before.

--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -30,6 +30,21 @@
 /** Share of submissions that are cancelled after a call without an answer. */
 const ABANDON_SHARE = 0.3;
 
+/** Share of long jobs, whose tasks are seconds into their work at a crash. */
+const LONG_JOB_SHARE = 0.2;
+const LONG_JOB = {
+  maximumTasks: 3,
+  minimumWorkMs: 3_000,
+  maximumWorkMs: 6_000,
+  secondStepShare: 0,
+};
+const SHORT_JOB = {
+  maximumTasks: 5,
+  minimumWorkMs: 100,
+  maximumWorkMs: 1_600,
+  secondStepShare: 0.3,
+};
+
 /** Share of jobs with a task that crashes every worker that starts it. */
 const CRASHING_SHARE = 0.06;
 const CONNECTIONS_PER_DAEMON = 64;
@@ -299,18 +314,16 @@
   const isUrgent = random.next() < 0.3;
   const isGang = random.next() < 0.5;
   const isCheckpointing = random.next() < 0.5;
-  const count = 1 + random.nextBelow(5);
+  const size = random.next() < LONG_JOB_SHARE ? LONG_JOB : SHORT_JOB;
+  const {maximumTasks, minimumWorkMs, maximumWorkMs, secondStepShare} = size;
+  const count = 1 + random.nextBelow(maximumTasks);
   const accelerators = [1, 2, 4][random.nextBelow(3)] ?? 1;
-  const workMs = 100 + random.nextBelow(1_500);
-  const hasSecondStep = random.next() < 0.3;
+  const workMs =
+    minimumWorkMs + random.nextBelow(maximumWorkMs - minimumWorkMs);
+  const hasSecondStep = random.next() < secondStepShare;
   const failingTask = random.next() < 0.05 ? 0 : undefined;
   const requiredLabel = random.next() < 0.15 ? 'rack-0' : undefined;
-  const digits = () =>
-    random
-      .nextBelow(2 ** 31)
-      .toString(16)
-      .padStart(8, '0');
-  const jobId = trustedId<JobId>(digits() + digits());
+  const jobId = trustedId<JobId>(randomDigits(random) + randomDigits(random));
   const stepOf = (after: number[]) => ({
     count,
     cpu: 1_000,
@@ -353,3 +366,10 @@
     failingTask,
   };
 }
+
+function randomDigits(random: RandomSource): string {
+  return random
+    .nextBelow(2 ** 31)
+    .toString(16)
+    .padStart(8, '0');
+}
