Keep the soak's logs if a job is given up wrongly

Two crashes under one task allow a job to fail, so that a job given up for crashes that it had not caused broke no rule, and the logs that explain it were dropped. They are saved as for a broken rule; the exit code is as before.

--- a/soak/main.ts
+++ b/soak/main.ts
@@ -1,8 +1,9 @@
 #!/usr/bin/env node
 /**
  * `npm run soak -- --seed N`: runs the soak with one or more seeds. Exits with
- * 1 if a rule was violated, after saving the daemons' logs to a folder whose
- * path it prints, and with 130 after SIGINT or SIGTERM.
+ * 1 if a rule was violated, and with 130 after SIGINT or SIGTERM. Saves the
+ * daemons' logs to a folder whose path it prints if a rule was violated or a
+ * job was given up wrongly.
  */
 
 import {mkdtemp, writeFile} from 'node:fs/promises';
@@ -61,8 +62,9 @@
       });
       if (stop.signal.aborted) return EXIT_INTERRUPTED;
       this.context.stdout.write(asText(seed, report));
-      if (report.violations.length === 0) continue;
-      hasViolations = true;
+      const isBroken = report.violations.length > 0;
+      hasViolations ||= isBroken;
+      if (!isBroken && report.counts.givenUpWrongly === 0) continue;
       this.context.stdout.write(`  logs: ${await keepLogs(seed, report)}\n`);
     }
     return hasViolations ? EXIT_VIOLATION : 0;
