Play takeovers with crashes of workers in the soak

In the incident a job was failed after crashes close to a takeover. The soak killed daemons and crashed workers independently, so that the two seldom met. A new fault replaces the leader three or four times in a row, found by its record in the emulated store. Each time a share of the workers crashes while nobody leads or within 1.5 s after the election, and comes back under its id or another one.

--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -12,6 +12,7 @@
 import {linkFaultsSchema} from '../src/standins/fault_link.js';
 import type {FaultLink, LinkFaults} from '../src/standins/fault_link.js';
 import type {DaemonProcess} from './daemon_process.js';
+import {TakeoverSeries} from './takeover_series.js';
 
 const MINIMUM_GAP_MS = 200;
 const MAXIMUM_GAP_MS = 1_500;
@@ -37,6 +38,7 @@
   /** Names of the injected faults, in order. */
   readonly injected: string[] = [];
   private readonly faults: ReadonlyArray<readonly [string, Fault]>;
+  private readonly takeovers: TakeoverSeries;
   private isStopping = false;
 
   constructor(
@@ -44,12 +46,19 @@
     private readonly random: RandomSource,
     private readonly scope: CleanupScope,
   ) {
+    this.takeovers = new TakeoverSeries(
+      targets.platform,
+      targets.daemons,
+      random,
+      scope,
+    );
     this.faults = [
       ['kill', (ms) => this.randomDaemon().restart('SIGKILL', ms / 4)],
       ['stop', (ms) => this.randomDaemon().restart('SIGTERM', ms / 4)],
       ['pause', (ms) => this.randomDaemon().pause(ms)],
       ['reload', () => this.randomDaemon().reload()],
       ['kill all', () => this.killAll()],
+      ['takeovers', () => this.takeovers.play()],
       [
         'store link',
         (ms) => this.injectLinkFault(this.randomDaemon().storeLink, ms),
@@ -98,6 +107,14 @@
     }
   }
 
+  /** Repeats takeovers beside the other faults. */
+  repeatTakeovers(): Promise<void> {
+    this.injected.push('repeated takeovers');
+    return this.inject('repeated takeovers', () =>
+      this.takeovers.playUntilStopped(),
+    );
+  }
+
   /** A process that fails to restart is reported as a violation. */
   private async inject(name: string, fault: Fault): Promise<void> {
     try {
@@ -112,6 +129,7 @@
   /** Ends all faults; processes that are down restart by themselves. */
   async stopAndClear(): Promise<void> {
     this.isStopping = true;
+    this.takeovers.stop();
     await this.scope.sleep(MAXIMUM_FAULT_MS);
     const {daemons, workerLinks} = this.targets;
     for (const link of workerLinks.values()) link.faults = NO_LINK_FAULTS;
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -44,6 +44,9 @@
     description: 'number of racks, with four workers each',
     validator: t.isNumber(),
   });
+  private readonly takeovers = Option.Boolean('--takeovers', false, {
+    description: 'replace the leader repeatedly while workers crash',
+  });
 
   override async execute(): Promise<number> {
     const stop = new AbortController();
@@ -58,6 +61,7 @@
         daemons: this.daemons,
         racks: this.racks,
         workersPerRack: 4,
+        repeatsTakeovers: this.takeovers,
         stop: stop.signal,
       });
       if (stop.signal.aborted) return EXIT_INTERRUPTED;
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -42,6 +42,8 @@
   readonly daemons: number;
   readonly racks: number;
   readonly workersPerRack: number;
+  /** Takeovers with crashes of workers follow one another. */
+  readonly repeatsTakeovers?: boolean;
   /** Ends the soak early and stops its daemons. */
   readonly stop?: AbortSignal;
 }
@@ -106,6 +108,7 @@
     );
     void callers.submitUntilStopped(JOBS_PER_SECOND);
     void faults.injectUntilStopped();
+    if (options.repeatsTakeovers === true) void faults.repeatTakeovers();
     await scope.sleep(options.faultsMs);
     await faults.stopAndClear();
     const acceptedBefore = callers.counts.accepted;
