--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -67,7 +67,7 @@
   ended: number;
   /** Jobs shown as failed since a task crashed its workers. */
   givenUp: number;
-  /** Jobs given up although none of their tasks crashes its workers. */
+  /** Of these, jobs none of whose tasks crashes its workers. */
   givenUpWrongly: number;
 }
 
@@ -86,6 +86,8 @@
     JobId,
     {acceptedAt: number; isCancelled: boolean}
   >();
+  /** Jobs given up although none of their tasks crashes its workers. */
+  readonly wronglyGivenUp: JobId[] = [];
   private readonly refused = new Set<JobId>();
   private readonly connections: ConnectionsByAddress;
   private isStopping = false;
@@ -264,7 +266,9 @@
   private countFailedJob(jobId: JobId): void {
     if (this.hasUsedAttempts(jobId)) return;
     this.counts.givenUp += 1;
-    if (!this.ledger.hasCrashingTask(jobId)) this.counts.givenUpWrongly += 1;
+    if (this.ledger.hasCrashingTask(jobId)) return;
+    this.counts.givenUpWrongly += 1;
+    this.wronglyGivenUp.push(jobId);
   }
 
   private randomDaemonAddress(): string {
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -76,7 +76,7 @@
 }
 
 function asText(seed: number, report: SoakReport): string {
-  const {counts, violations, starts, faults} = report;
+  const {counts, violations, wronglyGivenUp, starts, faults} = report;
   const summary =
     `seed ${seed}: ${counts.submitted} jobs, ${counts.accepted} accepted, ` +
     `${counts.refused} refused, ${counts.undecided} undecided, ` +
@@ -84,7 +84,11 @@
     `${counts.givenUpWrongly} wrongly; ${starts} starts; ` +
     `${faults.length} faults; ` +
     `rules broken: ${violations.length}`;
-  return [summary, ...violations.map((line) => `  ${line}`), ''].join('\n');
+  const lines = [
+    ...violations,
+    ...wronglyGivenUp.map((jobId) => `given up wrongly: ${jobId}`),
+  ];
+  return [summary, ...lines.map((line) => `  ${line}`), ''].join('\n');
 }
 
 async function keepLogs(seed: number, report: SoakReport): Promise<string> {
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -51,6 +51,7 @@
 export interface SoakReport {
   readonly violations: readonly string[];
   readonly counts: CallerCounts;
+  readonly wronglyGivenUp: readonly string[];
   readonly starts: number;
   readonly faults: readonly string[];
   /** Log lines of the daemons, by daemon name. */
@@ -133,6 +134,7 @@
     return {
       violations: ledger.violations,
       counts: callers.counts,
+      wronglyGivenUp: callers.wronglyGivenUp,
       starts: ledger.counts.starts,
       faults: faults.injected,
       logs: new Map(this.daemons.map(({name, logLines}) => [name, logLines])),
