Number the emulated workers of a VM in the order of their starts

A worker that restarted under its id counted up, its VM did not, so that a later worker on the VM could have a lower number than its predecessor. On the platform the number is the time of the start and only rises. The new test failed before ("2 follows 3").

--- a/emulator/site.ts
+++ b/emulator/site.ts
@@ -501,6 +501,7 @@
     if (worker?.isUp !== true) return;
     this.crash(workerId);
     worker.startAgain(Date.now());
+    this.vms.workerRestarted(worker.entry);
     this.register(workerId);
   }
 
--- a/emulator/vms.ts
+++ b/emulator/vms.ts
@@ -13,6 +13,7 @@
   MaintenanceWave,
   WaveStatus,
 } from '../src/interfaces/maintenance_requests.js';
+import type {WorkerEntry} from '../src/interfaces/task_worker.js';
 import {VmService} from '../src/interfaces/vm_service.js';
 import type {
   OrderAuthority,
@@ -164,6 +165,12 @@
     return {kind: 'done'};
   }
 
+  /** A worker restarted under its id; later ones on its VM are newer. */
+  workerRestarted({vmId, incarnation}: WorkerEntry): void {
+    const vm = vmId === undefined ? undefined : this.vms.get(vmId);
+    if (vm !== undefined) vm.incarnations = incarnation;
+  }
+
   /** The VM's worker crashes; a new worker with another id follows. */
   crash(vmId: VmId): void {
     const vm = this.vms.get(vmId);
