--- a/soak/main.ts
+++ b/soak/main.ts
@@ -1,8 +1,9 @@
 #!/usr/bin/env node
 /**
  * `npm run soak -- --seed N`: runs the soak with one or more seeds. Exits with
- * 1 if a rule was violated, after saving the daemons' logs to a folder whose
- * path it prints, and with 130 after SIGINT or SIGTERM.
+ * 1 if a rule was violated, and with 130 after SIGINT or SIGTERM. Saves the
+ * daemons' logs to a folder whose path it prints if a rule was violated or a
+ * job was given up wrongly.
  */
 
 import {mkdtemp, writeFile} from 'node:fs/promises';
@@ -43,6 +44,9 @@
     description: 'number of racks, with four workers each',
     validator: t.isNumber(),
   });
+  private readonly takeovers = Option.Boolean('--takeovers', false, {
+    description: 'replace the leader repeatedly while workers crash',
+  });
 
   override async execute(): Promise<number> {
     const stop = new AbortController();
@@ -57,12 +61,14 @@
         daemons: this.daemons,
         racks: this.racks,
         workersPerRack: 4,
+        repeatsTakeovers: this.takeovers,
         stop: stop.signal,
       });
       if (stop.signal.aborted) return EXIT_INTERRUPTED;
       this.context.stdout.write(asText(seed, report));
-      if (report.violations.length === 0) continue;
-      hasViolations = true;
+      const isBroken = report.violations.length > 0;
+      hasViolations ||= isBroken;
+      if (!isBroken && report.counts.givenUpWrongly === 0) continue;
       this.context.stdout.write(`  logs: ${await keepLogs(seed, report)}\n`);
     }
     return hasViolations ? EXIT_VIOLATION : 0;
@@ -70,7 +76,7 @@
 }
 
 function asText(seed: number, report: SoakReport): string {
-  const {counts, violations, starts, faults} = report;
+  const {counts, violations, wronglyGivenUp, starts, faults} = report;
   const summary =
     `seed ${seed}: ${counts.submitted} jobs, ${counts.accepted} accepted, ` +
     `${counts.refused} refused, ${counts.undecided} undecided, ` +
@@ -78,7 +84,11 @@
     `${counts.givenUpWrongly} wrongly; ${starts} starts; ` +
     `${faults.length} faults; ` +
     `rules broken: ${violations.length}`;
-  return [summary, ...violations.map((line) => `  ${line}`), ''].join('\n');
+  const lines = [
+    ...violations,
+    ...wronglyGivenUp.map((jobId) => `given up wrongly: ${jobId}`),
+  ];
+  return [summary, ...lines.map((line) => `  ${line}`), ''].join('\n');
 }
 
 async function keepLogs(seed: number, report: SoakReport): Promise<string> {
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -42,6 +42,8 @@
   readonly daemons: number;
   readonly racks: number;
   readonly workersPerRack: number;
+  /** Takeovers with crashes of workers follow one another. */
+  readonly repeatsTakeovers?: boolean;
   /** Ends the soak early and stops its daemons. */
   readonly stop?: AbortSignal;
 }
@@ -49,6 +51,7 @@
 export interface SoakReport {
   readonly violations: readonly string[];
   readonly counts: CallerCounts;
+  readonly wronglyGivenUp: readonly string[];
   readonly starts: number;
   readonly faults: readonly string[];
   /** Log lines of the daemons, by daemon name. */
@@ -106,6 +109,7 @@
     );
     void callers.submitUntilStopped(JOBS_PER_SECOND);
     void faults.injectUntilStopped();
+    if (options.repeatsTakeovers === true) void faults.repeatTakeovers();
     await scope.sleep(options.faultsMs);
     await faults.stopAndClear();
     const acceptedBefore = callers.counts.accepted;
@@ -130,6 +134,7 @@
     return {
       violations: ledger.violations,
       counts: callers.counts,
+      wronglyGivenUp: callers.wronglyGivenUp,
       starts: ledger.counts.starts,
       faults: faults.injected,
       logs: new Map(this.daemons.map(({name, logLines}) => [name, logLines])),
