Judge each lost run by its own incarnation and first start

- an end of an earlier incarnation, known from refused calls, lay before the start of the run and counted as soon after it, so that two runs of 20 s could end a job;
- the time at work was measured from the answer to a repeated attempt, although the first one may have been carried out;
- runs of two incarnations of a worker shared the fate of one of them, so that a cut could count as a crash and a crash as an expected end;
- a start that an earlier leader recorded was used as if its clock were this leader's, and 60 s of an unseen run cleared the history of a long-running task, so that a crashing one had no limit.

A run is now on the incarnation that lists it, early means 0 to 1 s from the first attempt, fates are per incarnation, a recorded start is at most the time of the takeover, and only lists clear a history. A start that is recorded is not written again by each leader.

--- a/src/leader/jobs.ts
+++ b/src/leader/jobs.ts
@@ -82,12 +82,18 @@
   presenceDecidedAt: SteadyTime | undefined;
   /** False while no start of the run can have reached its worker. */
   wasStartSent = false;
+  /** When this leader first sent the start. */
+  firstSentAt: Instant | undefined;
+  /** Starts of the run that this leader has sent. */
+  startAttempts = 0;
   /** A start got no answer and may still be carried out. */
   mayStartLate = false;
   /** An earlier leader placed the run. */
   wasAdopted = false;
   /** When the run was first known to be on its worker, to any leader. */
   confirmedAt: Instant | undefined;
+  /** The record tells since when the run is at work. */
+  isStartRecorded = false;
   /** The run was placed on a worker that other units must not use. */
   isIsolated = false;
 
@@ -96,7 +102,8 @@
     readonly taskIndex: number,
     readonly runNumber: number,
     readonly workerId: WorkerId,
-    readonly incarnation: number,
+    /** The worker's latest incarnation that the run is known to be on. */
+    public incarnation: number,
     readonly plannedAt: Instant,
     /** VM of the worker, if it is known. */
     readonly vmId?: VmId | undefined,
@@ -124,10 +131,10 @@
     else this.fullyActiveSince ??= now;
   }
 
-  /** False once the run may have outlived any crash that it would cause. */
+  /** False once the run has outlived any crash that it would have caused. */
   get isOnCrashProbation(): boolean {
     if (this.step.longRunning !== true) return true;
-    return this.mayHaveRunForMs < CRASH_PROBATION_MS;
+    return this.seenForMs < CRASH_PROBATION_MS;
   }
 
   /** True if this leader knows that the run has been at work. */
@@ -139,26 +146,18 @@
 
   /** True if the run is known to have ended soon after its start. */
   hasEndedEarly(endedBefore: Instant | undefined): boolean {
-    const {confirmedAt, wasAdopted} = this;
-    // The time of day of an earlier leader is not comparable.
-    if (wasAdopted || confirmedAt === undefined) return false;
-    return (endedBefore ?? Infinity) - confirmedAt < PROVEN_AFTER_MS;
+    const {firstSentAt} = this;
+    if (firstSentAt === undefined || endedBefore === undefined) return false;
+    const longestMs = endedBefore - firstSentAt;
+    // An end before the start is that of another incarnation.
+    return longestMs >= 0 && longestMs < PROVEN_AFTER_MS;
   }
 
   /** How long lists have shown the run since its start was confirmed. */
   get seenForMs(): number {
-    return this.sinceConfirmed(this.listedAt);
-  }
-
-  /** An adopted run may have been at work until the takeover. */
-  private get mayHaveRunForMs(): number {
-    const adoptedAt = this.wasAdopted ? this.plannedAt : undefined;
-    return this.sinceConfirmed(this.listedAt ?? adoptedAt);
-  }
-
-  private sinceConfirmed(time: Instant | undefined): number {
-    if (this.confirmedAt === undefined || time === undefined) return 0;
-    return Math.max(0, time - this.confirmedAt);
+    const {confirmedAt, listedAt} = this;
+    if (confirmedAt === undefined || listedAt === undefined) return 0;
+    return listedAt - confirmedAt;
   }
 
   get task(): string {
@@ -473,7 +472,11 @@
           now,
           vmId,
         );
-        if (startedAt !== undefined) run.confirmedAt = instant(startedAt);
+        if (startedAt !== undefined) {
+          // The time of day of an earlier leader may be ahead.
+          run.confirmedAt = instant(Math.min(startedAt, now));
+          run.isStartRecorded = true;
+        }
         return run;
       },
     );
--- a/src/leader/session.ts
+++ b/src/leader/session.ts
@@ -276,8 +276,11 @@
   private runStarted(run: Run): void {
     const {job} = run.unit;
     if (job.state === 'queued') job.state = 'running';
-    // Later leaders count the time at work from the recorded start.
-    if (run.step.longRunning === true) this.commitQueue.write(job);
+    if (run.step.longRunning === true && !run.isStartRecorded) {
+      // Later leaders count the time at work from the recorded start.
+      run.isStartRecorded = true;
+      this.commitQueue.write(job);
+    }
     if (job.isEnded || run.unit.isDone) this.workerTable.stop(run);
     else if (run.step.usesSpareProcessor === true) this.setInitialPace(run);
   }
--- a/src/leader/worker_link.ts
+++ b/src/leader/worker_link.ts
@@ -22,6 +22,7 @@
 import type {LeaderLog} from './leader_log.js';
 import type {PaceChange} from './pacing.js';
 import type {Authority} from './session.js';
+import {runsByIncarnation} from './worker_state.js';
 import type {WorkerState} from './worker_state.js';
 
 /**
@@ -311,6 +312,7 @@
         continue;
       }
       listed.add(run);
+      run.incarnation = outcome.incarnation;
       run.updateFromList(running, events.now());
       if (run.phase === 'ordered') this.confirmStart(run, sentAt);
     }
@@ -329,10 +331,10 @@
       if (earlier.includes(run)) continue;
       events.runLost(run, 'its worker no longer lists it');
     }
-    const [first] = earlier;
-    if (first === undefined) return;
-    const fate = worker.fateOfEnded(first.incarnation);
-    events.runsLostWithWorker(worker, earlier, fate);
+    for (const [incarnation, runs] of runsByIncarnation(earlier)) {
+      const fate = worker.fateOfEnded(incarnation);
+      events.runsLostWithWorker(worker, runs, fate);
+    }
   }
 
   /** Stops a run without a record, so that the free capacity is known. */
@@ -378,6 +380,8 @@
         return;
       }
       run.wasStartSent = true;
+      run.firstSentAt ??= this.events.now();
+      run.startAttempts += 1;
       const sentAt = steadyNow();
       const outcome = await this.client.start(worker.entry, {
         task: run.task,
@@ -390,6 +394,8 @@
       });
       if (this.scope.closed || !this.isAssigned(run)) return;
       if (this.handleStartOutcome(run, outcome, sentAt)) return;
+      // A second attempt may be carried out by the next incarnation.
+      if (run.mayStartLate && run.unit.crashes.hasLosses) break;
     }
     worker.failedRenewals += 1;
     this.log.startUnanswered(run);
--- a/src/leader/worker_state.ts
+++ b/src/leader/worker_state.ts
@@ -121,6 +121,15 @@
     );
   }
 
+  /** True if the incarnation has ended, or ends by a notice or an order. */
+  isKnownToEnd(incarnation: number): boolean {
+    return (
+      incarnation < this.incarnation ||
+      this.goneSince(incarnation) !== undefined ||
+      this.wasEndExpected(incarnation)
+    );
+  }
+
   /** What the end of an incarnation that is known to have ended means. */
   fateOfEnded(incarnation: number): WorkerFate {
     if (this.wasEndExpected(incarnation)) return 'left';
@@ -387,6 +396,19 @@
   }
 }
 
+/** The runs of each incarnation of their worker, as they end separately. */
+export function runsByIncarnation(
+  runs: readonly Run[],
+): ReadonlyMap<number, readonly Run[]> {
+  const groups = new Map<number, Run[]>();
+  for (const run of runs) {
+    const group = groups.get(run.incarnation);
+    if (group === undefined) groups.set(run.incarnation, [run]);
+    else group.push(run);
+  }
+  return groups;
+}
+
 function runKey(task: string, run: number): string {
   return `${task}#${run}`;
 }
--- a/src/leader/worker_table.ts
+++ b/src/leader/worker_table.ts
@@ -19,7 +19,11 @@
 import type {Authority} from './session.js';
 import {WorkerLink} from './worker_link.js';
 import type {WorkerLinkEvents} from './worker_link.js';
-import {WorkerState, longestLeaseDurationMs} from './worker_state.js';
+import {
+  WorkerState,
+  longestLeaseDurationMs,
+  runsByIncarnation,
+} from './worker_state.js';
 
 /**
  * A task without progress for this long is stalled. A task of 11 s on a worker
@@ -271,9 +275,11 @@
     );
     if (sentRuns.length === 0) return;
     worker.isReplaced = true;
-    const fate = worker.fateOfEnded(earliestIncarnation(sentRuns));
     for (const run of sentRuns) worker.remove(run);
-    this.options.events.runsLostWithWorker(worker, sentRuns, fate);
+    for (const [incarnation, runs] of runsByIncarnation(sentRuns)) {
+      const fate = worker.fateOfEnded(incarnation);
+      this.options.events.runsLostWithWorker(worker, runs, fate);
+    }
   }
 
   /** All leases of the worker have lapsed, so none of its runs is left. */
@@ -284,15 +290,14 @@
     );
     if (sentRuns.length === 0) return;
     this.options.log.leasesLapsed(worker, sentRuns.length);
-    const incarnation = earliestIncarnation(sentRuns);
-    const hasEnded =
-      incarnation < worker.incarnation ||
-      worker.goneSince(incarnation) !== undefined ||
-      worker.wasEndExpected(incarnation);
-    const fate = hasEnded ? worker.fateOfEnded(incarnation) : 'unknown';
     worker.markRunsUnknown();
     for (const run of sentRuns) worker.remove(run);
-    this.options.events.runsLostWithWorker(worker, sentRuns, fate);
+    for (const [incarnation, runs] of runsByIncarnation(sentRuns)) {
+      const fate = worker.isKnownToEnd(incarnation)
+        ? worker.fateOfEnded(incarnation)
+        : 'unknown';
+      this.options.events.runsLostWithWorker(worker, runs, fate);
+    }
   }
 
   private checkRuns(worker: WorkerState, steady: SteadyTime): void {
@@ -356,10 +361,6 @@
   return isReplaced || (isSilent && (onVm ?? incarnation) > incarnation);
 }
 
-function earliestIncarnation(runs: readonly Run[]): number {
-  return Math.min(...runs.map(({incarnation}) => incarnation));
-}
-
 function isStalled(run: Run): boolean {
   const {longRunning, usesSpareProcessor} = run.step;
   // Work on spare processors may be slowed down to 0 %.
--- a/test/crash_monitor.test.ts
+++ b/test/crash_monitor.test.ts
@@ -9,7 +9,9 @@
 import {CrashMonitor} from '../src/leader/crash_monitor.js';
 import {Job, Run} from '../src/leader/jobs.js';
 import {LeaderLog} from '../src/leader/leader_log.js';
+import {runsByIncarnation} from '../src/leader/worker_state.js';
 import type {WorkerState} from '../src/leader/worker_state.js';
+import {steadyTime} from '../src/lifecycle/clock.js';
 import {progressSchema} from '../src/leader/records.js';
 import {instant} from '../src/model/ids.js';
 import {checkTarget} from './known_red.js';
@@ -30,6 +32,8 @@
   const {workerId, incarnation} = worker;
   const run = new Run(unit, task, runNumber, workerId, incarnation, NOW);
   run.wasStartSent = true;
+  run.firstSentAt = NOW;
+  run.startAttempts = 1;
   run.confirmedAt = NOW;
   unit.runs.push(run);
   worker.add(run);
@@ -183,6 +187,18 @@
   assert.equal(job.state, 'failed');
 });
 
+const unknownLoss = {
+  run: 0,
+  tasks: [0],
+  workerId: idleWorker('silent', INCARNATION).workerId,
+  life: INCARNATION,
+  isCrash: false,
+  hasEnded: false,
+  wasAtWork: false,
+  isAlone: false,
+  isEarly: false,
+};
+
 // Guards against a long-running job whose history starts anew with each leader.
 it('counts the time of a long-running task across takeovers', () => {
   const crashMonitor = monitor();
@@ -190,7 +206,12 @@
   const job = new Job(submission({steps}), NOW);
   const worker = idleWorker('worker', INCARNATION);
   worker.remove(startOn(worker, job, 1));
-  const {adopted, runs} = adopt(job, instant(NOW + 70_000));
+  const {adopted, runs} = adopt(job, instant(NOW + 30_000));
+  adopted.units[0]?.crashes.record(unknownLoss);
+  const [run] = runs;
+  assert.ok(run !== undefined);
+  const seen = {task: run.task, run: 1, percent: 100, checkpoint: ''};
+  run.updateFromList(seen, instant(NOW + 70_000));
   crashMonitor.recordLosses(worker, runs, 'crashed', instant(NOW + 70_150));
   assert.deepEqual(adopted.units[0]?.crashes.toRecord(), []);
 });
@@ -222,3 +243,56 @@
     job = adopted;
   }
 });
+
+it('keeps the crashes of a long-running task that may have ended early', () => {
+  const crashMonitor = monitor();
+  const steps = [step({longRunning: true})];
+  const job = new Job(submission({steps}), NOW);
+  const worker = idleWorker('worker', INCARNATION);
+  worker.remove(startOn(worker, job, 1));
+  const {adopted, runs} = adopt(job, instant(NOW + 70_000));
+  crashMonitor.recordLosses(worker, runs, 'crashed', instant(NOW + 70_150));
+  assert.equal(adopted.units[0]?.crashes.possibleCrashCount, 1);
+});
+
+// Guards against a unit that waits because the clock of an earlier leader was ahead.
+it('takes a recorded start in the future for the time of the takeover', () => {
+  const steps = [step({longRunning: true})];
+  const job = new Job(submission({steps}), NOW);
+  startOn(idleWorker('worker', INCARNATION), job, 1);
+  const {runs} = adopt(job, instant(NOW - 500));
+  assert.equal(runs[0]?.confirmedAt, NOW - 500);
+});
+
+// Guards against long work that seems short, as its first answer was lost.
+it('measures an early end from the first attempt to start', () => {
+  const run = startOn(
+    idleWorker('worker', INCARNATION),
+    new Job(submission(), NOW),
+    1,
+  );
+  run.confirmedAt = instant(NOW + 1_200);
+  assert.equal(run.hasEndedEarly(instant(NOW + 2_000)), false);
+  assert.equal(run.hasEndedEarly(instant(NOW + 900)), true);
+  assert.equal(run.hasEndedEarly(instant(NOW - 5_000)), false, 'before it');
+});
+
+// Guards against one fate for runs of two incarnations.
+it('tells the runs of a worker’s incarnations apart', () => {
+  const worker = idleWorker('worker', INCARNATION);
+  const first = startOn(worker, new Job(submission(), NOW), 1);
+  worker.update(
+    {...worker.entry, incarnation: INCARNATION + 1},
+    steadyTime(NOW),
+  );
+  const second = startOn(worker, new Job(submission(), NOW), 1);
+  assert.deepEqual(
+    [...runsByIncarnation([second, first])],
+    [
+      [INCARNATION + 1, [second]],
+      [INCARNATION, [first]],
+    ],
+  );
+  assert.equal(worker.isKnownToEnd(INCARNATION), true);
+  assert.equal(worker.isKnownToEnd(INCARNATION + 1), false);
+});
