Limit starts by what may have been started, ends by known crashes

Four known crashes end a job now, or five starts of which two may have crashed their workers; losses of unknown fate count among the starts.

--- a/src/leader/crash_history.ts
+++ b/src/leader/crash_history.ts
@@ -18,21 +18,17 @@
 /** Decisive crashes under one task, after which its unit is given up. */
 const DECISIVE_CRASH_LIMIT = 2;
 
-/**
- * Losses of any kind under one task after which its unit is given up, if some
- * of them are known crashes. Users accept two starts more. A start whose answer
- * was lost may be carried out by two incarnations of a worker.
- */
-const LOSS_LIMIT = 4;
-
-/** With fewer known crashes under one task, other losses do not count. */
-const MINIMUM_CRASHES = 2;
+/** Known crashes of any kind under one task, after which its unit is given up. */
+const CRASH_LIMIT = 4;
 
 /**
  * Starts of a task that users accept if each of them crashes a worker: two more
  * than three.
  */
-const POSSIBLE_CRASH_LIMIT = 5;
+const START_LIMIT = 5;
+
+/** With fewer possible crashes under one task, its starts have no limit. */
+const MINIMUM_POSSIBLE_CRASHES = 2;
 
 /**
  * Possible crashes under one task after which its unit only runs on vacant
@@ -51,7 +47,8 @@
 
 /** Losses of workers that had one task. */
 interface TaskLosses {
-  losses: number;
+  /** Starts that may have been carried out on the lost workers. */
+  starts: number;
   /** Ends of workers that may have crashed with the task. */
   possibleCrashes: number;
   /** Workers that are known to have crashed with the task. */
@@ -74,12 +71,16 @@
     return this.possibleCrashCount >= CRASHES_UNTIL_ISOLATION;
   }
 
+  get hasLosses(): boolean {
+    return this.losses.length > 0;
+  }
+
   get isOverLimit(): boolean {
     return [...this.byTask.values()].some(
-      ({losses, possibleCrashes, crashes, decisiveCrashes}) =>
+      ({starts, possibleCrashes, crashes, decisiveCrashes}) =>
         decisiveCrashes >= DECISIVE_CRASH_LIMIT ||
-        (crashes >= MINIMUM_CRASHES && losses >= LOSS_LIMIT) ||
-        possibleCrashes >= POSSIBLE_CRASH_LIMIT,
+        crashes >= CRASH_LIMIT ||
+        (starts >= START_LIMIT && possibleCrashes >= MINIMUM_POSSIBLE_CRASHES),
     );
   }
 
@@ -117,7 +118,14 @@
     const settled =
       earlier !== undefined && isSettled(earlier) ? earlier : undefined;
     if (settled !== undefined && tasks.size === settled.tasks.length) return;
-    const merged = {...(settled ?? loss), tasks: [...tasks]};
+    const merged = {
+      ...(settled ?? loss),
+      tasks: [...tasks],
+      // Known of all tasks only if it is known of each of them.
+      wasAtWork: loss.wasAtWork && earlier?.wasAtWork !== false,
+      isAlone: loss.isAlone && earlier?.isAlone !== false,
+      isEarly: loss.isEarly && earlier?.isEarly !== false,
+    };
     this.replace([...this.losses.filter((other) => other !== earlier), merged]);
   }
 
@@ -168,12 +176,12 @@
       const isDecisive = isKnownCrash && loss.isAlone && loss.isEarly;
       for (const task of loss.tasks) {
         const counts = this.byTask.get(task) ?? {
-          losses: 0,
+          starts: 0,
           possibleCrashes: 0,
           crashes: 0,
           decisiveCrashes: 0,
         };
-        counts.losses += 1;
+        counts.starts += loss.mayHaveStartedTwice ? 2 : 1;
         if (isSettled(loss)) counts.possibleCrashes += 1;
         if (isKnownCrash) counts.crashes += 1;
         if (isDecisive) counts.decisiveCrashes += 1;
@@ -191,7 +199,10 @@
   }
 }
 
-/** True if nothing more will become known about the worker's end. */
+/**
+ * True if nothing more will become known about the worker's end. Records of
+ * earlier versions tell crashes only.
+ */
 function isSettled({isCrash, hasEnded}: WorkerLoss): boolean {
   return isCrash || hasEnded;
 }
--- a/test/crash_monitor.test.ts
+++ b/test/crash_monitor.test.ts
@@ -194,6 +194,7 @@
   life: INCARNATION,
   isCrash: false,
   hasEnded: false,
+  mayHaveStartedTwice: false,
   wasAtWork: false,
   isAlone: false,
   isEarly: false,
@@ -264,6 +265,53 @@
   assert.equal(runs[0]?.confirmedAt, NOW - 500);
 });
 
+// Guards against a job that is given up for what is open after two crashes.
+it('does not add losses of unknown cause to two crashes', () => {
+  const crashMonitor = monitor();
+  const job = new Job(submission(), NOW);
+  for (let number = 1; number <= 4; number += 1) {
+    const worker = idleWorker(`worker-${number}`, INCARNATION);
+    const run = startOn(worker, job, number);
+    worker.remove(run);
+    const fate = number <= 2 ? 'crashed' : 'unknown';
+    crashMonitor.recordLosses(worker, [run], fate, instant(NOW + 3_000));
+    assert.equal(job.isEnded, false, `after ${number} losses`);
+  }
+});
+
+// Guards against a sixth start while it is open what became of a worker.
+it('limits the starts of a task beside a worker that is silent', () => {
+  const crashMonitor = monitor();
+  const job = new Job(submission(), NOW);
+  for (let number = 1; number <= 5; number += 1) {
+    assert.equal(job.isEnded, false, `after ${number - 1} losses`);
+    const worker = idleWorker(`worker-${number}`, INCARNATION);
+    const run = startOn(worker, job, number);
+    run.confirmedAt = undefined;
+    worker.remove(run);
+    const fate = number <= 4 ? 'crashed' : 'unknown';
+    crashMonitor.recordLosses(worker, [run], fate, instant(NOW + 3_000));
+  }
+  assert.equal(job.state, 'failed');
+});
+
+// Guards against a sixth start if an attempt without an answer is repeated.
+it('counts a start twice if two incarnations may have carried it out', () => {
+  const crashMonitor = monitor();
+  const job = new Job(submission(), NOW);
+  for (let number = 1; number <= 4; number += 1) {
+    assert.equal(job.isEnded, false, `after ${number - 1} losses`);
+    const worker = idleWorker(`worker-${number}`, INCARNATION);
+    const run = startOn(worker, job, number);
+    run.confirmedAt = undefined;
+    run.mayStartLate = true;
+    if (number === 1) run.startAttempts = 2;
+    worker.remove(run);
+    crashMonitor.recordLosses(worker, [run], 'crashed', instant(NOW + 3_000));
+  }
+  assert.equal(job.state, 'failed');
+});
+
 // Guards against long work that seems short, as its first answer was lost.
 it('measures an early end from the first attempt to start', () => {
   const run = startOn(
