Share a suspect's worker again once the task has proven to run

A suspect closed its worker to all other units for its whole run, and guaranteed work can neither use nor reclaim such a worker.

A worker is closed only until lists have shown the run for 1 s, which is the time after which a task counts as able to run everywhere else.

Measured: the new test of leader_placement failed before (0 preemptions instead of 1); 23 of 23 pass.

--- a/src/leader/free_capacity.ts
+++ b/src/leader/free_capacity.ts
@@ -6,6 +6,7 @@
 import type {SteadyTime} from '../lifecycle/clock.js';
 import type {Instant, RackId, ServiceId} from '../model/ids.js';
 import type {TaskShape} from '../model/submissions.js';
+import {PROVEN_AFTER_MS} from './jobs.js';
 import type {Run, Unit} from './jobs.js';
 import type {PlanningView} from './planning_view.js';
 import type {RunTimeTable} from './run_times.js';
@@ -48,7 +49,8 @@
     for (const run of worker.runs.values()) {
       const {step, unit} = run;
       const isIsolated = run.isIsolated || unit.crashes.mustRunAlone;
-      if (isIsolated && run.isOnCrashProbation) this.isolatedFor = unit;
+      const isProven = run.seenForMs >= PROVEN_AFTER_MS;
+      if (isIsolated && !isProven) this.isolatedFor = unit;
       if (step.usesSpareProcessor !== true) continue;
       this.spareProcessor -= step.shape.processorMillicores;
     }
--- a/src/leader/isolation.ts
+++ b/src/leader/isolation.ts
@@ -1,8 +1,9 @@
 /**
- * Keeps units under which workers have crashed apart from other work. A unit
- * with one crash runs alone on a worker if one is vacant, so that the next crash
- * shows whether it is the cause and harms nothing else. A unit with more crashes
- * waits for a vacant worker. Until one task of a step has outlived the time in
+ * Keeps units under which workers may have crashed apart from other work. A unit
+ * with one such loss runs alone on a worker if one is vacant, so that the next
+ * crash shows whether it is the cause and harms nothing else. A unit with more
+ * waits for a vacant worker. The worker is closed to other units until the run
+ * has proven that it can run. Until one task of a step has outlived the time in
  * which the others crashed, few others of that step are started.
  */
 
--- a/test/leader_placement.test.ts
+++ b/test/leader_placement.test.ts
@@ -438,6 +438,21 @@
   );
 });
 
+// Guards against guaranteed work that waits for workers that suspects keep.
+it('guaranteed work reclaims workers from suspects that have proven to run', () => {
+  const states = workers();
+  for (const name of states.keys()) {
+    const run = occupy(states, name, 8);
+    run.isIsolated = true;
+    run.confirmedAt = instant(0);
+    const seen = {task: run.task, run: 1, percent: 10, checkpoint: ''};
+    run.updateFromList(seen, instant(1_000));
+  }
+  const guaranteed = job({steps: [shaped(8)], ...URGENT_GUARANTEED});
+  plan([guaranteed], states, 1_010);
+  assert.equal(plan([guaranteed], states, 5_000).preemptions.length, 1);
+});
+
 // Guards against a long-running task that waits for a vacant worker for ever.
 it('a long-running task with two crashes shares a worker of a busy service', () => {
   const states = workers();
