Let guaranteed suspects reclaim workers like other guaranteed work

A unit that waits to run alone never came to preemption. Guaranteed work waits for 1.5 s at most now, which leaves time to preempt, and a possible crash is no reason to wait: only known ones are.

--- a/src/leader/crash_history.ts
+++ b/src/leader/crash_history.ts
@@ -30,10 +30,7 @@
 /** With fewer possible crashes under one task, its starts have no limit. */
 const MINIMUM_POSSIBLE_CRASHES = 2;
 
-/**
- * Possible crashes under one task after which its unit only runs on vacant
- * workers.
- */
+/** Known crashes under one task, after which its unit waits to run alone. */
 const CRASHES_UNTIL_ISOLATION = 2;
 
 /**
@@ -68,7 +65,7 @@
   }
 
   get mustRunAlone(): boolean {
-    return this.possibleCrashCount >= CRASHES_UNTIL_ISOLATION;
+    return this.crashCount >= CRASHES_UNTIL_ISOLATION;
   }
 
   get hasLosses(): boolean {
--- a/src/leader/isolation.ts
+++ b/src/leader/isolation.ts
@@ -1,8 +1,8 @@
 /**
  * Keeps units under which workers may have crashed apart from other work. A unit
- * with one such loss runs alone on a worker if one is vacant, so that the next
+ * with such a loss runs alone on a worker if one is vacant, so that the next
  * crash shows whether it is the cause and harms nothing else. A unit with more
- * waits for a vacant worker. The worker is closed to other units until the run
+ * known crashes waits for a vacant worker. The worker is closed to other units until the run
  * has proven that it can run. Until one task of a step has outlived the time in
  * which the others crashed, few others of that step are started.
  */
@@ -12,6 +12,7 @@
 import type {FreeCapacity, FreeCapacityTable} from './free_capacity.js';
 import {PROVEN_AFTER_MS} from './jobs.js';
 import type {Job, Unit} from './jobs.js';
+import type {Rank} from './queue_order.js';
 import type {RunTimeTable} from './run_times.js';
 import {slotsIfEmpty} from './worker_groups.js';
 
@@ -19,8 +20,8 @@
 const MAXIMUM_ISOLATED_SHARE = 1 / 8;
 
 /**
- * A unit that waits longer for a vacant worker shares one if the service is
- * mostly idle or the unit is long-running. Beside free capacity, a job without
+ * A unit that waits longer for a vacant worker shares one if it is guaranteed or
+ * long-running, or if the service is mostly idle. Beside free capacity, a job without
  * a run for 3 s counts as lost.
  */
 const ISOLATION_WAIT_MS = 1_500;
@@ -38,12 +39,14 @@
 
 export function mayShareWorkers(
   unit: Unit,
+  rank: Rank,
   isMostlyIdle: boolean,
   now: Instant,
 ): boolean {
   if (!unit.crashes.mustRunAlone) return true;
   const waitedMs = now - (unit.readySince ?? now);
-  const mayShare = isMostlyIdle || unit.step.longRunning === true;
+  const isLongRunning = unit.step.longRunning === true;
+  const mayShare = rank === 'guaranteed' || isMostlyIdle || isLongRunning;
   return mayShare && waitedMs >= ISOLATION_WAIT_MS;
 }
 
--- a/src/leader/placement.ts
+++ b/src/leader/placement.ts
@@ -110,7 +110,8 @@
     if (unit.crashes.isSuspect) {
       const groups = [...racks, ...crossRack];
       if (this.placeAlone(batch, groups, table)) return;
-      if (!mayShareWorkers(unit, isMostlyIdleService(table), now)) {
+      const isMostlyIdle = isMostlyIdleService(table);
+      if (!mayShareWorkers(unit, batch.rank, isMostlyIdle, now)) {
         this.waiting.push(unit);
         const eligible = groups.map((group) => table.eligible(group, unit));
         holdVacating(unit, eligible, this.view.runTimes, now);
--- a/test/leader_placement.test.ts
+++ b/test/leader_placement.test.ts
@@ -8,6 +8,7 @@
 import {Job, Run} from '../src/leader/jobs.js';
 import {planRound} from '../src/leader/placement.js';
 import type {RoundPlan} from '../src/leader/placement.js';
+import type {WorkerLoss} from '../src/leader/records.js';
 import {RunTimeTable} from '../src/leader/run_times.js';
 import {WorkerState} from '../src/leader/worker_state.js';
 import {steadyTime} from '../src/lifecycle/clock.js';
@@ -405,6 +406,22 @@
   });
 });
 
+/** A worker that crashed under the first task, not soon after its start. */
+function knownCrash(run: number): WorkerLoss {
+  return {
+    run,
+    tasks: [0],
+    workerId: trustedId(`gone-${run}`),
+    life: 1,
+    isCrash: true,
+    hasEnded: true,
+    mayHaveStartedTwice: false,
+    wasAtWork: true,
+    isAlone: false,
+    isEarly: false,
+  };
+}
+
 // Guards against a task that follows the restarts of the workers in turn.
 it('a task whose worker crashed runs on the worker that restarted last', () => {
   const states = workers();
@@ -418,18 +435,7 @@
     worker.update({...worker.entry, incarnation}, steadyTime(10));
   }
   const [unit] = waiting.units;
-  unit?.crashes.record({
-    run: 1,
-    tasks: [0],
-    workerId: trustedId('w20'),
-    life: 1,
-    isCrash: true,
-    hasEnded: true,
-    mayHaveStartedTwice: false,
-    wasAtWork: true,
-    isAlone: false,
-    isEarly: false,
-  });
+  unit?.crashes.record({...knownCrash(1), workerId: trustedId('w20')});
   const [placement] = plan([waiting], states, 10).placements;
   assert.deepEqual(
     placement?.workers.map(({workerId}) => workerId),
@@ -453,25 +459,22 @@
   assert.equal(plan([guaranteed], states, 5_000).preemptions.length, 1);
 });
 
+// Guards against guaranteed work that waits for a vacant worker (RECLAIM).
+it('guaranteed work with two crashes reclaims workers of a busy service', () => {
+  const states = workers();
+  for (const name of states.keys()) occupy(states, name, 8);
+  const waiting = job({steps: [shaped(8)], ...URGENT_GUARANTEED});
+  for (const run of [1, 2]) waiting.units[0]?.crashes.record(knownCrash(run));
+  assert.equal(plan([waiting], states, 10).preemptions.length, 0);
+  assert.equal(plan([waiting], states, 1_600).preemptions.length, 1);
+});
+
 // Guards against a long-running task that waits for a vacant worker for ever.
 it('a long-running task with two crashes shares a worker of a busy service', () => {
   const states = workers();
   for (const name of states.keys()) occupy(states, name, 7);
   const waiting = job({steps: [shaped(1, {longRunning: true})]});
-  for (const run of [1, 2]) {
-    waiting.units[0]?.crashes.record({
-      run,
-      tasks: [0],
-      workerId: trustedId(`gone-${run}`),
-      life: 1,
-      isCrash: true,
-      hasEnded: true,
-      mayHaveStartedTwice: false,
-      wasAtWork: true,
-      isAlone: false,
-      isEarly: false,
-    });
-  }
+  for (const run of [1, 2]) waiting.units[0]?.crashes.record(knownCrash(run));
   assert.equal(plan([waiting], states, 10).placements.length, 0);
   const later = plan([waiting], states, 10 + LONGEST_WAIT_OF_LONG_RUNNING_MS);
   assert.equal(later.placements.length, 1);
