Acknowledge no ends to an incarnation that has listed none

A sequence number belongs to the incarnation whose list was read, and is acknowledged only to that one.

--- a/src/leader/worker_state.ts
+++ b/src/leader/worker_state.ts
@@ -275,7 +275,9 @@
     // A later incarnation numbers its ends from 1, so that an acknowledgement
     // meant for an earlier one would discard ends that were never read.
     const isSameIncarnation =
-      this.failedRenewals === 0 && this.mayHaveRestartedAt === undefined;
+      this.failedRenewals === 0 &&
+      this.mayHaveRestartedAt === undefined &&
+      this.lastSeenIncarnation === this.incarnation;
     return isSameIncarnation ? this.durableSequence : 0;
   }
 
--- a/test/leader_workers.test.ts
+++ b/test/leader_workers.test.ts
@@ -233,6 +233,15 @@
     assert.equal(worker.acknowledgeableSequence, 3);
   });
 
+  // Guards against ends of a restarted worker that are discarded unread (TWICE).
+  it('are not acknowledged to an incarnation that has listed none', () => {
+    worker.update(
+      {...worker.entry, incarnation: incarnation + 1},
+      steadyTime(2_000),
+    );
+    assert.equal(worker.acknowledgeableSequence, 0);
+  });
+
   it('are acknowledged although answers overtake each other', () => {
     worker.recordStartAnswer(495, steadyTime(990), steadyTime(1_002));
     assert.equal(worker.acknowledgeableSequence, 3);
