Allow one start less after a start without an answer

All attempts are sent again, and a task one of whose starts had no answer is given up one start earlier, whichever attempt it was.

--- a/src/leader/crash_history.ts
+++ b/src/leader/crash_history.ts
@@ -44,8 +44,9 @@
 
 /** Losses of workers that had one task. */
 interface TaskLosses {
-  /** Starts that may have been carried out on the lost workers. */
-  starts: number;
+  losses: number;
+  /** A start may have been carried out once more than there are losses. */
+  hasUnanswered: boolean;
   /** Ends of workers that may have crashed with the task. */
   possibleCrashes: number;
   /** Workers that are known to have crashed with the task. */
@@ -68,16 +69,16 @@
     return this.crashCount >= CRASHES_UNTIL_ISOLATION;
   }
 
-  get hasLosses(): boolean {
-    return this.losses.length > 0;
-  }
-
   get isOverLimit(): boolean {
     return [...this.byTask.values()].some(
-      ({starts, possibleCrashes, crashes, decisiveCrashes}) =>
-        decisiveCrashes >= DECISIVE_CRASH_LIMIT ||
-        crashes >= CRASH_LIMIT ||
-        (starts >= START_LIMIT && possibleCrashes >= MINIMUM_POSSIBLE_CRASHES),
+      ({losses, hasUnanswered, possibleCrashes, crashes, decisiveCrashes}) => {
+        const starts = losses + (hasUnanswered ? 1 : 0);
+        return (
+          decisiveCrashes >= DECISIVE_CRASH_LIMIT ||
+          crashes >= CRASH_LIMIT ||
+          (starts >= START_LIMIT && possibleCrashes >= MINIMUM_POSSIBLE_CRASHES)
+        );
+      },
     );
   }
 
@@ -173,12 +174,14 @@
       const isDecisive = isKnownCrash && loss.isAlone && loss.isEarly;
       for (const task of loss.tasks) {
         const counts = this.byTask.get(task) ?? {
-          starts: 0,
+          losses: 0,
+          hasUnanswered: false,
           possibleCrashes: 0,
           crashes: 0,
           decisiveCrashes: 0,
         };
-        counts.starts += loss.mayHaveStartedTwice ? 2 : 1;
+        counts.losses += 1;
+        counts.hasUnanswered ||= loss.wasUnanswered;
         if (isSettled(loss)) counts.possibleCrashes += 1;
         if (isKnownCrash) counts.crashes += 1;
         if (isDecisive) counts.decisiveCrashes += 1;
--- a/src/leader/crash_monitor.ts
+++ b/src/leader/crash_monitor.ts
@@ -140,9 +140,7 @@
     ...(vmId === undefined ? {} : {vmId}),
     isCrash: fate === 'crashed',
     hasEnded: fate === 'crashed' || fate === 'ended',
-    mayHaveStartedTwice: runs.some(
-      ({mayStartLate, startAttempts}) => mayStartLate && startAttempts > 1,
-    ),
+    wasUnanswered: runs.some(({mayStartLate}) => mayStartLate),
     wasAtWork: runs.every(({wasSeenAtWork}) => wasSeenAtWork),
     isAlone: known.isAlone,
     isEarly: runs.every((run) => run.hasEndedEarly(known.endedBefore)),
--- a/src/leader/jobs.ts
+++ b/src/leader/jobs.ts
@@ -84,8 +84,6 @@
   wasStartSent = false;
   /** When this leader first sent the start. */
   firstSentAt: Instant | undefined;
-  /** Starts of the run that this leader has sent. */
-  startAttempts = 0;
   /** A start got no answer and may still be carried out. */
   mayStartLate = false;
   /** An earlier leader placed the run. */
--- a/src/leader/records.ts
+++ b/src/leader/records.ts
@@ -77,8 +77,8 @@
   isCrash: z.boolean(),
   /** True if the worker has ended, and may have crashed with the tasks. */
   hasEnded: z.boolean().default(false),
-  /** True if two incarnations of the worker may have carried out the start. */
-  mayHaveStartedTwice: z.boolean().default(false),
+  /** True if a start without an answer may have been carried out once more. */
+  wasUnanswered: z.boolean().default(false),
   /** True if the tasks are known to have been at work on the worker. */
   wasAtWork: z.boolean().default(false),
   /** True if the worker is known to have had no runs of other units. */
--- a/src/leader/worker_link.ts
+++ b/src/leader/worker_link.ts
@@ -381,7 +381,6 @@
       }
       run.wasStartSent = true;
       run.firstSentAt ??= this.events.now();
-      run.startAttempts += 1;
       const sentAt = steadyNow();
       const outcome = await this.client.start(worker.entry, {
         task: run.task,
@@ -394,8 +393,6 @@
       });
       if (this.scope.closed || !this.isAssigned(run)) return;
       if (this.handleStartOutcome(run, outcome, sentAt)) return;
-      // A second attempt may be carried out by the next incarnation.
-      if (run.mayStartLate && run.unit.crashes.hasLosses) break;
     }
     worker.failedRenewals += 1;
     this.log.startUnanswered(run);
--- a/test/crash_monitor.test.ts
+++ b/test/crash_monitor.test.ts
@@ -33,7 +33,6 @@
   const run = new Run(unit, task, runNumber, workerId, incarnation, NOW);
   run.wasStartSent = true;
   run.firstSentAt = NOW;
-  run.startAttempts = 1;
   run.confirmedAt = NOW;
   unit.runs.push(run);
   worker.add(run);
@@ -194,7 +193,7 @@
   life: INCARNATION,
   isCrash: false,
   hasEnded: false,
-  mayHaveStartedTwice: false,
+  wasUnanswered: false,
   wasAtWork: false,
   isAlone: false,
   isEarly: false,
@@ -295,8 +294,8 @@
   assert.equal(job.state, 'failed');
 });
 
-// Guards against a sixth start if an attempt without an answer is repeated.
-it('counts a start twice if two incarnations may have carried it out', () => {
+// Guards against a sixth start if one was carried out without being counted.
+it('allows one start less if a start of the task had no answer', () => {
   const crashMonitor = monitor();
   const job = new Job(submission(), NOW);
   for (let number = 1; number <= 4; number += 1) {
@@ -304,8 +303,7 @@
     const worker = idleWorker(`worker-${number}`, INCARNATION);
     const run = startOn(worker, job, number);
     run.confirmedAt = undefined;
-    run.mayStartLate = true;
-    if (number === 1) run.startAttempts = 2;
+    run.mayStartLate = number === 1;
     worker.remove(run);
     crashMonitor.recordLosses(worker, [run], 'crashed', instant(NOW + 3_000));
   }
--- a/test/leader_placement.test.ts
+++ b/test/leader_placement.test.ts
@@ -415,7 +415,7 @@
     life: 1,
     isCrash: true,
     hasEnded: true,
-    mayHaveStartedTwice: false,
+    wasUnanswered: false,
     wasAtWork: true,
     isAlone: false,
     isEarly: false,
