--- a/src/leader/crash_history.ts
+++ b/src/leader/crash_history.ts
@@ -8,8 +8,9 @@
  * history is part of the job's record, so that its limits hold across leaders.
  *
  * A leader may not know whether a run was started or had ended, how long it was
- * at work, or whether its worker's end was announced. Such a loss is a possible crash: it is
- * a reason for caution, and counts only towards the users' limit of starts.
+ * at work, or whether its worker's end was announced. Such a loss is a possible
+ * crash: it is a reason for caution, and counts only towards the users' limit
+ * of starts.
  */
 
 import type {VmId, WorkerId} from '../model/ids.js';
--- a/src/leader/isolation.ts
+++ b/src/leader/isolation.ts
@@ -2,9 +2,10 @@
  * Keeps units under which workers may have crashed apart from other work. A unit
  * with such a loss runs alone on a worker if one is vacant, so that the next
  * crash shows whether it is the cause and harms nothing else. A unit with more
- * known crashes waits for a vacant worker. The worker is closed to other units until the run
- * has proven that it can run. Until one task of a step has outlived the time in
- * which the others crashed, few others of that step are started.
+ * known crashes waits for a vacant worker. The worker is closed to other units
+ * until the run has proven that it can run. Until one task of a step has
+ * outlived the time in which the others crashed, few others of that step are
+ * started.
  */
 
 import type {Instant} from '../model/ids.js';
@@ -21,8 +22,8 @@
 
 /**
  * A unit that waits longer for a vacant worker shares one if it is guaranteed or
- * long-running, or if the service is mostly idle. Beside free capacity, a job without
- * a run for 3 s counts as lost.
+ * long-running, or if the service is mostly idle. Beside free capacity, a job
+ * without a run for 3 s counts as lost.
  */
 const ISOLATION_WAIT_MS = 1_500;
 
--- a/src/leader/records.ts
+++ b/src/leader/records.ts
@@ -73,9 +73,9 @@
   /** The worker's incarnation. */
   life: z.number(),
   vmId: hostedVmIdSchema.optional(),
-  /** True if the worker is known to have crashed with the tasks. */
+  /** True if the worker is known to have crashed. */
   isCrash: z.boolean(),
-  /** True if the worker has ended, and may have crashed with the tasks. */
+  /** True if the worker is known to have ended, for whatever reason. */
   hasEnded: z.boolean().default(false),
   /** True if a start without an answer may have been carried out once more. */
   wasUnanswered: z.boolean().default(false),
