Allow all five starts until two crashes under a task are known

Users accept a failed job after two crashes under its task. One start less is therefore allowed only once two crashes are known; before, what is not known ends a job only at the users' limit of five starts.

--- a/src/leader/crash_history.ts
+++ b/src/leader/crash_history.ts
@@ -28,6 +28,9 @@
  */
 const START_LIMIT = 5;
 
+/** Known crashes under one task, after which users accept its job as failed. */
+const ACCEPTED_CRASHES = 2;
+
 /** With fewer possible crashes under one task, its starts have no limit. */
 const MINIMUM_POSSIBLE_CRASHES = 2;
 
@@ -73,7 +76,8 @@
   get isOverLimit(): boolean {
     return [...this.byTask.values()].some(
       ({losses, hasUnanswered, possibleCrashes, crashes, decisiveCrashes}) => {
-        const starts = losses + (hasUnanswered ? 1 : 0);
+        const mayBeGivenUp = crashes >= ACCEPTED_CRASHES;
+        const starts = losses + (mayBeGivenUp && hasUnanswered ? 1 : 0);
         return (
           decisiveCrashes >= DECISIVE_CRASH_LIMIT ||
           crashes >= CRASH_LIMIT ||
