Divide the leader's modules by role

src/leader held 41 files on one floor, so that a new part had no room it belonged to. Moves only: jobs, workers, planning, VMs, and what is known of lost runs.

--- a/emulator/daemon.ts
+++ b/emulator/daemon.ts
@@ -8,7 +8,7 @@
 import {DaemonLog} from '../src/daemon/log.js';
 import {LeaderLog} from '../src/leader/leader_log.js';
 import {Leadership} from '../src/leader/leadership.js';
-import {LEADER_KEY} from '../src/leader/records.js';
+import {LEADER_KEY} from '../src/leader/jobs/records.js';
 import {StoreProxy} from '../src/leader/store_proxy.js';
 import type {CoordinationStore} from '../src/interfaces/coordination_store.js';
 import {SiteView} from '../src/leader/site_view.js';
--- a/emulator/experiment.ts
+++ b/emulator/experiment.ts
@@ -6,7 +6,7 @@
 import type {Histogram} from 'hdr-histogram-js';
 import {build} from 'hdr-histogram-js';
 import {SeededRandom} from '../src/lifecycle/random.js';
-import {submittedKey} from '../src/leader/records.js';
+import {submittedKey} from '../src/leader/jobs/records.js';
 import {trustedId} from '../src/model/ids.js';
 import type {CustomerId, JobId, WorkerId} from '../src/model/ids.js';
 import {HostedConfiguration} from '../src/model/queues.js';
--- a/soak/takeover_series.ts
+++ b/soak/takeover_series.ts
@@ -4,8 +4,8 @@
  */
 
 import type {HttpPlatform} from '../emulator/http_platform.js';
-import {LEADER_KEY, leaderSchema} from '../src/leader/records.js';
-import type {LeaderRecord} from '../src/leader/records.js';
+import {LEADER_KEY, leaderSchema} from '../src/leader/jobs/records.js';
+import type {LeaderRecord} from '../src/leader/jobs/records.js';
 import type {CleanupScope} from '../src/lifecycle/cleanup_scope.js';
 import type {RandomSource} from '../src/lifecycle/random.js';
 import type {VmId} from '../src/model/ids.js';
--- a/src/cli/site_commands.ts
+++ b/src/cli/site_commands.ts
@@ -5,7 +5,7 @@
 
 import {Command, Option} from 'clipanion';
 import type {SiteStatus} from '../entry/site_operators.js';
-import type {JobReport} from '../leader/reports.js';
+import type {JobReport} from '../leader/jobs/reports.js';
 import {OperatorCommand} from './command.js';
 import {formatTime, writeTable} from './output.js';
 
--- a/src/entry/caller_gateway.ts
+++ b/src/entry/caller_gateway.ts
@@ -28,7 +28,7 @@
   progressKey,
   progressSchema,
   submittedKey,
-} from '../leader/records.js';
+} from '../leader/jobs/records.js';
 import type {SiteView} from '../leader/site_view.js';
 import type {
   CallerAnswer,
--- a/src/entry/relayed_store_calls.ts
+++ b/src/entry/relayed_store_calls.ts
@@ -3,7 +3,7 @@
  * this daemon, and runs those that peers send.
  */
 
-import {LEADER_KEY} from '../leader/records.js';
+import {LEADER_KEY} from '../leader/jobs/records.js';
 import type {SiteView} from '../leader/site_view.js';
 import {StoreProxy} from '../leader/store_proxy.js';
 import type {RandomSource} from '../lifecycle/random.js';
--- a/src/entry/site_operators.ts
+++ b/src/entry/site_operators.ts
@@ -11,9 +11,9 @@
   jobReportSchema,
   jobSummarySchema,
   workerCountsSchema,
-} from '../leader/reports.js';
+} from '../leader/jobs/reports.js';
 import type {LeaderSession} from '../leader/session.js';
-import {cancelledKey} from '../leader/records.js';
+import {cancelledKey} from '../leader/jobs/records.js';
 import type {SiteView} from '../leader/site_view.js';
 import type {Clock} from '../lifecycle/clock.js';
 import {steadyNow} from '../lifecycle/clock.js';
--- a/src/leader/avoided_workers.ts
+++ b/src/leader/jobs/avoided_workers.ts
@@ -3,8 +3,8 @@
  * entry expires, as the unit may have no other worker and the cause may be gone.
  */
 
-import type {Instant, WorkerId} from '../model/ids.js';
-import {instant} from '../model/ids.js';
+import type {Instant, WorkerId} from '../../model/ids.js';
+import {instant} from '../../model/ids.js';
 
 /** A failure uses up one of the task's attempts, so the worker gets time. */
 const AVOIDANCE_MS = 7_000;
--- a/src/leader/commit_queue.ts
+++ b/src/leader/jobs/commit_queue.ts
@@ -6,12 +6,12 @@
  * record.
  */
 
-import type {CleanupScope} from '../lifecycle/cleanup_scope.js';
+import type {CleanupScope} from '../../lifecycle/cleanup_scope.js';
 import type {
   CoordinationStore,
   StorePut,
   StoreTransaction,
-} from '../interfaces/coordination_store.js';
+} from '../../interfaces/coordination_store.js';
 import type {Job} from './jobs.js';
 import {LEADER_KEY, progressKey, submittedKey} from './records.js';
 
--- a/src/leader/job_registry.ts
+++ b/src/leader/jobs/job_registry.ts
@@ -3,14 +3,14 @@
  * of earlier leaders, and answers queries by callers and operators.
  */
 
-import type {Instant, JobId, QueueId} from '../model/ids.js';
-import {instant} from '../model/ids.js';
-import type {JobStateName} from '../model/submissions.js';
-import {submissionSchema} from '../model/submissions.js';
-import type {StoredItem} from '../interfaces/coordination_store.js';
+import type {Instant, JobId, QueueId} from '../../model/ids.js';
+import {instant} from '../../model/ids.js';
+import type {JobStateName} from '../../model/submissions.js';
+import {submissionSchema} from '../../model/submissions.js';
+import type {StoredItem} from '../../interfaces/coordination_store.js';
 import type {Run} from './runs.js';
 import {Job} from './jobs.js';
-import type {LeaderLog} from './leader_log.js';
+import type {LeaderLog} from '../leader_log.js';
 import {
   decodeRecord,
   parseInboxKey,
--- a/src/leader/jobs.ts
+++ b/src/leader/jobs/jobs.ts
@@ -4,7 +4,7 @@
  * leader marks its job as changed, and the commit queue writes the record.
  */
 
-import {steadyTime} from '../lifecycle/clock.js';
+import {steadyTime} from '../../lifecycle/clock.js';
 import type {
   CustomerId,
   Instant,
@@ -12,13 +12,13 @@
   QueueId,
   ServiceId,
   WorkerId,
-} from '../model/ids.js';
-import {instant} from '../model/ids.js';
-import type {JobStateName, Step, Submission} from '../model/submissions.js';
-import {isEnded, isTooLarge} from '../model/submissions.js';
-import type {RunEnding} from '../interfaces/task_worker.js';
+} from '../../model/ids.js';
+import {instant} from '../../model/ids.js';
+import type {JobStateName, Step, Submission} from '../../model/submissions.js';
+import {isEnded, isTooLarge} from '../../model/submissions.js';
+import type {RunEnding} from '../../interfaces/task_worker.js';
 import {AvoidedWorkers, avoidanceMs} from './avoided_workers.js';
-import {CrashHistory} from './crash_history.js';
+import {CrashHistory} from '../losses/crash_history.js';
 import type {OpenUnitRecord, ProgressRecord, WorkerLoss} from './records.js';
 import {Run, UNKNOWN_PACE_PERCENT} from './runs.js';
 
--- a/src/leader/record_cleaner.ts
+++ b/src/leader/jobs/record_cleaner.ts
@@ -4,15 +4,15 @@
  * the time that a new leader needs to read it.
  */
 
-import type {CleanupScope} from '../lifecycle/cleanup_scope.js';
-import {instant} from '../model/ids.js';
+import type {CleanupScope} from '../../lifecycle/cleanup_scope.js';
+import {instant} from '../../model/ids.js';
 import {
   LEADER_KEY,
   cancelledKey,
   progressKey,
   submittedKey,
 } from './records.js';
-import type {LeaderSession, SessionDependencies} from './session.js';
+import type {LeaderSession, SessionDependencies} from '../session.js';
 
 const CLEANING_INTERVAL_MS = 5_000;
 
--- a/src/leader/record_sources.ts
+++ b/src/leader/jobs/record_sources.ts
@@ -4,19 +4,19 @@
  * else writes while it leads.
  */
 
-import type {CleanupScope} from '../lifecycle/cleanup_scope.js';
-import {watchChanges} from '../interfaces/coordination_store.js';
+import type {CleanupScope} from '../../lifecycle/cleanup_scope.js';
+import {watchChanges} from '../../interfaces/coordination_store.js';
 import type {
   CoordinationStore,
   StoredItem,
-} from '../interfaces/coordination_store.js';
-import type {WorkerEntry} from '../interfaces/task_worker.js';
+} from '../../interfaces/coordination_store.js';
+import type {WorkerEntry} from '../../interfaces/task_worker.js';
 import type {
   WorkerChange,
   WorkerDirectory,
-} from '../interfaces/worker_directory.js';
-import type {LeaderLog} from './leader_log.js';
-import type {FollowedSource} from './prefix_follower.js';
+} from '../../interfaces/worker_directory.js';
+import type {LeaderLog} from '../leader_log.js';
+import type {FollowedSource} from '../prefix_follower.js';
 import {INBOX_PREFIX, PROGRESS_PREFIX} from './records.js';
 
 const RETRY_MS = 200;
--- a/src/leader/records.ts
+++ b/src/leader/jobs/records.ts
@@ -5,9 +5,9 @@
 
 import {Result} from 'true-myth';
 import {z} from 'zod';
-import {InvalidInputError} from '../model/errors.js';
-import type {JobId} from '../model/ids.js';
-import {hostedVmIdSchema, workerIdSchema} from '../model/ids.js';
+import {InvalidInputError} from '../../model/errors.js';
+import type {JobId} from '../../model/ids.js';
+import {hostedVmIdSchema, workerIdSchema} from '../../model/ids.js';
 
 const ROOT = 'bramleystep/';
 
--- a/src/leader/reports.ts
+++ b/src/leader/jobs/reports.ts
@@ -4,11 +4,11 @@
  */
 
 import {z} from 'zod';
-import type {SteadyTime} from '../lifecycle/clock.js';
-import type {Instant} from '../model/ids.js';
-import type {HostedConfiguration} from '../model/queues.js';
+import type {SteadyTime} from '../../lifecycle/clock.js';
+import type {Instant} from '../../model/ids.js';
+import type {HostedConfiguration} from '../../model/queues.js';
 import type {Job, Unit} from './jobs.js';
-import type {WorkerState} from './worker_state.js';
+import type {WorkerState} from '../workers/worker_state.js';
 
 export const jobSummarySchema = z.object({
   jobId: z.string(),
--- a/src/leader/run_times.ts
+++ b/src/leader/jobs/run_times.ts
@@ -5,9 +5,9 @@
  * usual ratio, or the usual run time itself.
  */
 
-import type {Instant, QueueId} from '../model/ids.js';
-import {instant} from '../model/ids.js';
-import type {Step} from '../model/submissions.js';
+import type {Instant, QueueId} from '../../model/ids.js';
+import {instant} from '../../model/ids.js';
+import type {Step} from '../../model/submissions.js';
 import type {Job} from './jobs.js';
 import type {Run} from './runs.js';
 
--- a/src/leader/runs.ts
+++ b/src/leader/jobs/runs.ts
@@ -3,11 +3,11 @@
  * the workers' lists.
  */
 
-import type {SteadyTime} from '../lifecycle/clock.js';
-import type {Instant, VmId, WorkerId} from '../model/ids.js';
-import type {Step} from '../model/submissions.js';
-import {taskName} from '../model/submissions.js';
-import type {RunningTask} from '../interfaces/task_worker.js';
+import type {SteadyTime} from '../../lifecycle/clock.js';
+import type {Instant, VmId, WorkerId} from '../../model/ids.js';
+import type {Step} from '../../model/submissions.js';
+import {taskName} from '../../model/submissions.js';
+import type {RunningTask} from '../../interfaces/task_worker.js';
 import type {Unit} from './jobs.js';
 
 /**
--- a/src/leader/leader_log.ts
+++ b/src/leader/leader_log.ts
@@ -9,12 +9,12 @@
 import type {EndedRun, LeaseRenewalOutcome} from '../interfaces/task_worker.js';
 import type {VmOrderOutcome} from '../interfaces/vm_service.js';
 import type {TaskShape} from '../model/submissions.js';
-import type {WorkerFate} from './crash_history.js';
-import type {Job, Unit} from './jobs.js';
-import type {Run} from './runs.js';
-import type {PaceChange} from './pacing.js';
-import type {PoolMove} from './pool_plan.js';
-import type {WorkerState} from './worker_state.js';
+import type {WorkerFate} from './losses/crash_history.js';
+import type {Job, Unit} from './jobs/jobs.js';
+import type {Run} from './jobs/runs.js';
+import type {PaceChange} from './workers/pacing.js';
+import type {PoolMove} from './vms/pool_plan.js';
+import type {WorkerState} from './workers/worker_state.js';
 
 export class LeaderLog {
   private readonly leader: ComponentLog;
--- a/src/leader/leadership.ts
+++ b/src/leader/leadership.ts
@@ -12,15 +12,15 @@
 import type {HostedConfiguration} from '../model/queues.js';
 import type {StoreTransaction} from '../interfaces/coordination_store.js';
 import {NO_REVISION} from '../interfaces/coordination_store.js';
-import type {LeaderRecord} from './records.js';
+import type {LeaderRecord} from './jobs/records.js';
 import {
   LEADER_KEY,
   TERM_KEY,
   decodeRecord,
   leaderSchema,
   termSchema,
-} from './records.js';
-import {startRecordCleaner} from './record_cleaner.js';
+} from './jobs/records.js';
+import {startRecordCleaner} from './jobs/record_cleaner.js';
 import type {
   Authority,
   SessionDependencies,
--- a/src/leader/crash_history.ts
+++ b/src/leader/losses/crash_history.ts
@@ -16,8 +16,8 @@
  * towards the users' limit of starts.
  */
 
-import type {VmId, WorkerId} from '../model/ids.js';
-import type {TaskStart, WorkerLoss} from './records.js';
+import type {VmId, WorkerId} from '../../model/ids.js';
+import type {TaskStart, WorkerLoss} from '../jobs/records.js';
 
 /** Decisive crashes under one task, after which its unit is given up. */
 const DECISIVE_CRASH_LIMIT = 2;
--- a/src/leader/crash_monitor.ts
+++ b/src/leader/losses/crash_monitor.ts
@@ -4,14 +4,14 @@
  * only be cut off, so its fate is looked up until it is known.
  */
 
-import type {Instant} from '../model/ids.js';
+import type {Instant} from '../../model/ids.js';
 import type {WorkerFate} from './crash_history.js';
-import type {Job, Unit} from './jobs.js';
-import type {Run} from './runs.js';
-import type {LeaderLog} from './leader_log.js';
-import type {WorkerLoss} from './records.js';
+import type {Job, Unit} from '../jobs/jobs.js';
+import type {Run} from '../jobs/runs.js';
+import type {LeaderLog} from '../leader_log.js';
+import type {WorkerLoss} from '../jobs/records.js';
 import type {WorkerOutages} from './worker_outages.js';
-import type {WorkerState} from './worker_state.js';
+import type {WorkerState} from '../workers/worker_state.js';
 
 /** Numbers of events in this term. */
 export interface CrashCounts {
--- a/src/leader/worker_outages.ts
+++ b/src/leader/losses/worker_outages.ts
@@ -5,9 +5,9 @@
  * as well.
  */
 
-import type {Instant, WorkerId} from '../model/ids.js';
-import type {Unit} from './jobs.js';
-import type {WorkerState} from './worker_state.js';
+import type {Instant, WorkerId} from '../../model/ids.js';
+import type {Unit} from '../jobs/jobs.js';
+import type {WorkerState} from '../workers/worker_state.js';
 
 /** Outages within this time of each other have a common cause. */
 const COMMON_CAUSE_MS = 1_000;
--- a/src/leader/admissions.ts
+++ b/src/leader/planning/admissions.ts
@@ -6,16 +6,16 @@
  */
 
 import PQueue from 'p-queue';
-import type {CleanupScope} from '../lifecycle/cleanup_scope.js';
-import type {SteadyTime} from '../lifecycle/clock.js';
-import {steadyNow, steadyTime} from '../lifecycle/clock.js';
-import type {WorkerId} from '../model/ids.js';
-import type {AdvisorSettings, HostedConfiguration} from '../model/queues.js';
-import type {PlacementAdvisor} from '../interfaces/placement_advisor.js';
-import {MAXIMUM_WORKERS_PER_ADVICE} from '../interfaces/placement_advisor.js';
-import type {Unit} from './jobs.js';
-import type {LeaderLog} from './leader_log.js';
-import type {WorkerState} from './worker_state.js';
+import type {CleanupScope} from '../../lifecycle/cleanup_scope.js';
+import type {SteadyTime} from '../../lifecycle/clock.js';
+import {steadyNow, steadyTime} from '../../lifecycle/clock.js';
+import type {WorkerId} from '../../model/ids.js';
+import type {AdvisorSettings, HostedConfiguration} from '../../model/queues.js';
+import type {PlacementAdvisor} from '../../interfaces/placement_advisor.js';
+import {MAXIMUM_WORKERS_PER_ADVICE} from '../../interfaces/placement_advisor.js';
+import type {Unit} from '../jobs/jobs.js';
+import type {LeaderLog} from '../leader_log.js';
+import type {WorkerState} from '../workers/worker_state.js';
 
 /** The placement objective allows one advisor call for every 30 workers. */
 const WORKERS_PER_CALL = 30;
--- a/src/leader/exhausted_shapes.ts
+++ b/src/leader/planning/exhausted_shapes.ts
@@ -5,9 +5,9 @@
  * thousands of alike tasks wait.
  */
 
-import type {TaskShape} from '../model/submissions.js';
+import type {TaskShape} from '../../model/submissions.js';
 import type {FreeCapacityTable} from './free_capacity.js';
-import type {Unit} from './jobs.js';
+import type {Unit} from '../jobs/jobs.js';
 import type {RankedBatch} from './unit_ranking.js';
 
 interface ExhaustedShape {
--- a/src/leader/free_capacity.ts
+++ b/src/leader/planning/free_capacity.ts
@@ -3,15 +3,15 @@
  * round are deducted, so that no capacity is allocated twice.
  */
 
-import type {SteadyTime} from '../lifecycle/clock.js';
-import type {Instant, RackId, ServiceId} from '../model/ids.js';
-import type {TaskShape} from '../model/submissions.js';
-import {PROVEN_AFTER_MS} from './runs.js';
-import type {Unit} from './jobs.js';
-import type {Run} from './runs.js';
+import type {SteadyTime} from '../../lifecycle/clock.js';
+import type {Instant, RackId, ServiceId} from '../../model/ids.js';
+import type {TaskShape} from '../../model/submissions.js';
+import {PROVEN_AFTER_MS} from '../jobs/runs.js';
+import type {Unit} from '../jobs/jobs.js';
+import type {Run} from '../jobs/runs.js';
 import type {PlanningView} from './planning_view.js';
-import type {RunTimeTable} from './run_times.js';
-import type {WorkerState} from './worker_state.js';
+import type {RunTimeTable} from '../jobs/run_times.js';
+import type {WorkerState} from '../workers/worker_state.js';
 
 export interface ExpectedEnd {
   readonly run: Run;
--- a/src/leader/isolation.ts
+++ b/src/leader/planning/isolation.ts
@@ -8,13 +8,13 @@
  * started.
  */
 
-import type {Instant} from '../model/ids.js';
-import {instant} from '../model/ids.js';
+import type {Instant} from '../../model/ids.js';
+import {instant} from '../../model/ids.js';
 import type {FreeCapacity, FreeCapacityTable} from './free_capacity.js';
-import {PROVEN_AFTER_MS} from './runs.js';
-import type {Job, Unit} from './jobs.js';
+import {PROVEN_AFTER_MS} from '../jobs/runs.js';
+import type {Job, Unit} from '../jobs/jobs.js';
 import type {Rank} from './queue_order.js';
-import type {RunTimeTable} from './run_times.js';
+import type {RunTimeTable} from '../jobs/run_times.js';
 import {slotsIfEmpty} from './worker_groups.js';
 
 /** Most workers of a service that units with one crash keep for themselves. */
--- a/src/leader/placement.ts
+++ b/src/leader/planning/placement.ts
@@ -4,15 +4,15 @@
  * only on the leader's cached view.
  */
 
-import type {Instant} from '../model/ids.js';
-import {instant} from '../model/ids.js';
-import type {CrashHistory} from './crash_history.js';
+import type {Instant} from '../../model/ids.js';
+import {instant} from '../../model/ids.js';
+import type {CrashHistory} from '../losses/crash_history.js';
 import type {FreeCapacity, FreeCapacityTable} from './free_capacity.js';
 import {FreeCapacityTables} from './free_capacity.js';
 import {ExhaustedShapes} from './exhausted_shapes.js';
 import {holdVacating, mayIsolate, mayShareWorkers} from './isolation.js';
-import type {Job, Unit} from './jobs.js';
-import type {Run} from './runs.js';
+import type {Job, Unit} from '../jobs/jobs.js';
+import type {Run} from '../jobs/runs.js';
 import type {PlanningView} from './planning_view.js';
 import {selectVictims, coreSecondsOf} from './preemption.js';
 import type {VictimSelection} from './preemption.js';
@@ -27,7 +27,7 @@
   isMostlyIdleService,
   wantsRack,
 } from './worker_groups.js';
-import type {WorkerState} from './worker_state.js';
+import type {WorkerState} from '../workers/worker_state.js';
 
 /** A unit and the worker of each of its tasks, in order of index. */
 export interface Placement {
--- a/src/leader/planning_view.ts
+++ b/src/leader/planning/planning_view.ts
@@ -1,11 +1,11 @@
 /** What a scheduling round knows: the leader's cached view at one time. */
 
-import type {SteadyTime} from '../lifecycle/clock.js';
-import type {Instant} from '../model/ids.js';
-import type {HostedConfiguration} from '../model/queues.js';
-import type {Job, Unit} from './jobs.js';
-import type {RunTimeTable} from './run_times.js';
-import type {WorkerState} from './worker_state.js';
+import type {SteadyTime} from '../../lifecycle/clock.js';
+import type {Instant} from '../../model/ids.js';
+import type {HostedConfiguration} from '../../model/queues.js';
+import type {Job, Unit} from '../jobs/jobs.js';
+import type {RunTimeTable} from '../jobs/run_times.js';
+import type {WorkerState} from '../workers/worker_state.js';
 
 export interface PlanningView {
   readonly jobs: Iterable<Job>;
--- a/src/leader/preemption.ts
+++ b/src/leader/planning/preemption.ts
@@ -2,9 +2,9 @@
  * Selects the runs to preempt for a unit so that the least work is lost.
  */
 
-import type {Instant} from '../model/ids.js';
-import type {Unit} from './jobs.js';
-import type {Run} from './runs.js';
+import type {Instant} from '../../model/ids.js';
+import type {Unit} from '../jobs/jobs.js';
+import type {Run} from '../jobs/runs.js';
 import type {FreeCapacity} from './free_capacity.js';
 import {NO_SHAPE, addShape} from './free_capacity.js';
 
--- a/src/leader/queue_order.ts
+++ b/src/leader/planning/queue_order.ts
@@ -7,11 +7,11 @@
  * after three times the objective, when it is worth nothing to its caller.
  */
 
-import type {Instant} from '../model/ids.js';
-import {instant} from '../model/ids.js';
-import type {Queue} from '../model/queues.js';
-import type {Unit} from './jobs.js';
-import type {RunTimeTable} from './run_times.js';
+import type {Instant} from '../../model/ids.js';
+import {instant} from '../../model/ids.js';
+import type {Queue} from '../../model/queues.js';
+import type {Unit} from '../jobs/jobs.js';
+import type {RunTimeTable} from '../jobs/run_times.js';
 
 /**
  * - `guaranteed`: within the customer's guarantee, may preempt any run that is
--- a/src/leader/reservation.ts
+++ b/src/leader/planning/reservation.ts
@@ -7,11 +7,11 @@
  * expected to end before the reserved start (backfilling).
  */
 
-import type {Instant} from '../model/ids.js';
-import type {Unit} from './jobs.js';
+import type {Instant} from '../../model/ids.js';
+import type {Unit} from '../jobs/jobs.js';
 import {NO_SHAPE, addShape} from './free_capacity.js';
 import type {FreeCapacity} from './free_capacity.js';
-import type {RunTimeTable} from './run_times.js';
+import type {RunTimeTable} from '../jobs/run_times.js';
 
 export interface Reservation {
   readonly startsAt: Instant;
--- a/src/leader/unit_ranking.ts
+++ b/src/leader/planning/unit_ranking.ts
@@ -4,12 +4,12 @@
  * these by the time that is left.
  */
 
-import type {CustomerId, Instant} from '../model/ids.js';
-import type {Queue} from '../model/queues.js';
-import {MAXIMUM_STARTED_TASKS, taskCountOf} from '../model/submissions.js';
+import type {CustomerId, Instant} from '../../model/ids.js';
+import type {Queue} from '../../model/queues.js';
+import {MAXIMUM_STARTED_TASKS, taskCountOf} from '../../model/submissions.js';
 import type {FreeCapacityTables} from './free_capacity.js';
 import {startAllowance} from './isolation.js';
-import type {Job, Unit} from './jobs.js';
+import type {Job, Unit} from '../jobs/jobs.js';
 import type {PlanningView} from './planning_view.js';
 import type {Rank, WaitingWork} from './queue_order.js';
 import {
--- a/src/leader/worker_groups.ts
+++ b/src/leader/planning/worker_groups.ts
@@ -4,9 +4,9 @@
  * all workers of the service.
  */
 
-import type {Instant} from '../model/ids.js';
-import {avoidanceMs} from './avoided_workers.js';
-import type {Unit} from './jobs.js';
+import type {Instant} from '../../model/ids.js';
+import {avoidanceMs} from '../jobs/avoided_workers.js';
+import type {Unit} from '../jobs/jobs.js';
 import type {FreeCapacity, FreeCapacityTable} from './free_capacity.js';
 import type {Rank} from './queue_order.js';
 
--- a/src/leader/session.ts
+++ b/src/leader/session.ts
@@ -18,31 +18,35 @@
 import type {RunEnding, TaskWorkerClient} from '../interfaces/task_worker.js';
 import type {WorkerDirectory} from '../interfaces/worker_directory.js';
 import type {PlacementAdvisor} from '../interfaces/placement_advisor.js';
-import {AdmissionTickets} from './admissions.js';
-import {CommitQueue} from './commit_queue.js';
-import type {WorkerFate} from './crash_history.js';
-import {CrashMonitor} from './crash_monitor.js';
-import type {CrashCounts} from './crash_monitor.js';
-import {JobRegistry} from './job_registry.js';
-import type {InboxSource} from './job_registry.js';
-import {Run} from './runs.js';
-import type {Unit, Job} from './jobs.js';
+import {AdmissionTickets} from './planning/admissions.js';
+import {CommitQueue} from './jobs/commit_queue.js';
+import type {WorkerFate} from './losses/crash_history.js';
+import {CrashMonitor} from './losses/crash_monitor.js';
+import type {CrashCounts} from './losses/crash_monitor.js';
+import {JobRegistry} from './jobs/job_registry.js';
+import type {InboxSource} from './jobs/job_registry.js';
+import {Run} from './jobs/runs.js';
+import type {Unit, Job} from './jobs/jobs.js';
 import type {LeaderLog} from './leader_log.js';
-import {planRound} from './placement.js';
-import type {Placement} from './placement.js';
-import {PaceController} from './pacing.js';
-import type {PaceChange} from './pacing.js';
+import {planRound} from './planning/placement.js';
+import type {Placement} from './planning/placement.js';
+import {PaceController} from './workers/pacing.js';
+import type {PaceChange} from './workers/pacing.js';
 import {PrefixFollower} from './prefix_follower.js';
-import {inboxSource, readProgress, workerSource} from './record_sources.js';
-import {countWorkers, reportJob, summarizeJob} from './reports.js';
-import type {JobReport, JobSummary, WorkerCounts} from './reports.js';
+import {
+  inboxSource,
+  readProgress,
+  workerSource,
+} from './jobs/record_sources.js';
+import {countWorkers, reportJob, summarizeJob} from './jobs/reports.js';
+import type {JobReport, JobSummary, WorkerCounts} from './jobs/reports.js';
 import {RoundTimer} from './round_timer.js';
-import {RunTimeTable} from './run_times.js';
-import {startVmManagement} from './vm_management.js';
-import type {WorkerVmOptions} from './vm_management.js';
-import {WorkerOutages} from './worker_outages.js';
-import type {WorkerState} from './worker_state.js';
-import {WorkerTable} from './worker_table.js';
+import {RunTimeTable} from './jobs/run_times.js';
+import {startVmManagement} from './vms/vm_management.js';
+import type {WorkerVmOptions} from './vms/vm_management.js';
+import {WorkerOutages} from './losses/worker_outages.js';
+import type {WorkerState} from './workers/worker_state.js';
+import {WorkerTable} from './workers/worker_table.js';
 
 /** Attempts if neither the configuration nor the submission has a number. */
 const DEFAULT_MAXIMUM_ATTEMPTS = 3;
--- a/src/leader/site_view.ts
+++ b/src/leader/site_view.ts
@@ -14,7 +14,7 @@
   StoreEvent,
 } from '../interfaces/coordination_store.js';
 import {PrefixFollower} from './prefix_follower.js';
-import type {LeaderRecord} from './records.js';
+import type {LeaderRecord} from './jobs/records.js';
 import {
   LEADER_KEY,
   MEMBER_PREFIX,
@@ -22,7 +22,7 @@
   decodeRecord,
   leaderSchema,
   memberSchema,
-} from './records.js';
+} from './jobs/records.js';
 
 export class SiteView {
   private leaderRecord: LeaderRecord | undefined;
--- a/src/leader/maintenance.ts
+++ b/src/leader/vms/maintenance.ts
@@ -4,37 +4,37 @@
  * and still counts the VM as down.
  */
 
-import type {CleanupScope} from '../lifecycle/cleanup_scope.js';
-import type {Clock, SteadyTime} from '../lifecycle/clock.js';
-import {steadyNow} from '../lifecycle/clock.js';
-import type {Instant, VmId} from '../model/ids.js';
-import type {CoordinationStore} from '../interfaces/coordination_store.js';
-import {NO_REVISION} from '../interfaces/coordination_store.js';
+import type {CleanupScope} from '../../lifecycle/cleanup_scope.js';
+import type {Clock, SteadyTime} from '../../lifecycle/clock.js';
+import {steadyNow} from '../../lifecycle/clock.js';
+import type {Instant, VmId} from '../../model/ids.js';
+import type {CoordinationStore} from '../../interfaces/coordination_store.js';
+import {NO_REVISION} from '../../interfaces/coordination_store.js';
 import type {
   MaintenanceRequests,
   MaintenanceWave,
-} from '../interfaces/maintenance_requests.js';
-import {isRejection} from '../interfaces/vm_service.js';
-import type {VmOrderOutcome, VmService} from '../interfaces/vm_service.js';
-import type {LeaderLog} from './leader_log.js';
+} from '../../interfaces/maintenance_requests.js';
+import {isRejection} from '../../interfaces/vm_service.js';
+import type {VmOrderOutcome, VmService} from '../../interfaces/vm_service.js';
+import type {LeaderLog} from '../leader_log.js';
 import {planMaintenance, progressOf} from './maintenance_plan.js';
 import type {
   MaintenanceOrder,
   VmProgress,
   WaveState,
 } from './maintenance_plan.js';
-import {PrefixFollower} from './prefix_follower.js';
-import type {WaveRecord} from './records.js';
+import {PrefixFollower} from '../prefix_follower.js';
+import type {WaveRecord} from '../jobs/records.js';
 import {
   LEADER_KEY,
   MAINTENANCE_PREFIX,
   decodeRecord,
   maintenanceKey,
   waveRecordSchema,
-} from './records.js';
-import type {Authority} from './session.js';
+} from '../jobs/records.js';
+import type {Authority} from '../session.js';
 import type {VmTable} from './vm_table.js';
-import type {WorkerTable} from './worker_table.js';
+import type {WorkerTable} from '../workers/worker_table.js';
 
 /** Waves take tens of seconds, so noticing one a poll late is acceptable. */
 const WAVE_POLL_TIMEOUT_MS = 10_000;
--- a/src/leader/maintenance_plan.ts
+++ b/src/leader/vms/maintenance_plan.ts
@@ -4,12 +4,12 @@
  * depends only on the leader's cached view, and nothing is ordered here.
  */
 
-import type {Instant, VmId} from '../model/ids.js';
-import type {MaintenanceWave} from '../interfaces/maintenance_requests.js';
-import type {WorkerVm} from '../interfaces/vm_service.js';
-import type {Run} from './runs.js';
-import type {WaveRecord} from './records.js';
-import type {WorkerState} from './worker_state.js';
+import type {Instant, VmId} from '../../model/ids.js';
+import type {MaintenanceWave} from '../../interfaces/maintenance_requests.js';
+import type {WorkerVm} from '../../interfaces/vm_service.js';
+import type {Run} from '../jobs/runs.js';
+import type {WaveRecord} from '../jobs/records.js';
+import type {WorkerState} from '../workers/worker_state.js';
 
 /**
  * Tasks of a long-running step without its own limit that may be down at the
--- a/src/leader/pool_plan.ts
+++ b/src/leader/vms/pool_plan.ts
@@ -3,10 +3,10 @@
  * to a service that lacks capacity, and back when they are idle. Pure.
  */
 
-import type {Instant, ServiceId, VmId} from '../model/ids.js';
-import type {WorkerVm} from '../interfaces/vm_service.js';
-import type {Unit} from './jobs.js';
-import type {WorkerState} from './worker_state.js';
+import type {Instant, ServiceId, VmId} from '../../model/ids.js';
+import type {WorkerVm} from '../../interfaces/vm_service.js';
+import type {Unit} from '../jobs/jobs.js';
+import type {WorkerState} from '../workers/worker_state.js';
 
 /**
  * A unit that waits longer than this indicates a shortage. A moved VM is usable
--- a/src/leader/pools.ts
+++ b/src/leader/vms/pools.ts
@@ -3,20 +3,20 @@
  * VMs to move; there the controller makes no calls to the platform.
  */
 
-import type {CleanupScope} from '../lifecycle/cleanup_scope.js';
-import type {Clock} from '../lifecycle/clock.js';
-import {steadyNow} from '../lifecycle/clock.js';
-import type {Instant, VmId} from '../model/ids.js';
-import type {HostedConfiguration} from '../model/queues.js';
-import {isRejection} from '../interfaces/vm_service.js';
-import type {VmService} from '../interfaces/vm_service.js';
-import type {Unit} from './jobs.js';
-import type {LeaderLog} from './leader_log.js';
+import type {CleanupScope} from '../../lifecycle/cleanup_scope.js';
+import type {Clock} from '../../lifecycle/clock.js';
+import {steadyNow} from '../../lifecycle/clock.js';
+import type {Instant, VmId} from '../../model/ids.js';
+import type {HostedConfiguration} from '../../model/queues.js';
+import {isRejection} from '../../interfaces/vm_service.js';
+import type {VmService} from '../../interfaces/vm_service.js';
+import type {Unit} from '../jobs/jobs.js';
+import type {LeaderLog} from '../leader_log.js';
 import {moveKey, planPoolMoves} from './pool_plan.js';
 import type {PoolMove} from './pool_plan.js';
-import type {Authority} from './session.js';
+import type {Authority} from '../session.js';
 import type {VmTable} from './vm_table.js';
-import type {WorkerTable} from './worker_table.js';
+import type {WorkerTable} from '../workers/worker_table.js';
 
 /** Interval between checks for a capacity shortage or idle VMs. */
 const CONTROL_INTERVAL_MS = 500;
--- a/src/leader/vm_management.ts
+++ b/src/leader/vms/vm_management.ts
@@ -3,20 +3,20 @@
  * between pools. Both share one cached list of VMs.
  */
 
-import type {CleanupScope} from '../lifecycle/cleanup_scope.js';
-import type {Clock} from '../lifecycle/clock.js';
-import type {HostedConfiguration} from '../model/queues.js';
-import type {CoordinationStore} from '../interfaces/coordination_store.js';
-import type {MaintenanceRequests} from '../interfaces/maintenance_requests.js';
-import type {VmService} from '../interfaces/vm_service.js';
-import type {Unit} from './jobs.js';
-import type {LeaderLog} from './leader_log.js';
+import type {CleanupScope} from '../../lifecycle/cleanup_scope.js';
+import type {Clock} from '../../lifecycle/clock.js';
+import type {HostedConfiguration} from '../../model/queues.js';
+import type {CoordinationStore} from '../../interfaces/coordination_store.js';
+import type {MaintenanceRequests} from '../../interfaces/maintenance_requests.js';
+import type {VmService} from '../../interfaces/vm_service.js';
+import type {Unit} from '../jobs/jobs.js';
+import type {LeaderLog} from '../leader_log.js';
 import {MaintenanceController} from './maintenance.js';
 import type {MaintenanceSettings} from './maintenance.js';
 import {PoolController} from './pools.js';
-import type {Authority} from './session.js';
+import type {Authority} from '../session.js';
 import {VmTable} from './vm_table.js';
-import type {WorkerTable} from './worker_table.js';
+import type {WorkerTable} from '../workers/worker_table.js';
 
 export interface WorkerVmOptions extends MaintenanceSettings {
   readonly vmService: VmService;
--- a/src/leader/vm_table.ts
+++ b/src/leader/vms/vm_table.ts
@@ -3,11 +3,11 @@
  * of list calls for the whole site, so all controllers share one table.
  */
 
-import type {SteadyTime} from '../lifecycle/clock.js';
-import {steadyNow} from '../lifecycle/clock.js';
-import type {VmId} from '../model/ids.js';
-import type {VmService, WorkerVm} from '../interfaces/vm_service.js';
-import type {LeaderLog} from './leader_log.js';
+import type {SteadyTime} from '../../lifecycle/clock.js';
+import {steadyNow} from '../../lifecycle/clock.js';
+import type {VmId} from '../../model/ids.js';
+import type {VmService, WorkerVm} from '../../interfaces/vm_service.js';
+import type {LeaderLog} from '../leader_log.js';
 
 export class VmTable {
   private vms: ReadonlyMap<VmId, WorkerVm> = new Map();
--- a/src/leader/pacing.ts
+++ b/src/leader/workers/pacing.ts
@@ -6,10 +6,10 @@
  * is cut sharply while a target is missed and raised in small steps afterwards.
  */
 
-import type {SteadyTime} from '../lifecycle/clock.js';
-import {steadyTime} from '../lifecycle/clock.js';
-import type {Run} from './runs.js';
-import {FULL_PACE_PERCENT} from './runs.js';
+import type {SteadyTime} from '../../lifecycle/clock.js';
+import {steadyTime} from '../../lifecycle/clock.js';
+import type {Run} from '../jobs/runs.js';
+import {FULL_PACE_PERCENT} from '../jobs/runs.js';
 
 /** Share of its target above which a serving task counts as slowed. */
 const INTERFERENCE_SHARE = 0.9;
--- a/src/leader/worker_link.ts
+++ b/src/leader/workers/worker_link.ts
@@ -5,23 +5,23 @@
  */
 
 import PQueue from 'p-queue';
-import type {CleanupScope} from '../lifecycle/cleanup_scope.js';
-import type {SteadyTime} from '../lifecycle/clock.js';
-import {steadyNow} from '../lifecycle/clock.js';
-import {instant} from '../model/ids.js';
-import type {Instant} from '../model/ids.js';
+import type {CleanupScope} from '../../lifecycle/cleanup_scope.js';
+import type {SteadyTime} from '../../lifecycle/clock.js';
+import {steadyNow} from '../../lifecycle/clock.js';
+import {instant} from '../../model/ids.js';
+import type {Instant} from '../../model/ids.js';
 import type {
   LeaseRenewalOutcome,
   OrderOutcome,
   RunEnding,
   TaskWorkerClient,
-} from '../interfaces/task_worker.js';
-import type {WorkerFate} from './crash_history.js';
-import type {Run} from './runs.js';
-import {UNKNOWN_PACE_PERCENT} from './runs.js';
-import type {LeaderLog} from './leader_log.js';
+} from '../../interfaces/task_worker.js';
+import type {WorkerFate} from '../losses/crash_history.js';
+import type {Run} from '../jobs/runs.js';
+import {UNKNOWN_PACE_PERCENT} from '../jobs/runs.js';
+import type {LeaderLog} from '../leader_log.js';
 import type {PaceChange} from './pacing.js';
-import type {Authority} from './session.js';
+import type {Authority} from '../session.js';
 import {RENEWAL_RETRY_MS, runsByIncarnation} from './worker_state.js';
 import type {WorkerState} from './worker_state.js';
 
--- a/src/leader/worker_state.ts
+++ b/src/leader/workers/worker_state.ts
@@ -3,13 +3,13 @@
  * may be on it, its clock, and the time by which all its leases have lapsed.
  */
 
-import type {SteadyTime} from '../lifecycle/clock.js';
-import {steadyTime} from '../lifecycle/clock.js';
-import type {Instant, JobId, WorkerId} from '../model/ids.js';
-import type {TaskShape} from '../model/submissions.js';
-import type {WorkerEntry} from '../interfaces/task_worker.js';
-import type {WorkerFate} from './crash_history.js';
-import type {Run} from './runs.js';
+import type {SteadyTime} from '../../lifecycle/clock.js';
+import {steadyTime} from '../../lifecycle/clock.js';
+import type {Instant, JobId, WorkerId} from '../../model/ids.js';
+import type {TaskShape} from '../../model/submissions.js';
+import type {WorkerEntry} from '../../interfaces/task_worker.js';
+import type {WorkerFate} from '../losses/crash_history.js';
+import type {Run} from '../jobs/runs.js';
 
 /** Fraction by which a worker's clock may be slower than the leader's. */
 const MAXIMUM_CLOCK_SLOWNESS = 0.02;
--- a/src/leader/worker_table.ts
+++ b/src/leader/workers/worker_table.ts
@@ -4,19 +4,22 @@
  * run.
  */
 
-import type {CleanupScope} from '../lifecycle/cleanup_scope.js';
-import type {SteadyTime} from '../lifecycle/clock.js';
-import {steadyNow, steadyTime} from '../lifecycle/clock.js';
-import type {VmId, WorkerId} from '../model/ids.js';
-import {trustedId} from '../model/ids.js';
-import type {TaskWorkerClient, WorkerEntry} from '../interfaces/task_worker.js';
-import type {TaskShape} from '../model/submissions.js';
-import type {WorkerChange} from '../interfaces/worker_directory.js';
-import type {WorkerFate} from './crash_history.js';
-import type {Run} from './runs.js';
-import type {LeaderLog} from './leader_log.js';
-import type {WorkerLoss} from './records.js';
-import type {Authority} from './session.js';
+import type {CleanupScope} from '../../lifecycle/cleanup_scope.js';
+import type {SteadyTime} from '../../lifecycle/clock.js';
+import {steadyNow, steadyTime} from '../../lifecycle/clock.js';
+import type {VmId, WorkerId} from '../../model/ids.js';
+import {trustedId} from '../../model/ids.js';
+import type {
+  TaskWorkerClient,
+  WorkerEntry,
+} from '../../interfaces/task_worker.js';
+import type {TaskShape} from '../../model/submissions.js';
+import type {WorkerChange} from '../../interfaces/worker_directory.js';
+import type {WorkerFate} from '../losses/crash_history.js';
+import type {Run} from '../jobs/runs.js';
+import type {LeaderLog} from '../leader_log.js';
+import type {WorkerLoss} from '../jobs/records.js';
+import type {Authority} from '../session.js';
 import {WorkerLink} from './worker_link.js';
 import type {WorkerLinkEvents} from './worker_link.js';
 import {
--- a/test/commit_queue.test.ts
+++ b/test/commit_queue.test.ts
@@ -7,8 +7,8 @@
 import {describe, it} from 'node:test';
 import {setImmediate, setTimeout as delay} from 'node:timers/promises';
 import {Result} from 'true-myth';
-import {CommitQueue} from '../src/leader/commit_queue.js';
-import {Job} from '../src/leader/jobs.js';
+import {CommitQueue} from '../src/leader/jobs/commit_queue.js';
+import {Job} from '../src/leader/jobs/jobs.js';
 import {CleanupScope} from '../src/lifecycle/cleanup_scope.js';
 import {CoordinationStore} from '../src/interfaces/coordination_store.js';
 import type {
--- a/test/entry_gateway.test.ts
+++ b/test/entry_gateway.test.ts
@@ -23,7 +23,7 @@
   MEMBER_PREFIX,
   cancelledKey,
   submittedKey,
-} from '../src/leader/records.js';
+} from '../src/leader/jobs/records.js';
 import {SiteView} from '../src/leader/site_view.js';
 import {CleanupScope} from '../src/lifecycle/cleanup_scope.js';
 import {SystemClock, steadyNow} from '../src/lifecycle/clock.js';
--- a/test/entry_odd_workers.test.ts
+++ b/test/entry_odd_workers.test.ts
@@ -7,7 +7,7 @@
 import {after, before, describe, it} from 'node:test';
 import type {HttpPlatform} from '../emulator/http_platform.js';
 import type {DaemonProcess} from '../soak/daemon_process.js';
-import {submittedKey} from '../src/leader/records.js';
+import {submittedKey} from '../src/leader/jobs/records.js';
 import {CleanupScope} from '../src/lifecycle/cleanup_scope.js';
 import {oddWorkerEntries} from '../emulator/odd_workers.js';
 import {createDaemonOf, startSmallPlatform} from './entry_process.js';
--- a/test/job_registry.test.ts
+++ b/test/job_registry.test.ts
@@ -6,15 +6,15 @@
 import assert from 'node:assert/strict';
 import {it} from 'node:test';
 import {DaemonLog} from '../src/daemon/log.js';
-import {JobRegistry} from '../src/leader/job_registry.js';
+import {JobRegistry} from '../src/leader/jobs/job_registry.js';
 import {LeaderLog} from '../src/leader/leader_log.js';
-import {Job} from '../src/leader/jobs.js';
-import {Run} from '../src/leader/runs.js';
+import {Job} from '../src/leader/jobs/jobs.js';
+import {Run} from '../src/leader/jobs/runs.js';
 import {
   cancelledKey,
   progressKey,
   submittedKey,
-} from '../src/leader/records.js';
+} from '../src/leader/jobs/records.js';
 import {instant, trustedId} from '../src/model/ids.js';
 import type {
   CustomerId,
--- a/test/leader_clocks.test.ts
+++ b/test/leader_clocks.test.ts
@@ -7,10 +7,10 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {DaemonLog} from '../src/daemon/log.js';
-import {JobRegistry} from '../src/leader/job_registry.js';
-import type {InboxSource} from '../src/leader/job_registry.js';
+import {JobRegistry} from '../src/leader/jobs/job_registry.js';
+import type {InboxSource} from '../src/leader/jobs/job_registry.js';
 import {LeaderLog} from '../src/leader/leader_log.js';
-import {submittedKey} from '../src/leader/records.js';
+import {submittedKey} from '../src/leader/jobs/records.js';
 import {SteadyClock} from '../src/lifecycle/clock.js';
 import {instant} from '../src/model/ids.js';
 import {submission} from './leader_fixture.js';
--- a/test/leader_faults.test.ts
+++ b/test/leader_faults.test.ts
@@ -12,7 +12,7 @@
   progressKey,
   progressSchema,
   submittedKey,
-} from '../src/leader/records.js';
+} from '../src/leader/jobs/records.js';
 import {EmulatedAdvisor} from '../emulator/advisor.js';
 import type {EmulatedDaemon} from '../emulator/daemon.js';
 import {
--- a/test/leader_fixture.ts
+++ b/test/leader_fixture.ts
@@ -6,8 +6,8 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {EmulatedDaemon} from '../emulator/daemon.js';
 import {EmulatedSite, STANDBY_POOL} from '../emulator/site.js';
-import {cancelledKey, submittedKey} from '../src/leader/records.js';
-import {WorkerState} from '../src/leader/worker_state.js';
+import {cancelledKey, submittedKey} from '../src/leader/jobs/records.js';
+import {WorkerState} from '../src/leader/workers/worker_state.js';
 import {trustedId} from '../src/model/ids.js';
 import type {CustomerId, JobId, VmId, WorkerId} from '../src/model/ids.js';
 import {HostedConfiguration} from '../src/model/queues.js';
--- a/test/leader_load.test.ts
+++ b/test/leader_load.test.ts
@@ -6,10 +6,10 @@
 
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import type {Unit} from '../src/leader/jobs.js';
-import type {Placement, RoundPlan} from '../src/leader/placement.js';
-import type {PlanningView} from '../src/leader/planning_view.js';
-import type {WorkerState} from '../src/leader/worker_state.js';
+import type {Unit} from '../src/leader/jobs/jobs.js';
+import type {Placement, RoundPlan} from '../src/leader/planning/placement.js';
+import type {PlanningView} from '../src/leader/planning/planning_view.js';
+import type {WorkerState} from '../src/leader/workers/worker_state.js';
 import {LoadReplay} from './leader_load.js';
 import type {LoadOutcome} from './leader_load.js';
 import {overloadedSite} from './leader_loads.js';
--- a/test/leader_load.ts
+++ b/test/leader_load.ts
@@ -5,14 +5,14 @@
  * finished within its objective, and within three times its objective.
  */
 
-import {Job} from '../src/leader/jobs.js';
-import {Run} from '../src/leader/runs.js';
-import type {Unit} from '../src/leader/jobs.js';
-import {planRound} from '../src/leader/placement.js';
-import type {Placement} from '../src/leader/placement.js';
-import type {PlanningView} from '../src/leader/planning_view.js';
-import {RunTimeTable} from '../src/leader/run_times.js';
-import {WorkerState} from '../src/leader/worker_state.js';
+import {Job} from '../src/leader/jobs/jobs.js';
+import {Run} from '../src/leader/jobs/runs.js';
+import type {Unit} from '../src/leader/jobs/jobs.js';
+import {planRound} from '../src/leader/planning/placement.js';
+import type {Placement} from '../src/leader/planning/placement.js';
+import type {PlanningView} from '../src/leader/planning/planning_view.js';
+import {RunTimeTable} from '../src/leader/jobs/run_times.js';
+import {WorkerState} from '../src/leader/workers/worker_state.js';
 import {steadyTime} from '../src/lifecycle/clock.js';
 import {SeededRandom} from '../src/lifecycle/random.js';
 import {instant, trustedId} from '../src/model/ids.js';
--- a/test/leader_placement.test.ts
+++ b/test/leader_placement.test.ts
@@ -5,13 +5,13 @@
 
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {Job} from '../src/leader/jobs.js';
-import {Run} from '../src/leader/runs.js';
-import {planRound} from '../src/leader/placement.js';
-import type {RoundPlan} from '../src/leader/placement.js';
-import type {WorkerLoss} from '../src/leader/records.js';
-import {RunTimeTable} from '../src/leader/run_times.js';
-import {WorkerState} from '../src/leader/worker_state.js';
+import {Job} from '../src/leader/jobs/jobs.js';
+import {Run} from '../src/leader/jobs/runs.js';
+import {planRound} from '../src/leader/planning/placement.js';
+import type {RoundPlan} from '../src/leader/planning/placement.js';
+import type {WorkerLoss} from '../src/leader/jobs/records.js';
+import {RunTimeTable} from '../src/leader/jobs/run_times.js';
+import {WorkerState} from '../src/leader/workers/worker_state.js';
 import {steadyTime} from '../src/lifecycle/clock.js';
 import {instant, trustedId} from '../src/model/ids.js';
 import type {RackId, VmId, WorkerId} from '../src/model/ids.js';
--- a/test/leader_sharing.test.ts
+++ b/test/leader_sharing.test.ts
@@ -6,9 +6,9 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {setTimeout as delay} from 'node:timers/promises';
-import {Job} from '../src/leader/jobs.js';
-import {Run} from '../src/leader/runs.js';
-import {PaceController} from '../src/leader/pacing.js';
+import {Job} from '../src/leader/jobs/jobs.js';
+import {Run} from '../src/leader/jobs/runs.js';
+import {PaceController} from '../src/leader/workers/pacing.js';
 import {steadyTime} from '../src/lifecycle/clock.js';
 import {instant, trustedId} from '../src/model/ids.js';
 import type {Step} from '../src/model/submissions.js';
--- a/test/leader_workers.test.ts
+++ b/test/leader_workers.test.ts
@@ -8,7 +8,7 @@
 import type {EmulatedDaemon} from '../emulator/daemon.js';
 import {setTimeout as delay} from 'node:timers/promises';
 import {steadyNow, steadyTime} from '../src/lifecycle/clock.js';
-import type {WorkerState} from '../src/leader/worker_state.js';
+import type {WorkerState} from '../src/leader/workers/worker_state.js';
 import {trustedId} from '../src/model/ids.js';
 import {taskName} from '../src/model/submissions.js';
 import type {Submission} from '../src/model/submissions.js';
