Give the leader's authority a module of its own

Six modules imported each other in a circle, as the parts that need the authority of a term imported it from the session that starts them. The circle is gone; runs and jobs still name each other's types. No behaviour changes.

--- a/src/leader/leadership.ts
+++ b/src/leader/leadership.ts
@@ -21,11 +21,8 @@
   termSchema,
 } from './jobs/records.js';
 import {startRecordCleaner} from './jobs/record_cleaner.js';
-import type {
-  Authority,
-  SessionDependencies,
-  SessionSettings,
-} from './session.js';
+import type {Authority} from './authority.js';
+import type {SessionDependencies, SessionSettings} from './session.js';
 import {LeaderSession} from './session.js';
 import type {StoreProxy} from './store_proxy.js';
 import type {SiteView} from './site_view.js';
--- a/src/leader/session.ts
+++ b/src/leader/session.ts
@@ -18,6 +18,7 @@
 import type {RunEnding, TaskWorkerClient} from '../interfaces/task_worker.js';
 import type {WorkerDirectory} from '../interfaces/worker_directory.js';
 import type {PlacementAdvisor} from '../interfaces/placement_advisor.js';
+import type {Authority} from './authority.js';
 import {AdmissionTickets} from './planning/admissions.js';
 import {CommitQueue} from './jobs/commit_queue.js';
 import type {WorkerFate} from './losses/crash_history.js';
@@ -71,19 +72,6 @@
   readonly log: LeaderLog;
 }
 
-/**
- * Proof that this daemon is certainly the only leader. It must be checked
- * before each action.
- */
-export interface Authority {
-  readonly term: number;
-  /** Revision of the leader's key in the store in this term. */
-  readonly leaderRevision: number;
-  mayAct(now: SteadyTime): boolean;
-  /** Ends the term because another leader was elected. */
-  leadershipLost(reason: string): void;
-}
-
 export class LeaderSession {
   private readonly registry: JobRegistry;
   private readonly clock: Clock;
--- a/src/leader/vms/maintenance.ts
+++ b/src/leader/vms/maintenance.ts
@@ -32,7 +32,7 @@
   maintenanceKey,
   waveRecordSchema,
 } from '../jobs/records.js';
-import type {Authority} from '../session.js';
+import type {Authority} from '../authority.js';
 import type {VmTable} from './vm_table.js';
 import type {WorkerTable} from '../workers/worker_table.js';
 
--- a/src/leader/vms/pools.ts
+++ b/src/leader/vms/pools.ts
@@ -14,7 +14,7 @@
 import type {LeaderLog} from '../leader_log.js';
 import {moveKey, planPoolMoves} from './pool_plan.js';
 import type {PoolMove} from './pool_plan.js';
-import type {Authority} from '../session.js';
+import type {Authority} from '../authority.js';
 import type {VmTable} from './vm_table.js';
 import type {WorkerTable} from '../workers/worker_table.js';
 
--- a/src/leader/vms/vm_management.ts
+++ b/src/leader/vms/vm_management.ts
@@ -14,7 +14,7 @@
 import {MaintenanceController} from './maintenance.js';
 import type {MaintenanceSettings} from './maintenance.js';
 import {PoolController} from './pools.js';
-import type {Authority} from '../session.js';
+import type {Authority} from '../authority.js';
 import {VmTable} from './vm_table.js';
 import type {WorkerTable} from '../workers/worker_table.js';
 
--- a/src/leader/workers/worker_link.ts
+++ b/src/leader/workers/worker_link.ts
@@ -21,7 +21,7 @@
 import {UNKNOWN_PACE_PERCENT} from '../jobs/runs.js';
 import type {LeaderLog} from '../leader_log.js';
 import type {PaceChange} from './pacing.js';
-import type {Authority} from '../session.js';
+import type {Authority} from '../authority.js';
 import {RENEWAL_RETRY_MS, runsByIncarnation} from './worker_state.js';
 import type {WorkerState} from './worker_state.js';
 
--- a/src/leader/workers/worker_table.ts
+++ b/src/leader/workers/worker_table.ts
@@ -19,7 +19,7 @@
 import type {Run} from '../jobs/runs.js';
 import type {LeaderLog} from '../leader_log.js';
 import type {WorkerLoss} from '../jobs/records.js';
-import type {Authority} from '../session.js';
+import type {Authority} from '../authority.js';
 import {WorkerLink} from './worker_link.js';
 import type {WorkerLinkEvents} from './worker_link.js';
 import {
