Refuse calls that reached no peer, and at once in site-wide outages

While the store is busy for the whole site, a daemon tried two peers for each call before it refused it. A submission whose peer had died was answered with 504 although the peer had accepted no connection, so that its caller could not know that it never runs.

A call that was not sent goes to the next peer and is refused if there is none.

--- a/src/entry/caller_gateway.ts
+++ b/src/entry/caller_gateway.ts
@@ -39,6 +39,7 @@
   SitePeers,
 } from './calls.js';
 import type {ConfigurationFeed} from './configuration_feed.js';
+import {PeerAvailability} from './peer_availability.js';
 import {StoreHealth} from './store_health.js';
 
 /**
@@ -47,12 +48,6 @@
  */
 const MAXIMUM_CONFIGURATION_AGE_MS = 2_700;
 
-/** Peers tried for one call; each attempt may take its whole timeout. */
-const FORWARD_ATTEMPTS = 2;
-
-/** How long a peer that did not answer receives no further calls. */
-const PEER_BACKOFF_MS = 1_500;
-
 /** The platform accepts counts of pending jobs that are up to 2 s old. */
 const MAXIMUM_PENDING_COUNT_AGE_MS = 1_000;
 
@@ -87,7 +82,7 @@
 
 export class CallerGateway {
   private readonly health: StoreHealth;
-  private readonly unresponsivePeers = new Map<string, SteadyTime>();
+  private readonly availability = new PeerAvailability();
   private readonly pendingCounts = new Map<
     string,
     {count: number; at: SteadyTime}
@@ -409,9 +404,11 @@
     if (ownReply.kind !== 'unknown') return ownReply;
     const address = site.leader?.address;
     if (address === undefined || address === this.ownAddress) return undefined;
-    if (this.isUnresponsive(address)) return undefined;
+    if (this.availability.isSilent(address, steadyNow())) return undefined;
     const reply = await peers.ask(address, query);
-    if (reply === undefined) this.unresponsivePeers.set(address, steadyNow());
+    if (reply === undefined) {
+      this.availability.recordSilence(address, steadyNow());
+    }
     return reply;
   }
 
@@ -421,50 +418,39 @@
     isForwarded: boolean,
     reason: string,
   ): Promise<CallerAnswer> {
-    const {peers, log, feed} = this.dependencies;
-    if (!isForwarded) {
-      for (const address of this.forwardAddresses()) {
-        // Read each time, as a newer version may have come into force.
-        const minimumVersion = feed.configuration?.version;
-        const answer = await peers.forward(address, {
-          ...call,
-          ...(minimumVersion === undefined ? {} : {minimumVersion}),
-        });
-        if (answer === undefined) {
-          this.unresponsivePeers.set(address, steadyNow());
-          if (call.method === 'submit') {
-            return {kind: 'undecided', reason: 'a peer did not answer'};
-          }
-        } else if (answer.kind !== 'notAccepted') {
-          return answer;
+    const {peers, log, feed, site, random} = this.dependencies;
+    const candidates = isForwarded
+      ? []
+      : this.availability.candidates(
+          site.memberAddresses(this.ownAddress),
+          site.leader?.address,
+          random,
+          steadyNow(),
+        );
+    for (const address of candidates) {
+      // Read each time, as a newer version may have come into force.
+      const minimumVersion = feed.configuration?.version;
+      const outcome = await peers.forward(address, {
+        ...call,
+        ...(minimumVersion === undefined ? {} : {minimumVersion}),
+      });
+      if (outcome.kind === 'answered') {
+        if (outcome.answer.kind !== 'notAccepted') {
+          this.availability.recordService(address);
+          return outcome.answer;
         }
+        this.availability.recordRefusal(address, steadyNow());
+        continue;
+      }
+      this.availability.recordSilence(address, steadyNow());
+      if (outcome.kind === 'unanswered' && call.method === 'submit') {
+        return {kind: 'undecided', reason: 'a peer did not answer'};
       }
     }
     log.warn(`refused ${call.method} of ${call.path}: ${reason}`);
     return {kind: 'notAccepted', reason, retryAfterMs: RETRY_AFTER_MS};
   }
 
-  /** Prefers the leader, which can reach the store, to random members. */
-  private forwardAddresses(): string[] {
-    const {site, random} = this.dependencies;
-    const members = site
-      .memberAddresses(this.ownAddress)
-      .filter((address) => !this.isUnresponsive(address));
-    const chosen = new Set<string>();
-    const leader = site.leader?.address;
-    if (leader !== undefined && members.includes(leader)) chosen.add(leader);
-    while (chosen.size < Math.min(FORWARD_ATTEMPTS, members.length)) {
-      const address = members[random.nextBelow(members.length)];
-      if (address !== undefined) chosen.add(address);
-    }
-    return [...chosen];
-  }
-
-  private isUnresponsive(address: string): boolean {
-    const since = this.unresponsivePeers.get(address);
-    return since !== undefined && steadyNow() - since < PEER_BACKOFF_MS;
-  }
-
   /** Never answers `notAccepted` for a write that may still be applied. */
   private async handleWriteFailure(
     call: CallerCall,
--- a/src/entry/calls.ts
+++ b/src/entry/calls.ts
@@ -98,17 +98,22 @@
   abstract answer(query: LeaderQuery): LeaderReply;
 }
 
-/** Calls to other daemons of the site; they resolve to undefined on failure. */
+/** What became of a call that was forwarded to another daemon. */
+export type ForwardOutcome =
+  | {readonly kind: 'answered'; readonly answer: CallerAnswer}
+  /** The call did not leave this daemon. */
+  | {readonly kind: 'notSent'}
+  /** The other daemon may have handled the call. */
+  | {readonly kind: 'unanswered'};
+
+/** Calls to other daemons of the site. `undefined`: there was no answer. */
 export abstract class SitePeers {
   abstract ask(
     address: string,
     query: LeaderQuery,
   ): Promise<LeaderReply | undefined>;
 
-  abstract forward(
-    address: string,
-    call: CallerCall,
-  ): Promise<CallerAnswer | undefined>;
+  abstract forward(address: string, call: CallerCall): Promise<ForwardOutcome>;
 
   abstract relay(
     address: string,
--- a/src/entry/http_peers.ts
+++ b/src/entry/http_peers.ts
@@ -6,13 +6,18 @@
  */
 
 import type {ServerResponse} from 'node:http';
+import {Result} from 'true-myth';
 import type {z} from 'zod';
 import {BodyReader} from '../daemon/request_body.js';
 import {parseJson} from '../transport/http_call.js';
-import type {ConnectionsByAddress} from '../transport/http_connections.js';
+import type {
+  ConnectionsByAddress,
+  ExchangeFailure,
+} from '../transport/http_connections.js';
 import type {
   CallerAnswer,
   CallerCall,
+  ForwardOutcome,
   LeaderQueryHandler,
   RelayedCallReply,
   LeaderQuery,
@@ -51,43 +56,49 @@
     super();
   }
 
-  override ask(
+  override async ask(
     address: string,
     query: LeaderQuery,
   ): Promise<LeaderReply | undefined> {
-    return this.post(
+    const reply = await this.post(
       address,
       ASK_PATH,
       query,
       leaderReplySchema,
       ASK_TIMEOUT_MS,
     );
+    return reply.unwrapOr(undefined);
   }
 
-  override forward(
+  override async forward(
     address: string,
     call: CallerCall,
-  ): Promise<CallerAnswer | undefined> {
-    return this.post(
+  ): Promise<ForwardOutcome> {
+    const answer = await this.post(
       address,
       FORWARD_PATH,
       call,
       callerAnswerSchema,
       FORWARD_TIMEOUT_MS,
     );
+    if (answer.isErr) {
+      return {kind: answer.error === 'not-sent' ? 'notSent' : 'unanswered'};
+    }
+    return {kind: 'answered', answer: answer.value};
   }
 
-  override relay(
+  override async relay(
     address: string,
     call: RelayedStoreCall,
   ): Promise<RelayedCallReply | undefined> {
-    return this.post(
+    const reply = await this.post(
       address,
       RELAY_PATH,
       call,
       relayedCallReplySchema,
       FORWARD_TIMEOUT_MS,
     );
+    return reply.unwrapOr(undefined);
   }
 
   private async post<T>(
@@ -96,7 +107,7 @@
     message: object,
     schema: z.ZodType<T>,
     timeoutMs: number,
-  ): Promise<T | undefined> {
+  ): Promise<Result<T, ExchangeFailure['kind']>> {
     const answer = await this.connections
       .get(address, CONNECTIONS_PER_PEER)
       .exchange({
@@ -107,9 +118,9 @@
         timeoutMs,
         maximumAnswerBytes: MAXIMUM_MESSAGE_BYTES,
       });
-    if (answer.isErr) return undefined;
+    if (answer.isErr) return Result.err(answer.error.kind);
     const parsed = schema.safeParse(parseJson(answer.value.body));
-    return parsed.success ? parsed.data : undefined;
+    return parsed.success ? Result.ok(parsed.data) : Result.err('malformed');
   }
 }
 
--- a/test/entry_gateway.test.ts
+++ b/test/entry_gateway.test.ts
@@ -14,6 +14,7 @@
 import type {
   CallerAnswer,
   CallerCall,
+  ForwardOutcome,
   LeaderQuery,
   LeaderReply,
 } from '../src/entry/calls.js';
@@ -74,6 +75,8 @@
   readonly forwarded: string[] = [];
   readonly calls: CallerCall[] = [];
   answer: CallerAnswer | undefined;
+  /** What becomes of a call if there is no answer. */
+  failure: 'notSent' | 'unanswered' = 'unanswered';
   reply: LeaderReply | undefined;
 
   override ask(): Promise<LeaderReply | undefined> {
@@ -87,10 +90,13 @@
   override forward(
     address: string,
     forwarded: CallerCall,
-  ): Promise<CallerAnswer | undefined> {
+  ): Promise<ForwardOutcome> {
     this.forwarded.push(address);
     this.calls.push(forwarded);
-    return Promise.resolve(this.answer);
+    const {answer, failure} = this;
+    return Promise.resolve(
+      answer === undefined ? {kind: failure} : {kind: 'answered', answer},
+    );
   }
 }
 
@@ -173,6 +179,11 @@
   const handle = (changes: Partial<CallerCall> = {}, isForwarded = false) =>
     gateway.handle(call(changes), instant(Date.now()), isForwarded);
 
+  /** Sends the call until it gets such an answer; peers are tried in turn. */
+  const handleUntil = async (kind: CallerAnswer['kind']) => {
+    while ((await handle()).kind !== kind) await delay(20);
+  };
+
   const isStored = () =>
     site.store.get(submittedKey(trustedId(JOB_ID))) !== undefined;
 
@@ -232,6 +243,33 @@
     assert.deepEqual(peers.forwarded, ['other:1']);
   });
 
+  it('refuses a call that reached no peer, and leaves others undecided', async () => {
+    faults.down = 'refused';
+    peers.failure = 'notSent';
+    assert.equal((await handle()).kind, 'notAccepted');
+    assert.equal(isStored(), false);
+    peers.failure = 'unanswered';
+    await handleUntil('undecided');
+  });
+
+  it('tries no peers while the store refuses the whole site', async () => {
+    for (const name of ['second', 'third', 'fourth']) {
+      site.store.put(
+        `${MEMBER_PREFIX}${name}`,
+        JSON.stringify({vmId: name, address: `${name}:1`}),
+      );
+    }
+    faults.down = 'refused';
+    peers.answer = {kind: 'notAccepted', reason: 'busy', retryAfterMs: 1_000};
+    await handle();
+    await handle();
+    const tried = peers.forwarded.length;
+    assert.equal((await handle()).kind, 'notAccepted');
+    assert.equal(peers.forwarded.length, tried, 'a peer was tried');
+    peers.answer = {kind: 'accepted'};
+    await handleUntil('accepted');
+  });
+
   it('refuses a forwarded call without forwarding it again', async () => {
     faults.down = 'refused';
     const answer = await handle({}, true);
