Void late renewals with a higher fencing token

The id does not tell the incarnations apart.

After a renewal without an answer, or a start that a worker with a new clock answered, the next call to the worker carries a higher token of the term's range, so that the late one is rejected.

Two tests named terms and a run number of the first term; they compute them from the range now, as strictly.

--- a/emulator/faults.ts
+++ b/emulator/faults.ts
@@ -31,6 +31,8 @@
   readonly rejectedTasks: Set<string>;
   /** Latency of a lease renewal, in addition to its wait. */
   renewalMs: number;
+  /** Lease renewals that a frozen link holds; each entry delivers one. */
+  heldRenewals: Array<() => void> | undefined;
 }
 
 export function noOrderFaults(): OrderFaults {
@@ -40,5 +42,6 @@
     unreachable: new Set(),
     rejectedTasks: new Set(),
     renewalMs: 1,
+    heldRenewals: undefined,
   };
 }
--- a/emulator/site.ts
+++ b/emulator/site.ts
@@ -244,6 +244,14 @@
     const endsAt = Date.now() + request.waitMs;
     const incarnation = this.reachableWorker(worker)?.entry.incarnation;
     for (;;) {
+      const {heldRenewals} = this.faults;
+      if (heldRenewals !== undefined) {
+        heldRenewals.push(() =>
+          this.reachableWorker(worker)?.renewLease(request, Date.now()),
+        );
+        await pause(UNANSWERED_AFTER_MS);
+        return {kind: 'unanswered', detail: 'the link is frozen'};
+      }
       await pause(this.faults.renewalMs);
       const target = this.reachableWorker(worker);
       // A crash ends pending calls: sequence numbers belong to one incarnation.
--- a/src/leader/jobs/jobs.ts
+++ b/src/leader/jobs/jobs.ts
@@ -96,7 +96,7 @@
 }
 
 /** Run numbers reserved per term; more than the retries of a task can use. */
-const RUNS_PER_TERM = 1_000;
+export const RUNS_PER_TERM = 1_000;
 
 export class Job {
   state: JobStateName = 'queued';
--- a/src/leader/leadership.ts
+++ b/src/leader/leadership.ts
@@ -26,6 +26,7 @@
 import {LeaderSession} from './session.js';
 import type {StoreProxy} from './store_proxy.js';
 import type {SiteView} from './site_view.js';
+import {FENCES_PER_TERM} from './workers/worker_fences.js';
 
 /**
  * Lease of the leader's key. A takeover has to wait until the lease expires; a
@@ -182,7 +183,7 @@
     const record: LeaderRecord = {
       vmId: this.settings.vmId,
       address: this.settings.peerAddress,
-      term: recorded.value.term + 1,
+      term: recorded.value.term + FENCES_PER_TERM,
       nonce: randomUUID(),
     };
     const revision = await this.acquireLeaderKey(
--- a/src/leader/workers/worker_link.ts
+++ b/src/leader/workers/worker_link.ts
@@ -13,15 +13,14 @@
 import type {
   LeaseRenewalOutcome,
   OrderOutcome,
-  RunEnding,
   TaskWorkerClient,
 } from '../../interfaces/task_worker.js';
-import type {WorkerFate} from '../losses/crash_history.js';
 import type {Run} from '../jobs/runs.js';
 import {UNKNOWN_PACE_PERCENT} from '../jobs/runs.js';
 import type {LeaderLog} from '../leader_log.js';
-import type {PaceChange} from './pacing.js';
 import type {Authority} from '../authority.js';
+import type {WorkerLinkEvents} from './worker_events.js';
+import type {WorkerFences} from './worker_fences.js';
 import {RENEWAL_RETRY_MS, runsByIncarnation} from './worker_state.js';
 import type {WorkerState} from './worker_state.js';
 
@@ -58,31 +57,6 @@
 /** Orders to one worker at a time. A renewal uses one more connection. */
 const MAXIMUM_CONCURRENT_ORDERS = 2;
 
-export interface WorkerLinkEvents {
-  runEnded(run: Run, ending: RunEnding, checkpoint: string): void;
-  /** The run is not on its worker, which has not reported an end. */
-  runLost(run: Run, reason: string): void;
-  /** All of these runs were lost with one incarnation of the worker. */
-  runsLostWithWorker(
-    worker: WorkerState,
-    runs: readonly Run[],
-    fate: WorkerFate,
-  ): void;
-  /** The worker no longer answers. */
-  workerSilent(worker: WorkerState): void;
-  runStarted(run: Run): void;
-  /** Pace changes that follow from the worker's last list of runs. */
-  paceChangesFor(worker: WorkerState): readonly PaceChange[];
-  /** Calls `then` once all changes reported so far are durable. */
-  whenDurable(then: () => void): void;
-  /** Free capacity or the worker's health may have changed. */
-  capacityChanged(): void;
-  now(): Instant;
-  /** The run's ticket, if its queue requires one. */
-  ticketFor(run: Run): string | undefined;
-  ticketRejected(run: Run): void;
-}
-
 export class WorkerLink {
   private readonly orderQueue = new PQueue({
     concurrency: MAXIMUM_CONCURRENT_ORDERS,
@@ -96,6 +70,7 @@
     private readonly worker: WorkerState,
     private readonly client: TaskWorkerClient,
     private readonly authority: Authority,
+    private readonly fences: WorkerFences,
     private readonly holdMaximumMs: number,
     private readonly scope: CleanupScope,
     private readonly events: WorkerLinkEvents,
@@ -198,19 +173,24 @@
   }
 
   private async renew(waitMs: number): Promise<boolean> {
-    const {worker, authority} = this;
+    const {worker} = this;
     const sentAt = steadyNow();
     const acknowledgedSequence = worker.acknowledgeableSequence;
+    const {fence} = this;
     const outcome = await this.client.renewLease(
       worker.entry,
       {
-        term: authority.term,
+        term: fence,
         acknowledgedSequence,
         leaseUntilMs: this.nextLeaseEnd(sentAt),
         waitMs,
       },
       this.renewalAbort.signal,
     );
+    const isAnswered = outcome.kind === 'seen' || outcome.kind === 'superseded';
+    if (!isAnswered && acknowledgedSequence > 0) {
+      this.fences.raise(worker.workerId);
+    }
     if (this.scope.closed || this.isClosed) return false;
     switch (outcome.kind) {
       case 'seen':
@@ -221,9 +201,7 @@
         this.handleRenewal(outcome, sentAt);
         return true;
       case 'superseded':
-        authority.leadershipLost(
-          `worker ${worker.workerId} has seen a higher term`,
-        );
+        this.handleSuperseded(fence);
         return false;
       case 'otherLife':
       case 'unanswered':
@@ -335,7 +313,20 @@
   /** Stops a run without a record, so that the free capacity is known. */
   private async stopUnknownRun(task: string, run: number): Promise<void> {
     this.log.unknownRun(this.worker, task, run);
-    await this.client.stop(this.worker.entry, {task, run}, this.authority.term);
+    await this.client.stop(this.worker.entry, {task, run}, this.fence);
+  }
+
+  /** Token of the next call. */
+  private get fence(): number {
+    return this.fences.fenceFor(this.worker.workerId);
+  }
+
+  /** The worker has seen a higher token: a later one of this term, or a leader's. */
+  private handleSuperseded(sentFence: number): void {
+    if (sentFence < this.fence) return;
+    this.authority.leadershipLost(
+      `worker ${this.worker.workerId} has seen a higher term`,
+    );
   }
 
   private timeOf(steady: SteadyTime): Instant {
@@ -381,18 +372,21 @@
       run.wasStartSent = true;
       run.firstSentAt ??= this.events.now();
       const sentAt = steadyNow();
+      const {fence} = this;
       const outcome = await this.client.start(worker.entry, {
         task: run.task,
         run: run.runNumber,
         specification: run.unit.job.submission.specification,
         checkpoint: run.unit.checkpoint,
         leaseUntilMs,
-        term: authority.term,
+        term: fence,
         ticket: this.events.ticketFor(run),
       });
       if (this.scope.closed || !this.isAssigned(run)) return;
       if (outcome.kind === 'started') run.atWorkAt = this.timeOf(sentAt);
-      if (this.handleStartOutcome(run, outcome, sentAt)) return;
+      // A later call of this term voided the attempt, which did nothing.
+      if (outcome.kind === 'superseded' && fence < this.fence) continue;
+      if (this.handleStartOutcome(run, outcome, sentAt, fence)) return;
     }
     worker.failedRenewals += 1;
     this.log.startUnanswered(run);
@@ -404,6 +398,7 @@
     run: Run,
     outcome: OrderOutcome,
     sentAt: SteadyTime,
+    sentFence: number,
   ): boolean {
     const {worker} = this;
     const now = steadyNow();
@@ -411,7 +406,7 @@
       case 'started':
       case 'stopped':
       case 'paced':
-        worker.recordStartAnswer(outcome.clockMs, sentAt, now);
+        this.recordStartAnswer(outcome.clockMs, sentAt, now);
         if (run.phase === 'ordered') this.confirmStart(run, now);
         this.startRenewing();
         return true;
@@ -421,7 +416,7 @@
         this.startRenewing();
         return true;
       case 'leasePassed':
-        worker.recordStartAnswer(outcome.clockMs, sentAt, now);
+        this.recordStartAnswer(outcome.clockMs, sentAt, now);
         return false;
       case 'notAdmitted':
         this.events.ticketRejected(run);
@@ -440,9 +435,7 @@
         this.quarantineAfterRefusal(run, outcome.kind, now);
         return true;
       case 'superseded':
-        this.authority.leadershipLost(
-          `${worker.workerId} has seen a higher term`,
-        );
+        this.handleSuperseded(sentFence);
         return true;
       case 'otherLife':
         worker.isReplaced = true;
@@ -456,6 +449,19 @@
     }
   }
 
+  /** A renewal under way was meant for an earlier incarnation, if any. */
+  private recordStartAnswer(
+    clockMs: number,
+    sentAt: SteadyTime,
+    now: SteadyTime,
+  ): void {
+    const {worker} = this;
+    const isFirst = !worker.hasClock;
+    if (!worker.recordStartAnswer(clockMs, sentAt, now) || isFirst) return;
+    this.fences.raise(worker.workerId);
+    this.abortRenewal();
+  }
+
   private quarantineAfterRefusal(
     run: Run,
     kind: OrderOutcome['kind'],
@@ -486,15 +492,13 @@
     const {worker, authority} = this;
     while (this.isAssigned(run) && !this.scope.closed && !this.isClosed) {
       if (authority.mayAct(steadyNow())) {
+        const {fence} = this;
         const outcome = await this.client.stop(
           worker.entry,
           {task: run.task, run: run.runNumber},
-          authority.term,
+          fence,
         );
-        if (outcome.kind === 'superseded') {
-          authority.leadershipLost(`${worker.workerId} has seen a higher term`);
-          return;
-        }
+        if (outcome.kind === 'superseded') this.handleSuperseded(fence);
         if (outcome.kind === 'stopped' || outcome.kind === 'outdated') {
           run.presenceDecidedAt = steadyNow();
           // The renewal under way was sent before the stop.
@@ -509,17 +513,14 @@
   private async sendPace(run: Run, percent: number): Promise<void> {
     if (!this.isAssigned(run) || run.phase !== 'running') return;
     if (!this.authority.mayAct(steadyNow())) return;
+    const {fence} = this;
     const outcome = await this.client.pace(this.worker.entry, {
       task: run.task,
       run: run.runNumber,
       percent,
-      term: this.authority.term,
+      term: fence,
     });
-    if (outcome.kind === 'superseded') {
-      this.authority.leadershipLost(
-        `${this.worker.workerId} has seen a higher term`,
-      );
-    }
+    if (outcome.kind === 'superseded') this.handleSuperseded(fence);
     // An order without an answer may not have been carried out. Marking the
     // pace as unknown sends it again if the next list still requires it.
     if (outcome.kind !== 'paced' && run.pacePercent === percent) {
--- a/src/leader/workers/worker_state.ts
+++ b/src/leader/workers/worker_state.ts
@@ -295,13 +295,16 @@
     return isSameIncarnation ? this.durableSequence : 0;
   }
 
+  /** Returns true if the worker may have restarted since its last answer. */
   recordStartAnswer(
     clockMs: number,
     sentAt: SteadyTime,
     now: SteadyTime,
-  ): void {
-    if (this.hasClockRestarted(clockMs, sentAt)) this.mayHaveRestartedAt = now;
+  ): boolean {
+    const mayHaveRestarted = this.hasClockRestarted(clockMs, sentAt);
+    if (mayHaveRestarted) this.mayHaveRestartedAt = now;
     this.recordAnswer(clockMs, now);
+    return mayHaveRestarted;
   }
 
   /** A start without an answer may have reached another incarnation. */
--- a/src/leader/workers/worker_table.ts
+++ b/src/leader/workers/worker_table.ts
@@ -20,8 +20,9 @@
 import type {LeaderLog} from '../leader_log.js';
 import type {WorkerLoss} from '../jobs/records.js';
 import type {Authority} from '../authority.js';
+import {WorkerFences} from './worker_fences.js';
 import {WorkerLink} from './worker_link.js';
-import type {WorkerLinkEvents} from './worker_link.js';
+import type {WorkerLinkEvents} from './worker_events.js';
 import {
   WorkerState,
   longestLeaseDurationMs,
@@ -58,7 +59,11 @@
   >();
   private readonly links = new Map<WorkerId, WorkerLink>();
 
-  constructor(private readonly options: WorkerTableOptions) {}
+  private readonly fences: WorkerFences;
+
+  constructor(private readonly options: WorkerTableOptions) {
+    this.fences = new WorkerFences(options.authority.term);
+  }
 
   get workers(): ReadonlyMap<WorkerId, WorkerState> {
     return this.workerStates;
@@ -159,13 +164,11 @@
       return;
     }
     const hasRestarted = worker.update(entry, steadyNow());
+    if (hasRestarted) this.links.get(worker.workerId)?.abortRenewal();
     if (worker.runs.size === 0) return;
     const link = this.linkFor(worker);
-    if (hasRestarted) {
-      // The new incarnation may have received orders; its list decides.
-      this.assumeLeases(worker);
-      link.abortRenewal();
-    }
+    // The new incarnation may have received orders; its list decides.
+    if (hasRestarted) this.assumeLeases(worker);
     link.startRenewing();
   }
 
@@ -344,6 +347,7 @@
         worker,
         client,
         authority,
+        this.fences,
         holdMaximumMs,
         scope,
         events,
--- a/test/entry_errors.test.ts
+++ b/test/entry_errors.test.ts
@@ -11,6 +11,7 @@
 import {after, before, describe, it} from 'node:test';
 import {pathToFileURL} from 'node:url';
 import type {DaemonProcess} from '../soak/daemon_process.js';
+import {FENCES_PER_TERM} from '../src/leader/workers/worker_fences.js';
 import {CleanupScope} from '../src/lifecycle/cleanup_scope.js';
 import {createEntryDaemon} from './entry_process.js';
 import {until} from './leader_fixture.js';
@@ -45,13 +46,15 @@
   it('logs it, starts a new term and goes on', async () => {
     const hasLogged = (text: string) =>
       daemon.logLines.some((line) => line.includes(text));
-    await until('it leads', () => hasLogged('elected for term 1'));
+    const hasElected = (count: number) =>
+      hasLogged(`elected for term ${count * FENCES_PER_TERM}`);
+    await until('it leads', () => hasElected(1));
     daemon.reload();
     await until('the timer has thrown', () => hasLogged('thrown in a timer'));
-    await until('it leads again', () => hasLogged('elected for term 2'));
+    await until('it leads again', () => hasElected(2));
     daemon.reload();
     await until('a promise is rejected', () => hasLogged('rejected unhandled'));
-    await until('it leads again', () => hasLogged('elected for term 3'));
+    await until('it leads again', () => hasElected(3));
     assert.ok(daemon.isRunning);
   });
 });
--- a/test/leader_faults.test.ts
+++ b/test/leader_faults.test.ts
@@ -13,6 +13,7 @@
   progressSchema,
   submittedKey,
 } from '../src/leader/jobs/records.js';
+import {RUNS_PER_TERM} from '../src/leader/jobs/jobs.js';
 import {EmulatedAdvisor} from '../emulator/advisor.js';
 import type {EmulatedDaemon} from '../emulator/daemon.js';
 import {
@@ -268,7 +269,8 @@
     await untilState(leader, jobId, 'complete');
     const text = fixture.site.store.get(progressKey(jobId))?.value ?? '{}';
     assert.equal(progressSchema.parse(JSON.parse(text)).state, 'complete');
-    assert.deepEqual(fixture.site.ledger.runNumbers(jobId), [1]);
+    const firstOfTerm = (leader.leadership.term - 1) * RUNS_PER_TERM + 1;
+    assert.deepEqual(fixture.site.ledger.runNumbers(jobId), [firstOfTerm]);
   });
 
   it('places the runs of a restarted worker again', async () => {
--- a/test/leader_workers.test.ts
+++ b/test/leader_workers.test.ts
@@ -159,6 +159,34 @@
     await runJob();
   });
 
+  // Guards against a done task that starts again (TWICE).
+  it('no end is discarded by a renewal that a frozen link delivers late', async () => {
+    const [worker] = fixture.site.workers.values();
+    assert.ok(worker !== undefined);
+    const {workerId} = worker.entry;
+    const jobId = fixture.submit(submission(), 200);
+    await until('the task runs', () => fixture.runCount === 1);
+    const held: Array<() => void> = [];
+    leader.orderFaults.heldRenewals = held;
+    await until('a renewal is held', () => held.length > 0);
+    fixture.site.restart(workerId);
+    leader.orderFaults.heldRenewals = undefined;
+    const restarted = () => fixture.site.workers.get(workerId);
+    await until('the task runs again', () => {
+      return restarted()?.runNames.length === 1;
+    });
+    leader.orderFaults.heldRenewals = [];
+    const hasUnreadEnd = () => {
+      restarted()?.advance(Date.now());
+      return restarted()?.unacknowledgedEnds.length === 1;
+    };
+    await until('the task is done again', hasUnreadEnd);
+    for (const deliver of held) deliver();
+    assert.equal(hasUnreadEnd(), true, 'the end was discarded unread');
+    leader.orderFaults.heldRenewals = undefined;
+    await fixture.untilState(leader, jobId, 'complete');
+  });
+
   it('a gang whose worker crashes before all members are sent runs again', async () => {
     const gang = step({taskCount: 4, gang: true});
     leader.storeFaults.slowMs = 100;
