Start nothing in an evacuated availability zone

Cause: nothing read the operators' key op/evacuate/ZONE, so the leader went on to start tasks in the zone.

Change: the leader follows the keys during its term. Scheduling rounds leave the workers of evacuated zones out, and each attempt to send a start checks the zone again. No round runs and no start is sent while the orders were last confirmed too long ago to keep the bound, nor before a new leader has read them. VMs of such a zone stay in their pools. Only sites whose settings have evacuationBoundMs follow the keys. The operators' status and the metrics show evacuated zones.

--- a/emulator/daemon.ts
+++ b/emulator/daemon.ts
@@ -4,6 +4,7 @@
  */
 
 import type bunyan from 'bunyan';
+import {PlatformEvacuationOrders} from '../platform/evacuations.js';
 import {PlatformMaintenanceRequests} from '../platform/machines.js';
 import {DaemonLog} from '../src/daemon/log.js';
 import {LeaderLog} from '../src/leader/leader_log.js';
@@ -67,6 +68,8 @@
   /** See `MaintenanceSettings`; 0 by default. */
   readonly noticeMs?: number;
   readonly handoverMs?: number;
+  /** See `EvacuationOptions`; without it, zones are not evacuated. */
+  readonly evacuationBoundMs?: number | undefined;
 }
 
 export class EmulatedDaemon {
@@ -80,7 +83,7 @@
   readonly site: SiteView;
 
   constructor(emulated: EmulatedSite, options: EmulatedDaemonOptions) {
-    const {name, configuration, holdMaximumMs} = options;
+    const {name, configuration, holdMaximumMs, evacuationBoundMs} = options;
     const random = new SeededRandom(options.seed);
     const log = new DaemonLog(name, options.logLevel);
     const store = new EmulatedStore(emulated.store, this.storeFaults, random);
@@ -108,6 +111,13 @@
           noticeMs: options.noticeMs ?? 0,
           handoverMs: options.handoverMs ?? 0,
         },
+        evacuations:
+          evacuationBoundMs === undefined
+            ? undefined
+            : {
+                orders: new PlatformEvacuationOrders(store),
+                boundMs: evacuationBoundMs,
+              },
         clock: this.clock,
         log: new LeaderLog(log),
       },
--- a/emulator/faults.ts
+++ b/emulator/faults.ts
@@ -14,10 +14,18 @@
   lateMs: number;
   /** Latency added to each call. */
   slowMs: number;
+  /** Watches of this prefix fail. */
+  failingPrefix: string | undefined;
 }
 
 export function noStoreFaults(): StoreFaults {
-  return {down: undefined, lostAnswers: 0, lateMs: 0, slowMs: 0};
+  return {
+    down: undefined,
+    lostAnswers: 0,
+    lateMs: 0,
+    slowMs: 0,
+    failingPrefix: undefined,
+  };
 }
 
 /** Faults that are injected into one daemon's orders to workers. */
@@ -27,6 +35,8 @@
   lateMs: number;
   /** Workers that the daemon cannot reach. */
   readonly unreachable: Set<WorkerId>;
+  /** Workers that carry out orders whose answers are lost. */
+  readonly unanswering: Set<WorkerId>;
   /** Tasks whose starts all workers reject as invalid. */
   readonly rejectedTasks: Set<string>;
   /** Latency of a lease renewal, in addition to its wait. */
@@ -38,6 +48,7 @@
     lateShare: 0,
     lateMs: 0,
     unreachable: new Set(),
+    unanswering: new Set(),
     rejectedTasks: new Set(),
     renewalMs: 1,
   };
--- a/emulator/ledger.ts
+++ b/emulator/ledger.ts
@@ -4,6 +4,7 @@
  * becomes one line that begins with the name of the guarantee.
  */
 
+import type {AvailabilityZone} from '../src/model/ids.js';
 import type {Submission} from '../src/model/submissions.js';
 import {taskName} from '../src/model/submissions.js';
 import type {RunEnding, RunName} from '../src/interfaces/task_worker.js';
@@ -22,6 +23,11 @@
 /** Documented bound after which a cancelled job must not start a task. */
 const CANCELLATION_BOUND_MS = 3_000;
 
+const EVACUATION_BOUND_MS = 5_000;
+
+/** An order that is carried out later than this is exempt from time bounds. */
+const LATE_ORDER_MS = 1_000;
+
 interface LedgerTask {
   readonly submission: Submission;
   readonly stepIndex: number;
@@ -76,10 +82,15 @@
   private readonly crashingStarts = new Map<string, number>();
   /** Those of them that came after the third crash. */
   private readonly startsAfterCrashes = new Map<string, number>();
+  /** When the store acknowledged the evacuation, by zone. */
+  private readonly evacuatedAt = new Map<AvailabilityZone, number>();
   private starts = 0;
   private done = 0;
   private wastedRuns = 0;
 
+  /** @param evacuationBoundMs No start follows an evacuation by more. */
+  constructor(private readonly evacuationBoundMs = EVACUATION_BOUND_MS) {}
+
   get counts(): LedgerCounts {
     const {starts, done, wastedRuns} = this;
     return {starts, done, wastedRuns};
@@ -173,6 +184,14 @@
     );
   }
 
+  zoneEvacuated(zone: AvailabilityZone, at: number): void {
+    this.evacuatedAt.set(zone, this.evacuatedAt.get(zone) ?? at);
+  }
+
+  zoneTakenBack(zone: AvailabilityZone): void {
+    this.evacuatedAt.delete(zone);
+  }
+
   jobCancelled(jobId: string, at: number): void {
     this.cancelledAt.set(jobId, at);
   }
@@ -240,12 +259,18 @@
       : known.behaviour;
   }
 
-  started(worker: EmulatedWorker, {task, run}: RunName, at: number): void {
+  started(
+    worker: EmulatedWorker,
+    {task, run}: RunName,
+    at: number,
+    sentAt: number,
+  ): void {
     this.starts += 1;
     const known = this.tasks.get(task);
     if (known === undefined) return;
     this.checkSingleExecution(known, task, worker);
     this.checkCapacity(worker, task, at);
+    if (at - sentAt <= LATE_ORDER_MS) this.checkEvacuation(worker, task, at);
     this.checkCrashes(task);
     this.checkStepOrder(known, task);
     const cancelledAt = this.cancelledAt.get(known.submission.jobId);
@@ -417,6 +442,20 @@
     }
   }
 
+  private checkEvacuation(
+    {entry}: EmulatedWorker,
+    task: string,
+    at: number,
+  ): void {
+    const evacuatedAt = this.evacuatedAt.get(entry.zone) ?? Infinity;
+    const elapsedMs = at - evacuatedAt;
+    if (elapsedMs <= this.evacuationBoundMs) return;
+    this.violations.push(
+      `EVAC: ${task} is started in ${entry.zone}, ${elapsedMs} ms after its ` +
+        'evacuation',
+    );
+  }
+
   private checkCrashes(task: string): void {
     const earlierStarts = this.crashingStarts.get(task);
     if (earlierStarts === undefined) return;
--- a/emulator/site.ts
+++ b/emulator/site.ts
@@ -55,6 +55,7 @@
 import {StoreState} from './store_state.js';
 import {EmulatedVms} from './vms.js';
 import {EmulatedWorker} from './worker_state.js';
+import {EmulatedZones} from './zones.js';
 
 const REMEDY = 'this fault was injected by the emulator';
 
@@ -102,6 +103,9 @@
     if (failure !== undefined) return failure;
     const endsAt = Date.now() + waitMs;
     for (;;) {
+      if (this.faults.failingPrefix === prefix) {
+        return Result.err(new UnavailableError('store status 503', REMEDY));
+      }
       const answer = this.state.eventsAfter(prefix, afterRevision);
       const isOver = Date.now() >= endsAt || signal.aborted;
       if (answer.kind === 'historyLost' || answer.events.length > 0 || isOver) {
@@ -281,9 +285,11 @@
       // Its address refuses connections, so that the order was not sent.
       return {kind: 'unhealthy'};
     }
-    if (target === undefined) {
+    const isUnanswering = this.faults.unanswering.has(worker.workerId);
+    if (target === undefined || isUnanswering) {
+      if (target !== undefined) carryOut(target);
       await pause(UNANSWERED_AFTER_MS);
-      return {kind: 'unknown', detail: 'the worker is unreachable'};
+      return {kind: 'unknown', detail: 'no answer from the worker'};
     }
     if (this.random.next() >= this.faults.lateShare) return carryOut(target);
     setTimeout(() => carryOut(target), this.faults.lateMs);
@@ -360,6 +366,10 @@
   readonly standbyVms?: number;
   /** Address of a VM's worker; any name where calls stay in process. */
   readonly addressOf?: (vmId: VmId) => string;
+  /** Zones, one after the other for each rack and standby VM. */
+  readonly zones?: EmulatedZones['names'];
+  /** Time after which no start may follow the evacuation of its zone. */
+  readonly evacuationBoundMs?: number;
   /** Encodes a worker's directory entry as the key and value in the store. */
   readonly registrationOf?: (entry: WorkerEntry) => StorePut;
 }
@@ -374,7 +384,8 @@
 
 export class EmulatedSite {
   readonly store = new StoreState();
-  readonly ledger = new Ledger();
+  readonly ledger: Ledger;
+  readonly zones: EmulatedZones;
   readonly workers = new Map<WorkerId, EmulatedWorker>();
   readonly vms = new EmulatedVms(this);
   /** Running daemons by name. */
@@ -389,6 +400,8 @@
 
   constructor(private readonly options: EmulatedSiteOptions) {
     const {racks, workersPerRack, standbyVms = 0} = options;
+    this.ledger = new Ledger(options.evacuationBoundMs);
+    this.zones = new EmulatedZones(this.store, this.ledger, options.zones);
     for (let rack = 0; rack < racks; rack += 1) {
       for (let index = 0; index < workersPerRack; index += 1) {
         const vmId = trustedId<VmId>(`vm-${rack}-${index}`);
@@ -422,7 +435,7 @@
       incarnation,
       address: this.options.addressOf?.(vmId) ?? `${vmId}:1`,
       serviceId,
-      zone: trustedId('zone-1'),
+      zone: this.zones.zoneOf(vmId),
       rackId: trustedId<RackId>(rackName),
       labels: new Set(['kind', rackName]),
       capacity: this.capacity,
--- a/emulator/vms.ts
+++ b/emulator/vms.ts
@@ -7,7 +7,6 @@
 import {Result} from 'true-myth';
 import {z} from 'zod';
 import type {RandomSource} from '../src/lifecycle/random.js';
-import {trustedId} from '../src/model/ids.js';
 import type {ServiceId, VmId, WorkerId} from '../src/model/ids.js';
 import type {
   MaintenanceWave,
@@ -121,7 +120,7 @@
       vmId: vm.vmId,
       poolId: vm.poolId,
       state: vm.state,
-      zone: trustedId('zone-1'),
+      zone: this.site.zones.zoneOf(vm.vmId),
       labels: new Set(),
       capacity: this.site.capacity,
       workerId: vm.workerId,
--- a/emulator/worker_state.ts
+++ b/emulator/worker_state.ts
@@ -47,7 +47,12 @@
 /** Observes starts and ends on all workers and knows the state of gangs. */
 export interface WorkerObserver {
   behaviour(task: string): TaskBehaviour;
-  started(worker: EmulatedWorker, run: RunName, at: number): void;
+  started(
+    worker: EmulatedWorker,
+    run: RunName,
+    at: number,
+    sentAt: number,
+  ): void;
   ended(
     worker: EmulatedWorker,
     run: RunName,
@@ -241,7 +246,10 @@
       pacePercent: 100,
       behaviour,
     });
-    this.observer.started(this, order, now);
+    // A start asks for the longest lease, so its end shows when it was sent.
+    const grantedMs = order.leaseUntilMs - clockMs;
+    const ageMs = Math.max(0, this.holdMaximumMs - grantedMs);
+    this.observer.started(this, order, now, now - ageMs);
     if (behaviour.crashesWorker === true) {
       setTimeout(() => this.crash(), CRASH_DELAY_MS);
     } else if (this.faults.failsAll) {
--- a/src/cli/site_commands.ts
+++ b/src/cli/site_commands.ts
@@ -39,8 +39,14 @@
     );
     this.writeLine(`${status.members} daemons have registered`);
     if (leading === undefined) return;
-    const {workers, openJobs} = leading;
+    const {workers, openJobs, evacuation} = leading;
     this.writeLine(`${openJobs} open jobs, ${workers.runs} runs`);
+    if (evacuation.zones.length > 0) {
+      this.writeLine(
+        `evacuated: ${evacuation.zones.join(', ')}; ${evacuation.runs} runs ` +
+          `still there, ${evacuation.withheldStarts} starts withheld`,
+      );
+    }
     writeTable(
       this.context.stdout,
       ['WORKERS', 'ACCEPTING', 'DRAINING', 'SILENT', 'QUARANTINED'],
--- a/src/entry/entry_daemon.ts
+++ b/src/entry/entry_daemon.ts
@@ -13,12 +13,14 @@
 import {Leadership} from '../leader/leadership.js';
 import {MEMBER_PREFIX} from '../leader/jobs/records.js';
 import type {MemberRecord} from '../leader/jobs/records.js';
+import type {SessionDependencies} from '../leader/session.js';
 import type {WorkerVmOptions} from '../leader/vms/vm_management.js';
 import {SiteView} from '../leader/site_view.js';
 import {trustedId} from '../model/ids.js';
 import type {HostedConfiguration} from '../model/queues.js';
 import type {ConfigurationSource} from '../interfaces/configuration_source.js';
 import type {CoordinationStore} from '../interfaces/coordination_store.js';
+import type {EvacuationOrders} from '../interfaces/evacuation_orders.js';
 import type {MaintenanceRequests} from '../interfaces/maintenance_requests.js';
 import type {PlacementAdvisor} from '../interfaces/placement_advisor.js';
 import type {TaskWorkerClient} from '../interfaces/task_worker.js';
@@ -58,6 +60,7 @@
   readonly advisor?: PlacementAdvisor | undefined;
   /** Absent if the platform has no VM service. */
   readonly vmService?: VmService | undefined;
+  readonly evacuationOrders: EvacuationOrders;
   readonly maintenanceRequests: MaintenanceRequests;
 }
 
@@ -114,7 +117,7 @@
       {
         ...dependencies,
         proxy: new PeerStoreProxy(peers, this.site, random, this.peerAddress),
-        workerVms: workerVmOptions(settings, dependencies),
+        ...sessionOptions(settings, dependencies, pauses),
         clock,
         log: new LeaderLog(log),
       },
@@ -312,6 +315,20 @@
   };
 }
 
+/** Options of the parts of a session that a site may do without. */
+function sessionOptions(
+  settings: EntrySettings,
+  dependencies: EntryDependencies,
+  pauses: PauseDetector,
+): Pick<SessionDependencies, 'workerVms' | 'evacuations'> {
+  const {evacuationBoundMs: boundMs} = settings;
+  const {evacuationOrders: orders} = dependencies;
+  return {
+    workerVms: workerVmOptions(settings, dependencies),
+    evacuations: boundMs === undefined ? undefined : {orders, boundMs, pauses},
+  };
+}
+
 /** Answers queries from the leader session's memory. */
 class SessionQueryHandler extends LeaderQueryHandler {
   constructor(private readonly leadership: Leadership) {
--- a/src/entry/entry_metrics.ts
+++ b/src/entry/entry_metrics.ts
@@ -51,6 +51,22 @@
     registers: [this.registry],
   });
 
+  private readonly evacuatedZones = new Gauge({
+    name: `${NAME_PREFIX}evacuated_zones`,
+    help: 'Availability zones that are evacuated, on the leader',
+    registers: [this.registry],
+  });
+  private readonly evacuatedRuns = new Gauge({
+    name: `${NAME_PREFIX}evacuated_zone_runs`,
+    help: 'Runs still on the workers of evacuated zones, on the leader',
+    registers: [this.registry],
+  });
+  private readonly withheldStarts = new Gauge({
+    name: `${NAME_PREFIX}withheld_starts`,
+    help: 'Starts withheld in this term for an evacuation, on the leader',
+    registers: [this.registry],
+  });
+
   recordAnswer(method: string, kind: string, tookMs: number): void {
     this.answers.inc({method, kind});
     this.answerSeconds.observe({method}, tookMs / MILLISECONDS_PER_SECOND);
@@ -61,6 +77,10 @@
     this.openJobs.set(session?.openJobCount ?? 0);
     this.workerCrashes.set(session?.crashCounts.workerCrashes ?? 0);
     this.jobsGivenUp.set(session?.crashCounts.jobsGivenUp ?? 0);
+    const evacuation = session?.evacuationStatus;
+    this.evacuatedZones.set(evacuation?.zones.length ?? 0);
+    this.evacuatedRuns.set(evacuation?.runs ?? 0);
+    this.withheldStarts.set(evacuation?.withheldStarts ?? 0);
     return this.registry.metrics();
   }
 }
--- a/src/entry/settings.ts
+++ b/src/entry/settings.ts
@@ -53,6 +53,14 @@
   vmService: vmServiceSchema
     .optional()
     .describe('Service for the VMs of workers.'),
+  evacuationBoundMs: z
+    .number()
+    .positive()
+    .optional()
+    .describe(
+      'No run starts in a zone later than this after its evacuation; ' +
+        'without it, zones are not evacuated.',
+    ),
   cores: z
     .number()
     .positive()
--- a/src/entry/site_operators.ts
+++ b/src/entry/site_operators.ts
@@ -8,6 +8,7 @@
 import {z} from 'zod';
 import type {ComponentLog} from '../daemon/log.js';
 import {
+  evacuationStatusSchema,
   jobReportSchema,
   jobSummarySchema,
   workerCountsSchema,
@@ -45,7 +46,11 @@
   members: z.number(),
   /** Only on the leader. */
   leading: z
-    .object({openJobs: z.number(), workers: workerCountsSchema})
+    .object({
+      openJobs: z.number(),
+      workers: workerCountsSchema,
+      evacuation: evacuationStatusSchema,
+    })
     .optional(),
 });
 export type SiteStatus = z.infer<typeof siteStatusSchema>;
@@ -144,6 +149,7 @@
             leading: {
               openJobs: session.openJobCount,
               workers: session.workerCounts(steady),
+              evacuation: session.evacuationStatus,
             },
           }),
     };
--- a/src/leader/jobs/reports.ts
+++ b/src/leader/jobs/reports.ts
@@ -61,6 +61,16 @@
 });
 export type WorkerCounts = z.infer<typeof workerCountsSchema>;
 
+export const evacuationStatusSchema = z.object({
+  /** Availability zones that are evacuated. */
+  zones: z.array(z.string()),
+  /** Runs that are still on workers of these zones. */
+  runs: z.number(),
+  /** Attempts to start a run that were withheld in this term. */
+  withheldStarts: z.number(),
+});
+export type EvacuationStatus = z.infer<typeof evacuationStatusSchema>;
+
 /** Limits the size of a report, because a job may have thousands of units. */
 const MAXIMUM_REPORTED_UNITS = 50;
 
--- a/src/leader/leader_log.ts
+++ b/src/leader/leader_log.ts
@@ -4,7 +4,8 @@
  */
 
 import type {DaemonLog, ComponentLog} from '../daemon/log.js';
-import type {Instant, VmId} from '../model/ids.js';
+import type {AvailabilityZone, Instant, VmId} from '../model/ids.js';
+import type {EvacuationChange} from '../interfaces/evacuation_orders.js';
 import type {MaintenanceWave} from '../interfaces/maintenance_requests.js';
 import type {EndedRun, LeaseRenewalOutcome} from '../interfaces/task_worker.js';
 import type {VmOrderOutcome} from '../interfaces/vm_service.js';
@@ -173,6 +174,17 @@
     );
   }
 
+  evacuationChanged(
+    zone: AvailabilityZone,
+    kind: EvacuationChange['kind'],
+  ): void {
+    this.vms.info(
+      kind === 'ordered'
+        ? `zone ${zone} is evacuated, its workers get no new runs`
+        : `zone ${zone} is taken back`,
+    );
+  }
+
   startUnanswered(run: Run): void {
     this.logRun(
       run,
--- a/src/leader/prefix_follower.ts
+++ b/src/leader/prefix_follower.ts
@@ -55,8 +55,11 @@
     this.waitMs = waitMs;
     this.pauses = pauses;
     // The poll under way may return long after the pause, or not at all.
-    pauses?.onPause(() => this.pollAbort.abort());
-    scope.add(() => this.pollAbort.abort());
+    const removeListener = pauses?.onPause(() => this.pollAbort.abort());
+    scope.add(() => {
+      removeListener?.();
+      this.pollAbort.abort();
+    });
   }
 
   /**
--- a/src/leader/session.ts
+++ b/src/leader/session.ts
@@ -40,9 +40,16 @@
   workerSource,
 } from './jobs/record_sources.js';
 import {countWorkers, reportJob, summarizeJob} from './jobs/reports.js';
-import type {JobReport, JobSummary, WorkerCounts} from './jobs/reports.js';
+import type {
+  EvacuationStatus,
+  JobReport,
+  JobSummary,
+  WorkerCounts,
+} from './jobs/reports.js';
 import {RoundTimer} from './round_timer.js';
 import {RunTimeTable} from './jobs/run_times.js';
+import {EvacuationTable} from './vms/evacuations.js';
+import type {EvacuationOptions} from './vms/evacuations.js';
 import {startVmManagement} from './vms/vm_management.js';
 import type {WorkerVmOptions} from './vms/vm_management.js';
 import {WorkerOutages} from './losses/worker_outages.js';
@@ -68,6 +75,8 @@
   readonly advisor?: PlacementAdvisor | undefined;
   /** Absent if the platform has no VM service for workers. */
   readonly workerVms?: WorkerVmOptions | undefined;
+  /** Absent if zones of this site are not evacuated. */
+  readonly evacuations?: EvacuationOptions | undefined;
   readonly clock: Clock;
   readonly log: LeaderLog;
 }
@@ -83,6 +92,7 @@
   private readonly paceController = new PaceController();
   private readonly outages: WorkerOutages;
   private readonly crashMonitor: CrashMonitor;
+  private readonly evacuations: EvacuationTable;
   /** Units for which the last round found no free capacity. */
   private waitingUnits: readonly Unit[] = [];
   private isAdopted = false;
@@ -130,11 +140,22 @@
         whenDurable: (then) => this.commitQueue.afterPending(then),
         capacityChanged: () => this.scheduleRound(),
         now: () => this.now(),
+        withholdStart: ({entry}) =>
+          this.evacuations.withholdStart(entry.zone, steadyNow()),
         ticketFor: (run) => this.ticketFor(run),
         ticketRejected: (run) =>
           this.admissions.discardTicket(run.unit, run.workerId),
       },
     });
+    this.evacuations = new EvacuationTable(
+      dependencies.evacuations,
+      scope,
+      log,
+      (zones) => {
+        this.workerTable.setEvacuatedZones(zones);
+        this.scheduleRound();
+      },
+    );
   }
 
   /** True once the records of earlier leaders have been read. */
@@ -154,7 +175,9 @@
   async run(): Promise<void> {
     const startedAt = steadyNow();
     const {log} = this.dependencies;
-    // All listings are read at the same time, as each may take long.
+    // All listings are read at the same time, as each may take long. Rounds
+    // and starts wait for that of the evacuations by themselves.
+    void this.evacuations.start();
     const {store, directory} = this.dependencies;
     const progressRead = readProgress(store, this.scope, log);
     const workersListed = new PrefixFollower(
@@ -205,6 +228,7 @@
         clock: this.clock,
         configuration: this.configuration,
         waiting: () => this.waitingUnits,
+        evacuatedZones: () => this.evacuations.zones,
       },
       this.authority,
       this.workerTable,
@@ -246,6 +270,10 @@
     return countWorkers(this.workerTable.workers.values(), now);
   }
 
+  get evacuationStatus(): EvacuationStatus {
+    return this.evacuations.status(this.workerTable.evacuatedRunCount);
+  }
+
   get jobRegistry(): JobRegistry {
     return this.registry;
   }
@@ -431,6 +459,7 @@
     const steady = steadyNow();
     if (!this.isAdopted || configuration === undefined) return;
     if (!this.authority.mayAct(steady)) return;
+    if (!this.evacuations.isCurrent(steady)) return;
     const now = this.now();
     const plan = planRound({
       jobs: this.registry.open,
--- a/src/leader/vms/pools.ts
+++ b/src/leader/vms/pools.ts
@@ -6,10 +6,10 @@
 import type {CleanupScope} from '../../lifecycle/cleanup_scope.js';
 import type {Clock} from '../../lifecycle/clock.js';
 import {steadyNow} from '../../lifecycle/clock.js';
-import type {Instant, VmId} from '../../model/ids.js';
+import type {AvailabilityZone, Instant, VmId} from '../../model/ids.js';
 import type {HostedConfiguration} from '../../model/queues.js';
 import {isRejection} from '../../interfaces/vm_service.js';
-import type {VmService} from '../../interfaces/vm_service.js';
+import type {VmService, WorkerVm} from '../../interfaces/vm_service.js';
 import type {Unit} from '../jobs/jobs.js';
 import type {LeaderLog} from '../leader_log.js';
 import {moveKey, planPoolMoves} from './pool_plan.js';
@@ -33,6 +33,8 @@
   readonly configuration: () => HostedConfiguration | undefined;
   /** Units that the last scheduling round could not place. */
   readonly waiting: () => readonly Unit[];
+  /** VMs in these zones stay in their pools. */
+  readonly evacuatedZones: () => ReadonlySet<AvailabilityZone>;
 }
 
 export class PoolController {
@@ -78,7 +80,7 @@
     if (!(await this.dependencies.vms.refresh(maximumAgeMs))) return;
     this.updateIdleTimes();
     const planned = planPoolMoves({
-      vms: this.dependencies.vms.all,
+      vms: this.movableVms(),
       standbyPools: configuration.standbyPools,
       waiting: units.flatMap((unit) => {
         const serviceId = configuration.queue(unit.job.queueId)?.serviceId;
@@ -98,10 +100,19 @@
     this.table.closeVmsToNewRuns('move', new Set(this.unconfirmed.keys()));
   }
 
+  /** The worker of a VM in an evacuated zone could start nothing. */
+  private movableVms(): ReadonlyMap<VmId, WorkerVm> {
+    const evacuated = this.dependencies.evacuatedZones();
+    const {all} = this.dependencies.vms;
+    return new Map([...all].filter(([, {zone}]) => !evacuated.has(zone)));
+  }
+
   private updateIdleTimes(): void {
     const now = this.dependencies.clock.now();
     for (const [vmId, worker] of this.table.workersByVm()) {
-      if (worker.runs.size > 0) this.idleSince.delete(vmId);
+      // A worker of an evacuated zone is idle by order.
+      const isInUse = worker.runs.size > 0 || worker.isEvacuated;
+      if (isInUse) this.idleSince.delete(vmId);
       else if (!this.idleSince.has(vmId)) this.idleSince.set(vmId, now);
     }
     for (const vmId of [...this.idleSince.keys()]) {
--- a/src/leader/vms/vm_management.ts
+++ b/src/leader/vms/vm_management.ts
@@ -5,6 +5,7 @@
 
 import type {CleanupScope} from '../../lifecycle/cleanup_scope.js';
 import type {Clock} from '../../lifecycle/clock.js';
+import type {AvailabilityZone} from '../../model/ids.js';
 import type {HostedConfiguration} from '../../model/queues.js';
 import type {CoordinationStore} from '../../interfaces/coordination_store.js';
 import type {MaintenanceRequests} from '../../interfaces/maintenance_requests.js';
@@ -30,6 +31,7 @@
   readonly configuration: () => HostedConfiguration | undefined;
   /** Units that the last scheduling round could not place. */
   readonly waiting: () => readonly Unit[];
+  readonly evacuatedZones: () => ReadonlySet<AvailabilityZone>;
 }
 
 /** Resolves after the requested maintenance waves have been listed. */
--- a/src/leader/workers/worker_link.ts
+++ b/src/leader/workers/worker_link.ts
@@ -78,6 +78,8 @@
   /** Free capacity or the worker's health may have changed. */
   capacityChanged(): void;
   now(): Instant;
+  /** Why no start may be sent to the worker now, if there is a reason. */
+  withholdStart(worker: WorkerState): string | undefined;
   /** The run's ticket, if its queue requires one. */
   ticketFor(run: Run): string | undefined;
   ticketRejected(run: Run): void;
@@ -365,12 +367,9 @@
     for (let attempt = 0; attempt < START_ATTEMPTS; attempt += 1) {
       if (!this.isAssigned(run) || run.phase !== 'ordered') return;
       const now = steadyNow();
-      if (!authority.mayAct(now)) {
-        this.abandonStart(run, 'leadership is uncertain');
-        return;
-      }
-      if (!worker.hasRoomFor(run)) {
-        this.abandonStart(run, 'the capacity of its worker was reduced');
+      const obstacle = this.startObstacle(run, now);
+      if (obstacle !== undefined) {
+        this.abandonStart(run, obstacle);
         return;
       }
       const leaseUntilMs = worker.extendLease(this.holdMaximumMs, now);
@@ -399,6 +398,13 @@
     if (this.isAssigned(run)) this.stop(run);
   }
 
+  private startObstacle(run: Run, now: SteadyTime): string | undefined {
+    if (!this.authority.mayAct(now)) return 'leadership is uncertain';
+    return this.worker.hasRoomFor(run)
+      ? this.events.withholdStart(this.worker)
+      : 'the capacity of its worker was reduced';
+  }
+
   /** Returns false if the order has to be repeated. */
   private handleStartOutcome(
     run: Run,
--- a/src/leader/workers/worker_state.ts
+++ b/src/leader/workers/worker_state.ts
@@ -49,6 +49,8 @@
   hasKnownRuns = true;
   /** Set while its VM is about to go down or to move to another pool. */
   isClosedToNewRuns = false;
+  /** Its availability zone is evacuated, so no run is started on it. */
+  isEvacuated = false;
   /** Highest sequence numbers of ends that were processed and are durable. */
   processedSequence = 0;
   durableSequence = 0;
@@ -256,6 +258,7 @@
       !this.isReplaced &&
       this.hasKnownRuns &&
       !this.isClosedToNewRuns &&
+      !this.isEvacuated &&
       !this.currentEntry.isDraining &&
       this.failedRenewals === 0
     );
--- a/src/leader/workers/worker_table.ts
+++ b/src/leader/workers/worker_table.ts
@@ -7,7 +7,7 @@
 import type {CleanupScope} from '../../lifecycle/cleanup_scope.js';
 import type {SteadyTime} from '../../lifecycle/clock.js';
 import {steadyNow, steadyTime} from '../../lifecycle/clock.js';
-import type {VmId, WorkerId} from '../../model/ids.js';
+import type {AvailabilityZone, VmId, WorkerId} from '../../model/ids.js';
 import {trustedId} from '../../model/ids.js';
 import type {
   TaskWorkerClient,
@@ -56,6 +56,7 @@
     VmClosureReason,
     ReadonlySet<VmId>
   >();
+  private evacuatedZones: ReadonlySet<AvailabilityZone> = new Set();
   private readonly links = new Map<WorkerId, WorkerLink>();
 
   constructor(private readonly options: WorkerTableOptions) {}
@@ -90,6 +91,23 @@
     }
   }
 
+  /** Replaces the set of zones whose workers get no new runs. */
+  setEvacuatedZones(zones: ReadonlySet<AvailabilityZone>): void {
+    this.evacuatedZones = new Set(zones);
+    for (const worker of this.workerStates.values()) {
+      worker.isEvacuated = zones.has(worker.entry.zone);
+    }
+  }
+
+  /** Number of runs on the workers of evacuated zones. */
+  get evacuatedRunCount(): number {
+    let runs = 0;
+    for (const worker of this.workerStates.values()) {
+      if (worker.isEvacuated) runs += worker.runs.size;
+    }
+    return runs;
+  }
+
   /** Maintenance or a move of the VM is being ordered. */
   expectEnd(vmId: VmId): void {
     this.workersByVm().get(vmId)?.expectEnd();
@@ -155,10 +173,12 @@
     if (worker === undefined) {
       const added = new WorkerState(entry);
       added.isClosedToNewRuns = this.isClosedToNewRuns(entry);
+      added.isEvacuated = this.evacuatedZones.has(entry.zone);
       this.workerStates.set(entry.workerId, added);
       return;
     }
     const hasRestarted = worker.update(entry, steadyNow());
+    worker.isEvacuated = this.evacuatedZones.has(worker.entry.zone);
     if (worker.runs.size === 0) return;
     const link = this.linkFor(worker);
     if (hasRestarted) {
--- a/src/lifecycle/pause_detector.ts
+++ b/src/lifecycle/pause_detector.ts
@@ -25,7 +25,7 @@
   private lastTickAt: SteadyTime;
   private clockOffsetMs: number;
   private lastPauseSeenAt: SteadyTime | undefined;
-  private readonly listeners: Array<() => void> = [];
+  private readonly listeners = new Set<() => void>();
 
   constructor(
     private readonly clock: Clock,
@@ -37,9 +37,13 @@
     scope.every(TICK_MS, () => this.update(steadyNow()));
   }
 
-  /** Calls the listener when a pause has ended. */
-  onPause(listener: () => void): void {
-    this.listeners.push(listener);
+  /**
+   * Calls the listener when a pause has ended; returns a function that removes
+   * it.
+   */
+  onPause(listener: () => void): () => void {
+    this.listeners.add(listener);
+    return () => this.listeners.delete(listener);
   }
 
   /** True if the process has paused between `since` and `now`. */
@@ -57,6 +61,6 @@
     this.clockOffsetMs = offsetMs;
     if (!wasPaused && !wasSuspended) return;
     this.lastPauseSeenAt = now;
-    for (const listener of this.listeners) listener();
+    for (const listener of [...this.listeners]) listener();
   }
 }
--- a/test/leader_fixture.ts
+++ b/test/leader_fixture.ts
@@ -9,7 +9,13 @@
 import {cancelledKey, submittedKey} from '../src/leader/jobs/records.js';
 import {WorkerState} from '../src/leader/workers/worker_state.js';
 import {trustedId} from '../src/model/ids.js';
-import type {CustomerId, JobId, VmId, WorkerId} from '../src/model/ids.js';
+import type {
+  AvailabilityZone,
+  CustomerId,
+  JobId,
+  VmId,
+  WorkerId,
+} from '../src/model/ids.js';
 import {HostedConfiguration} from '../src/model/queues.js';
 import type {Step, Submission} from '../src/model/submissions.js';
 
@@ -131,8 +137,17 @@
   readonly site: EmulatedSite;
   private readonly daemons: EmulatedDaemon[] = [];
 
-  constructor(racks = 2, workersPerRack = 2, standbyVms = 0) {
+  constructor(
+    racks = 2,
+    workersPerRack = 2,
+    standbyVms = 0,
+    private readonly evacuation?: {
+      readonly zones: readonly AvailabilityZone[];
+      readonly evacuationBoundMs: number;
+    },
+  ) {
     this.site = new EmulatedSite({
+      ...evacuation,
       racks,
       workersPerRack,
       acceleratorsPerWorker: 8,
@@ -149,6 +164,7 @@
       holdMaximumMs: HOLD_MAXIMUM_MS,
       configuration: configuration(),
       noticeMs,
+      evacuationBoundMs: this.evacuation?.evacuationBoundMs,
       logLevel: (process.env['TEST_LOG_LEVEL'] ?? 'fatal') as 'fatal',
     });
     this.daemons.push(daemon);
