--- a/soak/daemon_process.ts
+++ b/soak/daemon_process.ts
@@ -39,6 +39,7 @@
 export interface DaemonTimings {
   readonly workerLeaseMs: number;
   readonly stopGraceS: number;
+  readonly evacuationBoundMs?: number;
 }
 
 export class DaemonProcess {
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -25,6 +25,9 @@
 /** The platform carries out a write without an answer up to this much later. */
 const MAXIMUM_LATE_WRITE_MS = 6_000;
 
+/** Documented bound for starts in a zone after its evacuation. */
+export const EVACUATION_BOUND_MS = 5_000;
+
 const NO_LINK_FAULTS = linkFaultsSchema.parse({});
 
 export interface SoakTargets {
@@ -94,6 +97,7 @@
       ['rack fails all', (ms) => this.makeRackFail(ms)],
       ['worker hangs', (ms) => this.injectWorkerFault('hangs', ms)],
       ['maintenance', () => this.requestMaintenance()],
+      ['evacuation', (ms) => this.evacuateZone(ms)],
       ['configuration', () => targets.configure()],
     ];
   }
@@ -136,7 +140,9 @@
     this.isStopping = true;
     for (const series of Object.values(this.series)) series.stop();
     await this.scope.sleep(MAXIMUM_FAULT_MS);
-    const {daemons, workerLinks} = this.targets;
+    const {daemons, workerLinks, platform} = this.targets;
+    const {zones} = platform.site;
+    for (const zone of zones.names) zones.takeBack(zone);
     for (const link of workerLinks.values()) link.faults = NO_LINK_FAULTS;
     for (const daemon of daemons) {
       daemon.storeLink.faults = NO_LINK_FAULTS;
@@ -274,6 +280,14 @@
     faults[fault] = false;
   }
 
+  private async evacuateZone(durationMs: number): Promise<void> {
+    const {zones} = this.targets.platform.site;
+    const zone = pick(this.random, zones.names);
+    zones.evacuate(zone);
+    await this.scope.sleep(EVACUATION_BOUND_MS + durationMs);
+    zones.takeBack(zone);
+  }
+
   private waveCount = 0;
 
   private requestMaintenance(): void {
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -7,7 +7,8 @@
 import {HttpPlatform} from '../emulator/http_platform.js';
 import {CleanupScope} from '../src/lifecycle/cleanup_scope.js';
 import {SeededRandom} from '../src/lifecycle/random.js';
-import type {VmId} from '../src/model/ids.js';
+import {trustedId} from '../src/model/ids.js';
+import type {AvailabilityZone, VmId} from '../src/model/ids.js';
 import {FaultLink} from '../src/standins/fault_link.js';
 import {
   CALLER_KEY,
@@ -17,7 +18,7 @@
 } from './callers.js';
 import type {CallerCounts} from './callers.js';
 import {DaemonProcess} from './daemon_process.js';
-import {FaultInjector} from './faults.js';
+import {EVACUATION_BOUND_MS, FaultInjector} from './faults.js';
 
 const HOST = '127.0.0.1';
 const WORKER_LEASE_MS = 3_000;
@@ -37,6 +38,10 @@
 /** Documented time until a reduced capacity binds starts: 3 s and a heartbeat. */
 const CAPACITY_NOTICE_MS = 3_500;
 
+const ZONES = ['zone-1', 'zone-2'].map((name) =>
+  trustedId<AvailabilityZone>(name),
+);
+
 /** A worker's clock may differ from the daemons' clocks by 2 percent. */
 const CLOCK_RATES = [0.98, 1, 1.01] as const;
 
@@ -163,6 +168,8 @@
         acceleratorsPerWorker: WORKER_ACCELERATORS,
         holdMaximumMs: WORKER_LEASE_MS,
         capacityNoticeMs: CAPACITY_NOTICE_MS,
+        zones: ZONES,
+        evacuationBoundMs: EVACUATION_BOUND_MS,
       },
       this.random,
       this.scope,
@@ -187,7 +194,11 @@
           `entry-${number}`,
           platform,
           vmServiceAddress,
-          {workerLeaseMs: WORKER_LEASE_MS, stopGraceS: STOP_GRACE_S},
+          {
+            workerLeaseMs: WORKER_LEASE_MS,
+            stopGraceS: STOP_GRACE_S,
+            evacuationBoundMs: EVACUATION_BOUND_MS,
+          },
           this.scope,
         ),
       );
