--- a/src/leader/workers/worker_events.ts
+++ b/src/leader/workers/worker_events.ts
@@ -30,6 +30,8 @@
   /** Free capacity or the worker's health may have changed. */
   capacityChanged(): void;
   now(): Instant;
+  /** Why no start may be sent to the worker now, if there is a reason. */
+  withholdStart(worker: WorkerState): string | undefined;
   /** The run's ticket, if its queue requires one. */
   ticketFor(run: Run): string | undefined;
   ticketRejected(run: Run): void;
--- a/src/leader/workers/worker_link.ts
+++ b/src/leader/workers/worker_link.ts
@@ -348,7 +348,7 @@
   }
 
   private async sendStart(run: Run): Promise<void> {
-    const {worker, authority} = this;
+    const {worker} = this;
     if (!(await this.refreshClock())) {
       this.removeUnstarted(run, 'its worker is unresponsive');
       return;
@@ -356,12 +356,9 @@
     for (let attempt = 0; attempt < START_ATTEMPTS; attempt += 1) {
       if (!this.isAssigned(run) || run.phase !== 'ordered') return;
       const now = steadyNow();
-      if (!authority.mayAct(now)) {
-        this.abandonStart(run, 'leadership is uncertain');
-        return;
-      }
-      if (!worker.hasRoomFor(run)) {
-        this.abandonStart(run, 'the capacity of its worker was reduced');
+      const obstacle = this.startObstacle(run, now);
+      if (obstacle !== undefined) {
+        this.abandonStart(run, obstacle);
         return;
       }
       const leaseUntilMs = worker.extendLease(this.holdMaximumMs, now);
@@ -393,6 +390,13 @@
     if (this.isAssigned(run)) this.stop(run);
   }
 
+  private startObstacle(run: Run, now: SteadyTime): string | undefined {
+    if (!this.authority.mayAct(now)) return 'leadership is uncertain';
+    return this.worker.hasRoomFor(run)
+      ? this.events.withholdStart(this.worker)
+      : 'the capacity of its worker was reduced';
+  }
+
   /** Returns false if the order has to be repeated. */
   private handleStartOutcome(
     run: Run,
