Tell the usable run time of a finished run

A run that was restored, adopted, started late or whose end was read late says nothing about the speed of its worker. A renewal now notes how long its worker was not asked before the end was read.

--- a/src/leader/jobs/runs.ts
+++ b/src/leader/jobs/runs.ts
@@ -89,6 +89,10 @@
   isStartRecorded = false;
   /** The run was placed on a worker that other units must not use. */
   isIsolated = false;
+  /** The run resumes from a checkpoint. */
+  readonly isRestored: boolean;
+  /** Time before its end was read in which its worker was not asked. */
+  unobservedMs = 0;
 
   constructor(
     readonly unit: Unit,
@@ -100,7 +104,9 @@
     readonly plannedAt: Instant,
     /** VM of the worker, if it is known. */
     readonly vmId?: VmId | undefined,
-  ) {}
+  ) {
+    this.isRestored = unit.checkpoint !== '';
+  }
 
   /** Updates the run from its entry in the worker's list of runs. */
   updateFromList(
--- a/src/leader/workers/worker_link.ts
+++ b/src/leader/workers/worker_link.ts
@@ -258,8 +258,9 @@
     if (worker.recordIncarnation(outcome.incarnation, sentAt)) {
       this.acknowledgedSequence = 0;
     }
+    const unobservedMs = worker.answerAgeMs(sentAt);
     worker.recordAnswer(outcome.clockMs, now);
-    this.processEndedRuns(outcome);
+    this.processEndedRuns(outcome, unobservedMs);
     this.processRunningTasks(outcome, sentAt);
     for (const {run, percent} of events.paceChangesFor(worker)) {
       this.setPace(run, percent);
@@ -270,8 +271,10 @@
     }
   }
 
+  /** Ends in the last `unobservedMs` before the renewal are read late. */
   private processEndedRuns(
     outcome: LeaseRenewalOutcome & {kind: 'seen'},
+    unobservedMs: number,
   ): void {
     const {worker, events} = this;
     let highest = worker.processedSequence;
@@ -279,8 +282,10 @@
       if (end.sequence <= worker.processedSequence) continue;
       highest = Math.max(highest, end.sequence);
       const run = worker.find(end.task, end.run);
-      if (run !== undefined) events.runEnded(run, end.ending, end.checkpoint);
-      else this.log.unknownEnd(worker, end);
+      if (run !== undefined) {
+        run.unobservedMs = Math.max(0, unobservedMs);
+        events.runEnded(run, end.ending, end.checkpoint);
+      } else this.log.unknownEnd(worker, end);
     }
     if (highest === worker.processedSequence) return;
     worker.processedSequence = highest;
