Choose workers by their speeds

A gang ends with the slowest of its workers.

The leader now learns the speed of each VM from the progress of its runs and gives work the slowest workers on which it is still in time. It is on where a stop and a restore take longer than a second; elsewhere nothing is learned and nothing changes. Choosing workers has a module of its own.

--- a/soak/daemon_process.ts
+++ b/soak/daemon_process.ts
@@ -87,6 +87,7 @@
       cores: 1,
       linkMbps: 1_000,
       stateRetentionS: 600,
+      speedPlacement: 'on',
       ...times,
     };
     const folder = await mkdtemp(join(tmpdir(), 'bramleystep-soak-'));
--- a/src/entry/entry_daemon.ts
+++ b/src/entry/entry_daemon.ts
@@ -11,6 +11,7 @@
 import type {RandomSource} from '../lifecycle/random.js';
 import {LeaderLog} from '../leader/leader_log.js';
 import {Leadership} from '../leader/leadership.js';
+import type {LeadershipSettings} from '../leader/leadership.js';
 import {MEMBER_PREFIX} from '../leader/jobs/records.js';
 import type {MemberRecord} from '../leader/jobs/records.js';
 import type {WorkerVmOptions} from '../leader/vms/vm_management.js';
@@ -40,6 +41,7 @@
 import {HttpSitePeers, peerHandler} from './http_peers.js';
 import {PeerStoreProxy, runRelayedStoreCall} from './relayed_store_calls.js';
 import type {EntrySettings} from './settings.js';
+import {usesWorkerSpeeds} from './settings.js';
 import {SiteOperatorApi} from './site_operators.js';
 
 /**
@@ -118,14 +120,7 @@
         clock,
         log: new LeaderLog(log),
       },
-      {
-        vmId: settings.vmId,
-        peerAddress: this.peerAddress,
-        cores: settings.cores,
-        linkMbps: settings.linkMbps,
-        holdMaximumMs: settings.workerLeaseMs,
-        stateRetentionMs: settings.stateRetentionS * 1_000,
-      },
+      leadershipSettings(settings, this.peerAddress),
       this.site,
       () => this.feed.configuration,
       random,
@@ -294,6 +289,21 @@
   }
 }
 
+function leadershipSettings(
+  settings: EntrySettings,
+  peerAddress: string,
+): LeadershipSettings {
+  return {
+    vmId: settings.vmId,
+    peerAddress,
+    cores: settings.cores,
+    linkMbps: settings.linkMbps,
+    holdMaximumMs: settings.workerLeaseMs,
+    usesWorkerSpeeds: usesWorkerSpeeds(settings),
+    stateRetentionMs: settings.stateRetentionS * 1_000,
+  };
+}
+
 function workerVmOptions(
   {vmId, vmService}: EntrySettings,
   dependencies: EntryDependencies,
--- a/src/entry/settings.ts
+++ b/src/entry/settings.ts
@@ -30,6 +30,23 @@
     .describe('A new leader gives no order about VMs for this time.'),
 });
 
+const workerRunsSchema = z.strictObject({
+  stopMs: z
+    .number()
+    .nonnegative()
+    .describe('Longest time that a worker takes to stop a run.'),
+  restoreMs: z
+    .number()
+    .nonnegative()
+    .describe('Time that a run takes to resume from a checkpoint.'),
+});
+
+/**
+ * Where runs are continued elsewhere within this time, a placement on a slow
+ * worker is soon made good.
+ */
+const QUICK_CONTINUATION_MS = 1_000;
+
 export const entrySettingsSchema = z.strictObject({
   vmId: z.string().min(1).describe('Name of this entry VM.'),
   availabilityZone: z.string().min(1).describe('Zone of this entry VM.'),
@@ -62,6 +79,16 @@
     .number()
     .positive()
     .describe('Longest lease that a worker grants.'),
+  workerRuns: workerRunsSchema
+    .optional()
+    .describe('What it takes to continue a run on another worker.'),
+  speedPlacement: z
+    .enum(['auto', 'on', 'off'])
+    .default('auto')
+    .describe(
+      'Choose workers by their speeds. auto: where continuing a run on ' +
+        'another worker takes long.',
+    ),
   stateRetentionS: z
     .number()
     .positive()
@@ -73,6 +100,16 @@
 });
 export type EntrySettings = Readonly<z.infer<typeof entrySettingsSchema>>;
 
+/** True if the leader chooses workers by their speeds. */
+export function usesWorkerSpeeds({
+  speedPlacement,
+  workerRuns,
+}: EntrySettings): boolean {
+  if (speedPlacement !== 'auto') return speedPlacement === 'on';
+  if (workerRuns === undefined) return false;
+  return workerRuns.stopMs + workerRuns.restoreMs > QUICK_CONTINUATION_MS;
+}
+
 /** Reads and validates the settings file; an error names the invalid field. */
 export async function readEntrySettings(
   path: string,
--- a/src/leader/jobs/completed_runs.ts
+++ b/src/leader/jobs/completed_runs.ts
@@ -21,9 +21,9 @@
 
 /**
  * Returns the run time of a run whose end was just read, or undefined if the
- * run time is not known or is not that of the whole work. Has to be called
- * before the end is applied to the run's unit. The members of a gang work from
- * the start of the last one until the slowest has finished.
+ * run time is not known or is not that of the whole work. The members of a gang
+ * work from the start of the last one until the slowest has finished. Work on
+ * several racks, or away from its data, counts like any other.
  */
 export function completedRun(
   run: Run,
@@ -36,7 +36,7 @@
   if (longRunning === true || usesSpareProcessor === true) return undefined;
   if (run.unobservedMs > MAXIMUM_UNCERTAINTY_MS) return undefined;
   let startedAt = -Infinity;
-  for (const member of [run, ...run.unit.runs]) {
+  for (const member of run.members) {
     const {confirmedAt, firstSentAt} = member;
     if (member.wasAdopted || member.isRestored || member.mayStartLate) {
       return undefined;
--- a/src/leader/jobs/run_times.ts
+++ b/src/leader/jobs/run_times.ts
@@ -8,8 +8,9 @@
 import type {Instant, QueueId} from '../../model/ids.js';
 import {instant} from '../../model/ids.js';
 import type {Step} from '../../model/submissions.js';
-import type {Job} from './jobs.js';
+import type {Job, Unit} from './jobs.js';
 import type {Run} from './runs.js';
+import type {WorkerSpeeds} from '../workers/worker_speeds.js';
 
 /** Finished tasks of a queue that are remembered. */
 const SAMPLES = 40;
@@ -40,6 +41,10 @@
 export class RunTimeTable {
   private readonly samplesByQueue = new Map<QueueId, Sample[]>();
   private readonly modelByQueue = new Map<QueueId, QueueModel>();
+  private readonly gangEnds = new WeakMap<Unit, {at: Instant; now: Instant}>();
+
+  /** With speeds, run times are those on a worker of usual speed. */
+  constructor(private readonly speeds?: WorkerSpeeds) {}
 
   /** Records the end of a run that did the whole work of its task. */
   recordDone(run: Run, now: Instant): void {
@@ -51,7 +56,7 @@
     const samples = this.samplesByQueue.get(queueId) ?? [];
     samples.push({
       estimatedMs: Math.max(1, unit.step.estimatedMs),
-      actualMs: Math.max(1, now - plannedAt),
+      actualMs: Math.max(1, (now - plannedAt) / this.slowestFactorOf(run)),
     });
     if (samples.length > SAMPLES) samples.shift();
     this.samplesByQueue.set(queueId, samples);
@@ -70,16 +75,39 @@
 
   /** Returns when the run is expected to end, from its progress if known. */
   expectedEnd(run: Run, now: Instant): Instant {
-    const {unit, progressPercent} = run;
+    const {unit} = run;
     if (run.step.longRunning === true) return instant(Infinity);
     if (run.phase === 'stopping') return instant(now + STOP_MS);
+    if (this.speeds === undefined || unit.taskCount === 1) {
+      return this.expectedEndAlone(run, now);
+    }
+    let end = this.gangEnds.get(unit);
+    if (end === undefined || end.now !== now) {
+      const ends = unit.runs.map((each) => this.expectedEndAlone(each, now));
+      end = {at: instant(Math.max(now, ...ends)), now};
+      this.gangEnds.set(unit, end);
+    }
+    return end.at;
+  }
+
+  private expectedEndAlone(run: Run, now: Instant): Instant {
+    const {unit, progressPercent} = run;
     const ranMs = Math.max(0, now - run.plannedAt);
     const remainingMs =
       progressPercent >= RELIABLE_PROGRESS_PERCENT && !run.wasAdopted
         ? (ranMs * (100 - progressPercent)) / progressPercent
-        : this.expectedMs(unit.job, unit.step) - ranMs;
+        : this.expectedMs(unit.job, unit.step) * this.factorOf(run) - ranMs;
     return instant(now + Math.max(MINIMUM_REMAINING_MS, remainingMs));
   }
+
+  private factorOf(run: Run): number {
+    return this.speeds?.speedOf(run).factor ?? 1;
+  }
+
+  /** The members of a gang end with the slowest of them. */
+  private slowestFactorOf(run: Run): number {
+    return this.speeds?.slowestFactorOf(run.members) ?? 1;
+  }
 }
 
 function createModel(samples: readonly Sample[]): QueueModel {
--- a/src/leader/jobs/runs.ts
+++ b/src/leader/jobs/runs.ts
@@ -47,6 +47,42 @@
 
 export const FULL_PACE_PERCENT = 100;
 
+/**
+ * How fast a run progresses, by the clock of its worker, so that late answers
+ * and gaps between lists do not matter.
+ */
+export class ProgressReadings {
+  private first: ProgressReading | undefined;
+  private last: ProgressReading | undefined;
+
+  /** Only readings between the start and the end of the work are of use. */
+  add(percent: number, clockMs: number): void {
+    if (percent <= 0 || percent >= COMPLETE_PERCENT) return;
+    const reading = {percent, clockMs};
+    if (percent < (this.last?.percent ?? Infinity)) this.first = reading;
+    this.last = reading;
+  }
+
+  /** Progress between the readings. */
+  get spanPercent(): number {
+    return (this.last?.percent ?? 0) - (this.first?.percent ?? 0);
+  }
+
+  get msPerPercent(): number | undefined {
+    const {first, last} = this;
+    if (first === undefined || last === undefined) return undefined;
+    const elapsedMs = last.clockMs - first.clockMs;
+    if (last.percent <= first.percent || elapsedMs <= 0) return undefined;
+    return elapsedMs / (last.percent - first.percent);
+  }
+}
+
+interface ProgressReading {
+  readonly percent: number;
+  /** Milliseconds on the worker's clock. */
+  readonly clockMs: number;
+}
+
 /**
  * Pace of a run that an earlier leader or an order without an answer may have
  * changed. It is above full pace, so that the next list leads to a new order.
@@ -57,6 +93,7 @@
 export class Run {
   phase: RunPhase = 'planned';
   progressPercent = 0;
+  readonly progress = new ProgressReadings();
   /** Time without progress in the lists of runs, in milliseconds. */
   stalledMs = 0;
   /** When the run was last in a list. */
@@ -89,6 +126,8 @@
   isStartRecorded = false;
   /** The run was placed on a worker that other units must not use. */
   isIsolated = false;
+  /** All members of the run, also those that have ended; of a gang. */
+  members: readonly Run[] = [this];
   /** The run resumes from a checkpoint. */
   readonly isRestored: boolean;
   /** Time before its end was read in which its worker was not asked. */
--- a/src/leader/planning/placement.ts
+++ b/src/leader/planning/placement.ts
@@ -6,7 +6,6 @@
 
 import type {Instant} from '../../model/ids.js';
 import {instant} from '../../model/ids.js';
-import type {CrashHistory} from '../losses/crash_history.js';
 import type {FreeCapacity, FreeCapacityTable} from './free_capacity.js';
 import {FreeCapacityTables} from './free_capacity.js';
 import {ExhaustedShapes} from './exhausted_shapes.js';
@@ -27,6 +26,7 @@
   isMostlyIdleService,
   wantsRack,
 } from './worker_groups.js';
+import {WorkerChoice} from './worker_choice.js';
 import type {WorkerState} from '../workers/worker_state.js';
 
 /** A unit and the worker of each of its tasks, in order of index. */
@@ -116,10 +116,13 @@
       this.waiting.push(...batch.units);
       return;
     }
-    const {racks, crossRack} = candidateGroups(batch, table, now);
+    const choice = new WorkerChoice(batch, this.view.speeds, now);
+    const candidates = candidateGroups(batch, table, now);
+    const {crossRack} = candidates;
+    const racks = choice.orderGroups(candidates.racks);
     if (unit.crashes.isSuspect) {
       const groups = [...racks, ...crossRack];
-      if (this.placeAlone(batch, groups, table)) return;
+      if (this.placeAlone(batch, choice, groups, table)) return;
       const isMostlyIdle = isMostlyIdleService(table);
       if (!mayShareWorkers(unit, batch.rank, isMostlyIdle, now)) {
         this.waiting.push(unit);
@@ -128,7 +131,7 @@
         return;
       }
     }
-    let units = this.tryPlace(batch, batch.units, racks, table);
+    let units = this.tryPlace(batch.units, choice, racks, table);
     if (units.length === 0) return;
     if (units.length === batch.units.length) this.exhausted.add(batch, table);
     const reservation = this.mayReserve(batch, table)
@@ -141,7 +144,7 @@
     };
     const preferred = wantsRack(unit) ? racks : [];
     if (this.preemptInRack(request, preferred)) return;
-    units = this.tryPlace(batch, units, crossRack, table);
+    units = this.tryPlace(units, choice, crossRack, table);
     const groups = wantsRack(unit) ? crossRack : [...racks, ...crossRack];
     units = units.filter((each) => !this.preempt(each, request, groups));
     if (request.preemptible === 'lowerPriority') {
@@ -160,6 +163,7 @@
   /** Places a suspect on vacant workers, if it fits there. */
   private placeAlone(
     batch: RankedBatch,
+    choice: WorkerChoice,
     groups: ReadonlyArray<readonly FreeCapacity[]>,
     table: FreeCapacityTable,
   ): boolean {
@@ -167,7 +171,7 @@
     const vacant = groups.map((group) =>
       group.filter(({isVacant}) => isVacant),
     );
-    const left = this.tryPlace(batch, batch.units, vacant, table, true);
+    const left = this.tryPlace(batch.units, choice, vacant, table, true);
     return left.length === 0;
   }
 
@@ -176,26 +180,25 @@
    * single tasks as fit. Returns the units that were not placed.
    */
   private tryPlace(
-    {unit, expectedMs}: RankedBatch,
     units: readonly Unit[],
+    choice: WorkerChoice,
     groups: ReadonlyArray<readonly FreeCapacity[]>,
     table: FreeCapacityTable,
     isIsolated = false,
   ): readonly Unit[] {
-    const endsAt = instant(this.view.now + expectedMs);
+    const {unit} = choice;
     let remaining = units;
     for (const group of groups) {
       if (remaining.length === 0) break;
-      const chosen = chooseCapacities(
-        unit,
+      const chosen = choice.choose(
         remaining.length * unit.taskCount,
         table.eligible(group, unit),
-        endsAt,
       );
       const fitting = Math.floor(chosen.length / unit.taskCount);
       remaining.slice(0, fitting).forEach((each, position) => {
         const first = position * unit.taskCount;
         const capacities = chosen.slice(first, first + unit.taskCount);
+        const endsAt = choice.endOn(capacities);
         for (const capacity of capacities) {
           capacity.allocate(each, 1, endsAt);
           if (isIsolated) capacity.isolate(each);
@@ -352,55 +355,3 @@
     return step.checkpointing === true || preemptible !== 'checkpointing';
   }
 }
-
-/** The preferred worker compares as less. */
-function comparePreference(
-  {step, crashes}: Unit,
-  a: FreeCapacity,
-  b: FreeCapacity,
-): number {
-  if (step.usesSpareProcessor === true) {
-    return b.spareProcessorMillicores - a.spareProcessorMillicores;
-  }
-  if (crashes.isSuspect) {
-    // Where workers are restarted in turn, the latest one is the last to follow.
-    return (
-      Number(hasLost(crashes, a)) - Number(hasLost(crashes, b)) ||
-      a.worker.runs.size - b.worker.runs.size ||
-      b.worker.incarnation - a.worker.incarnation
-    );
-  }
-  return (
-    a.freeAccelerators - b.freeAccelerators ||
-    a.freeProcessorMillicores - b.freeProcessorMillicores
-  );
-}
-
-function hasLost(crashes: CrashHistory, {worker}: FreeCapacity): boolean {
-  return crashes.hasLost(worker.workerId, worker.entry.vmId);
-}
-
-/**
- * Returns the worker's capacity for each of `count` tasks, or for fewer if not
- * all fit. Fuller workers are used first, so that empty workers remain for
- * large gangs; best-effort tasks go to the workers with the most spare
- * processors, and suspects to those that they were not lost with.
- */
-function chooseCapacities(
-  unit: Unit,
-  count: number,
-  capacities: readonly FreeCapacity[],
-  endsAt: Instant,
-): FreeCapacity[] {
-  const sorted = capacities
-    .map((capacity) => ({capacity, slots: capacity.slotsUntil(unit, endsAt)}))
-    .filter(({slots}) => slots > 0)
-    .sort((a, b) => comparePreference(unit, a.capacity, b.capacity));
-  const chosen: FreeCapacity[] = [];
-  for (const {capacity, slots} of sorted) {
-    const tasks = Math.min(slots, count - chosen.length);
-    for (let i = 0; i < tasks; i += 1) chosen.push(capacity);
-    if (chosen.length === count) break;
-  }
-  return chosen;
-}
--- a/src/leader/planning/planning_view.ts
+++ b/src/leader/planning/planning_view.ts
@@ -5,6 +5,7 @@
 import type {HostedConfiguration} from '../../model/queues.js';
 import type {Job, Unit} from '../jobs/jobs.js';
 import type {RunTimeTable} from '../jobs/run_times.js';
+import type {WorkerSpeeds} from '../workers/worker_speeds.js';
 import type {WorkerState} from '../workers/worker_state.js';
 
 export interface PlanningView {
@@ -12,6 +13,8 @@
   readonly workers: ReadonlyMap<string, WorkerState>;
   readonly configuration: HostedConfiguration;
   readonly runTimes: RunTimeTable;
+  /** Undefined if workers are chosen without regard to their speeds. */
+  readonly speeds?: WorkerSpeeds | undefined;
   readonly now: Instant;
   readonly steady: SteadyTime;
   /** False while many workers become silent or end. */
--- /dev/null
+++ b/src/leader/planning/worker_choice.ts
@@ -0,0 +1,209 @@
+/**
+ * Which of the workers that a unit fits on it uses. Terms compare two workers
+ * one after the other, and the first one that prefers a worker decides.
+ */
+
+import type {Instant} from '../../model/ids.js';
+import {instant} from '../../model/ids.js';
+import type {CrashHistory} from '../losses/crash_history.js';
+import type {Unit} from '../jobs/jobs.js';
+import type {WorkerSpeeds} from '../workers/worker_speeds.js';
+import type {FreeCapacity} from './free_capacity.js';
+
+/** Workers whose speeds differ by less than this factor count as alike. */
+const SPEED_STEP = 1.25;
+
+/**
+ * Share of the slack that a slow worker may use up; the rest is for run times
+ * that vary.
+ */
+const SPEED_SLACK_SHARE = 0.5;
+
+/** What a choice of workers is for. */
+export interface PlacedWork {
+  readonly unit: Unit;
+  /** Time that the unit usually takes, in milliseconds. */
+  readonly expectedMs: number;
+  readonly deadlines: {readonly inTime: Instant};
+}
+
+/** A reason to prefer one worker over another. */
+export abstract class WorkerPreference {
+  /** The preferred worker compares as less; 0 leaves it to the next term. */
+  abstract compare(a: FreeCapacity, b: FreeCapacity): number;
+}
+
+/** Best-effort tasks go to the workers with the most spare processors. */
+class MostSpareProcessor extends WorkerPreference {
+  compare(a: FreeCapacity, b: FreeCapacity): number {
+    return b.spareProcessorMillicores - a.spareProcessorMillicores;
+  }
+}
+
+/** Suspects go to workers that they were not lost with. */
+class UnsuspectedWorker extends WorkerPreference {
+  constructor(private readonly crashes: CrashHistory) {
+    super();
+  }
+
+  compare(a: FreeCapacity, b: FreeCapacity): number {
+    // Where workers are restarted in turn, the latest one is the last to follow.
+    return (
+      Number(this.hasLost(a)) - Number(this.hasLost(b)) ||
+      a.worker.runs.size - b.worker.runs.size ||
+      b.worker.incarnation - a.worker.incarnation
+    );
+  }
+
+  private hasLost({worker}: FreeCapacity): boolean {
+    return this.crashes.hasLost(worker.workerId, worker.entry.vmId);
+  }
+}
+
+/**
+ * Work goes to the slowest workers on which it is still in time, so that faster
+ * ones remain for work that needs them; else to the fastest ones.
+ */
+class SufficientSpeed extends WorkerPreference {
+  /** Slowest factor at which the work is expected to be in time. */
+  private readonly slowestFactor: number;
+  private readonly ranks = new Map<FreeCapacity, number>();
+
+  constructor(
+    {expectedMs, deadlines}: PlacedWork,
+    private readonly speeds: WorkerSpeeds,
+    now: Instant,
+  ) {
+    super();
+    const slackMs = Math.max(0, deadlines.inTime - now);
+    this.slowestFactor =
+      1 + (SPEED_SLACK_SHARE * slackMs) / Math.max(1, expectedMs);
+  }
+
+  compare(a: FreeCapacity, b: FreeCapacity): number {
+    return this.rankOf(a) - this.rankOf(b);
+  }
+
+  isSufficient({worker}: FreeCapacity): boolean {
+    return (
+      this.speeds.speedOf(worker.entry).cautiousFactor <= this.slowestFactor
+    );
+  }
+
+  /** The slowest worker determines when a gang ends. */
+  factorOf(capacities: readonly FreeCapacity[]): number {
+    return this.speeds.slowestFactorOf(
+      capacities.map(({worker}) => worker.entry),
+    );
+  }
+
+  private rankOf(capacity: FreeCapacity): number {
+    let rank = this.ranks.get(capacity);
+    if (rank === undefined) {
+      const {factor} = this.speeds.speedOf(capacity.worker.entry);
+      const step = Math.round(Math.log(factor) / Math.log(SPEED_STEP));
+      rank = this.isSufficient(capacity) ? -step : TOO_SLOW + step;
+      this.ranks.set(capacity, rank);
+    }
+    return rank;
+  }
+}
+
+/** Rank that is beyond all workers that are fast enough. */
+const TOO_SLOW = 1_000;
+
+/** Fuller workers are used first, so that empty ones remain for large gangs. */
+class FullerWorker extends WorkerPreference {
+  compare(a: FreeCapacity, b: FreeCapacity): number {
+    return (
+      a.freeAccelerators - b.freeAccelerators ||
+      a.freeProcessorMillicores - b.freeProcessorMillicores
+    );
+  }
+}
+
+/** Chooses among the workers that a unit, or a batch of alike ones, may use. */
+export class WorkerChoice {
+  private readonly terms: readonly WorkerPreference[];
+  private readonly sufficientSpeed: SufficientSpeed | undefined;
+
+  constructor(
+    private readonly work: PlacedWork,
+    speeds: WorkerSpeeds | undefined,
+    private readonly now: Instant,
+  ) {
+    const {unit} = work;
+    if (unit.step.usesSpareProcessor === true) {
+      this.terms = [new MostSpareProcessor()];
+    } else if (unit.crashes.isSuspect) {
+      this.terms = [new UnsuspectedWorker(unit.crashes)];
+    } else if (speeds === undefined || unit.step.longRunning === true) {
+      this.terms = [new FullerWorker()];
+    } else {
+      this.sufficientSpeed = new SufficientSpeed(work, speeds, now);
+      this.terms = [this.sufficientSpeed, new FullerWorker()];
+    }
+  }
+
+  get unit(): Unit {
+    return this.work.unit;
+  }
+
+  /**
+   * Returns the worker's capacity for each of `count` tasks, or for fewer if
+   * not all fit.
+   */
+  choose(
+    count: number,
+    capacities: readonly FreeCapacity[],
+  ): readonly FreeCapacity[] {
+    const {unit} = this.work;
+    const sorted = capacities
+      .map((capacity) => ({
+        capacity,
+        slots: capacity.slotsUntil(unit, this.endOn([capacity])),
+      }))
+      .filter(({slots}) => slots > 0)
+      .sort((a, b) => this.compare(a.capacity, b.capacity));
+    const chosen: FreeCapacity[] = [];
+    for (const {capacity, slots} of sorted) {
+      const tasks = Math.min(slots, count - chosen.length);
+      for (let i = 0; i < tasks; i += 1) chosen.push(capacity);
+      if (chosen.length === count) break;
+    }
+    return chosen;
+  }
+
+  /** When the unit is expected to end on these workers. */
+  endOn(capacities: readonly FreeCapacity[]): Instant {
+    const factor = this.sufficientSpeed?.factorOf(capacities) ?? 1;
+    return instant(this.now + this.work.expectedMs * factor);
+  }
+
+  /** Groups of workers on which the unit is in time come first. */
+  orderGroups(
+    groups: ReadonlyArray<readonly FreeCapacity[]>,
+  ): ReadonlyArray<readonly FreeCapacity[]> {
+    const {sufficientSpeed} = this;
+    if (sufficientSpeed === undefined || groups.length < 2) return groups;
+    const isInTime = (group: readonly FreeCapacity[]) =>
+      this.fits(group.filter((each) => sufficientSpeed.isSufficient(each)));
+    const inTime = new Set(groups.filter(isInTime));
+    return [...inTime, ...groups.filter((group) => !inTime.has(group))];
+  }
+
+  private fits(capacities: readonly FreeCapacity[]): boolean {
+    const {unit} = this.work;
+    let slots = 0;
+    for (const capacity of capacities) slots += capacity.slots(unit);
+    return slots >= unit.taskCount;
+  }
+
+  private compare(a: FreeCapacity, b: FreeCapacity): number {
+    for (const term of this.terms) {
+      const order = term.compare(a, b);
+      if (order !== 0) return order;
+    }
+    return 0;
+  }
+}
--- a/src/leader/session.ts
+++ b/src/leader/session.ts
@@ -21,6 +21,7 @@
 import type {Authority} from './authority.js';
 import {AdmissionTickets} from './planning/admissions.js';
 import {CommitQueue} from './jobs/commit_queue.js';
+import {completedRun} from './jobs/completed_runs.js';
 import type {WorkerFate} from './losses/crash_history.js';
 import {CrashMonitor} from './losses/crash_monitor.js';
 import type {CrashCounts} from './losses/crash_monitor.js';
@@ -47,6 +48,7 @@
 import type {WorkerVmOptions} from './vms/vm_management.js';
 import {WorkerOutages} from './losses/worker_outages.js';
 import type {WorkerState} from './workers/worker_state.js';
+import {WorkerSpeeds} from './workers/worker_speeds.js';
 import {WorkerTable} from './workers/worker_table.js';
 
 /** Attempts if neither the configuration nor the submission has a number. */
@@ -58,6 +60,8 @@
 export interface SessionSettings {
   /** Longest lease that a worker accepts, in milliseconds. */
   readonly holdMaximumMs: number;
+  /** Workers are chosen by their speeds; false if absent. */
+  readonly usesWorkerSpeeds?: boolean | undefined;
 }
 
 export interface SessionDependencies {
@@ -79,7 +83,9 @@
   private readonly commitQueue: CommitQueue;
   private readonly admissions: AdmissionTickets;
   private readonly roundTimer: RoundTimer;
-  private readonly runTimes = new RunTimeTable();
+  private readonly runTimes: RunTimeTable;
+  /** Absent if workers are chosen without regard to their speeds. */
+  private readonly workerSpeeds: WorkerSpeeds | undefined;
   private readonly paceController = new PaceController();
   private readonly outages: WorkerOutages;
   private readonly crashMonitor: CrashMonitor;
@@ -98,6 +104,10 @@
     this.clock = new SteadyClock(dependencies.clock);
     this.roundTimer = new RoundTimer(scope, () => this.runRound());
     this.registry = new JobRegistry(log);
+    if (settings.usesWorkerSpeeds === true) {
+      this.workerSpeeds = new WorkerSpeeds();
+    }
+    this.runTimes = new RunTimeTable(this.workerSpeeds);
     this.outages = new WorkerOutages(() => this.workerTable.listedCount);
     this.crashMonitor = new CrashMonitor(log, this.outages);
     this.commitQueue = new CommitQueue(store, authority.leaderRevision, scope, {
@@ -316,6 +326,10 @@
     const wasEnded = job.isEnded;
     const now = this.now();
     const limit = this.maximumAttempts(job);
+    if (worker !== undefined) {
+      const completed = completedRun(run, ending, now);
+      this.workerSpeeds?.recordEnd(run, worker, completed, now);
+    }
     const failed = job.runEnded(run, ending, checkpoint, limit, now);
     this.crashMonitor.recordEnd(run, now);
     this.dependencies.log.runEnded(run, ending, unit.failures);
@@ -418,6 +432,7 @@
 
   private tick(): void {
     this.workerTable.tick(steadyNow());
+    this.workerSpeeds?.observe(this.workerTable.workers.values(), this.now());
     this.resolveFates();
     if (this.registry.open.size > 0) this.scheduleRound();
   }
@@ -437,6 +452,7 @@
       workers: this.workerTable.workers,
       configuration,
       runTimes: this.runTimes,
+      speeds: this.workerSpeeds,
       now,
       steady,
       isCalm: this.outages.isCalm(now),
@@ -468,7 +484,10 @@
     const runs = workers.map((worker, offset) =>
       plannedRun(unit, offset, runNumber, worker, now),
     );
-    for (const run of runs) run.isIsolated = isIsolated;
+    for (const run of runs) {
+      run.isIsolated = isIsolated;
+      run.members = runs;
+    }
     this.dependencies.log.placed(unit, runNumber, workers, now);
     this.commitQueue.write(unit.job, () => this.sendStarts(runs));
   }
--- a/src/leader/workers/worker_link.ts
+++ b/src/leader/workers/worker_link.ts
@@ -271,7 +271,6 @@
     }
   }
 
-  /** Ends in the last `unobservedMs` before the renewal are read late. */
   private processEndedRuns(
     outcome: LeaseRenewalOutcome & {kind: 'seen'},
     unobservedMs: number,
@@ -313,6 +312,7 @@
       listed.add(run);
       run.incarnation = outcome.incarnation;
       run.updateFromList(running, events.now());
+      run.progress.add(running.percent, outcome.clockMs);
       run.atWorkAt = this.timeOf(sentAt);
       if (run.phase === 'ordered') this.confirmStart(run, sentAt);
     }
