Count the usual speed by the median worker

Steps are compared on the workers that they run on. Patient work is on slow ones, so that these soon seemed usual and urgent work used them again.

--- a/src/leader/workers/worker_speeds.ts
+++ b/src/leader/workers/worker_speeds.ts
@@ -231,12 +231,13 @@
       else known.addAll(sums);
     }
     const {within, between} = variancesOf([...all.values()]);
+    const usual = usualMeanOf([...all.values()]);
     this.spreadOfSpeeds = Math.sqrt(between);
     const speeds = new Map<string, WorkerSpeed>();
     for (const [key, {mean, weight}] of all) {
       const confidence =
         between === 0 ? 0 : weight / (weight + within / between);
-      const log = mean * confidence;
+      const log = (mean - usual) * confidence;
       const deviation = Math.sqrt(between * (1 - confidence));
       speeds.set(key, {
         factor: Math.exp(log),
@@ -325,6 +326,18 @@
   past.at = now;
 }
 
+/**
+ * Steps are compared on the workers that they run on, and these may be mostly
+ * slow or mostly fast ones. Each worker counts once here, so that the usual
+ * speed is that of the median worker.
+ */
+function usualMeanOf(workers: readonly Sums[]): number {
+  const means = workers
+    .filter(({weight}) => weight > 1)
+    .map(({mean}) => mean);
+  return means.length === 0 ? 0 : medianOf(means);
+}
+
 interface Variances {
   readonly within: number;
   /** 0 unless workers differ by more than their tasks explain. */
