--- a/emulator/site.ts
+++ b/emulator/site.ts
@@ -16,11 +16,7 @@
 import type {RackId, ServiceId, VmId, WorkerId} from '../src/model/ids.js';
 import type {TaskShape} from '../src/model/submissions.js';
 import type {RandomSource} from '../src/lifecycle/random.js';
-import {
-  CoordinationStore,
-  eventKey,
-  watchChanges,
-} from '../src/interfaces/coordination_store.js';
+import {CoordinationStore} from '../src/interfaces/coordination_store.js';
 import type {
   StoreLease,
   StoreListing,
@@ -42,14 +38,10 @@
   StartOrder,
   WorkerEntry,
 } from '../src/interfaces/task_worker.js';
-import {
-  WorkerDirectory,
-  type WorkerChange,
-  type WorkerListing,
-  type WorkerWatchAnswer,
-} from '../src/interfaces/worker_directory.js';
+import type {WorkerDirectory} from '../src/interfaces/worker_directory.js';
 import type {EmulatedAdvisor} from './advisor.js';
 import type {EmulatedDaemon} from './daemon.js';
+import {EmulatedDirectory, WORKER_PREFIX} from './directory.js';
 import type {OrderFaults, StoreFaults} from './faults.js';
 import {Ledger} from './ledger.js';
 import {StoreState} from './store_state.js';
@@ -62,9 +54,6 @@
 /** Time after which an injected lost call is reported as unanswered. */
 const UNANSWERED_AFTER_MS = 40;
 
-/** Prefix of the store keys that hold the directory's entries. */
-const WORKER_PREFIX = 'workers/';
-
 export function pause(milliseconds: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, milliseconds));
 }
@@ -316,52 +305,6 @@
   }
 }
 
-class EmulatedDirectory extends WorkerDirectory {
-  constructor(
-    private readonly store: CoordinationStore,
-    private readonly site: EmulatedSite,
-  ) {
-    super();
-  }
-
-  override async list(): Promise<Result<WorkerListing, StoreReadFailure>> {
-    const listed = await this.store.list(WORKER_PREFIX);
-    return listed.map(({items, revision}) => ({
-      entries: items.flatMap(({key}) => this.entryOf(key) ?? []),
-      revision,
-    }));
-  }
-
-  override watch(
-    afterRevision: number,
-    waitMs: number,
-    signal: AbortSignal,
-  ): Promise<Result<WorkerWatchAnswer, StoreReadFailure>> {
-    return watchChanges<WorkerChange>(
-      this.store,
-      WORKER_PREFIX,
-      afterRevision,
-      waitMs,
-      signal,
-      (event) => {
-        const workerId = workerIdOf(eventKey(event));
-        const entry = this.site.workers.get(workerId)?.entry;
-        return event.kind === 'written' && entry !== undefined
-          ? [{kind: 'present', entry}]
-          : [{kind: 'absent', workerId}];
-      },
-    );
-  }
-
-  private entryOf(key: string): WorkerEntry | undefined {
-    return this.site.workers.get(workerIdOf(key))?.entry;
-  }
-}
-
-function workerIdOf(key: string): WorkerId {
-  return trustedId(key.slice(WORKER_PREFIX.length));
-}
-
 export interface EmulatedSiteOptions {
   readonly racks: number;
   readonly workersPerRack: number;
--- a/src/leader/jobs/record_cleaner.ts
+++ b/src/leader/jobs/record_cleaner.ts
@@ -12,7 +12,8 @@
   progressKey,
   submittedKey,
 } from './records.js';
-import type {LeaderSession, SessionDependencies} from '../session.js';
+import type {LeaderSession} from '../session.js';
+import type {SessionDependencies} from '../session_options.js';
 
 const CLEANING_INTERVAL_MS = 5_000;
 
--- a/src/leader/session.ts
+++ b/src/leader/session.ts
@@ -11,16 +11,12 @@
 import type {CustomerId, Instant, JobId, QueueId} from '../model/ids.js';
 import type {HostedConfiguration} from '../model/queues.js';
 import type {JobStateName} from '../model/submissions.js';
-import type {
-  CoordinationStore,
-  StoredItem,
-} from '../interfaces/coordination_store.js';
-import type {RunEnding, TaskWorkerClient} from '../interfaces/task_worker.js';
-import type {WorkerDirectory} from '../interfaces/worker_directory.js';
-import type {PlacementAdvisor} from '../interfaces/placement_advisor.js';
+import type {StoredItem} from '../interfaces/coordination_store.js';
+import type {RunEnding} from '../interfaces/task_worker.js';
 import type {Authority} from './authority.js';
 import {AdmissionTickets} from './planning/admissions.js';
 import {CommitQueue} from './jobs/commit_queue.js';
+import {completedRun} from './jobs/completed_runs.js';
 import type {WorkerFate} from './losses/crash_history.js';
 import {CrashMonitor} from './losses/crash_monitor.js';
 import type {CrashCounts} from './losses/crash_monitor.js';
@@ -28,7 +24,6 @@
 import type {InboxSource} from './jobs/job_registry.js';
 import {Run} from './jobs/runs.js';
 import type {Unit, Job} from './jobs/jobs.js';
-import type {LeaderLog} from './leader_log.js';
 import {planRound} from './planning/placement.js';
 import type {Placement} from './planning/placement.js';
 import {PaceController} from './workers/pacing.js';
@@ -49,11 +44,12 @@
 import {RoundTimer} from './round_timer.js';
 import {RunTimeTable} from './jobs/run_times.js';
 import {EvacuationTable} from './vms/evacuations.js';
-import type {EvacuationOptions} from './vms/evacuations.js';
+import type {SessionDependencies, SessionSettings} from './session_options.js';
 import {startVmManagement} from './vms/vm_management.js';
-import type {WorkerVmOptions} from './vms/vm_management.js';
 import {WorkerOutages} from './losses/worker_outages.js';
+import type {WorkerLinkEvents} from './workers/worker_events.js';
 import type {WorkerState} from './workers/worker_state.js';
+import {WorkerSpeeds} from './workers/worker_speeds.js';
 import {WorkerTable} from './workers/worker_table.js';
 
 /** Attempts if neither the configuration nor the submission has a number. */
@@ -62,25 +58,6 @@
 /** Interval of the check for lapsed leases, drains and stalled runs. */
 const TICK_MS = 200;
 
-export interface SessionSettings {
-  /** Longest lease that a worker accepts, in milliseconds. */
-  readonly holdMaximumMs: number;
-}
-
-export interface SessionDependencies {
-  readonly store: CoordinationStore;
-  readonly workers: TaskWorkerClient;
-  readonly directory: WorkerDirectory;
-  /** Absent if no queue needs advice. */
-  readonly advisor?: PlacementAdvisor | undefined;
-  /** Absent if the platform has no VM service for workers. */
-  readonly workerVms?: WorkerVmOptions | undefined;
-  /** Absent if zones of this site are not evacuated. */
-  readonly evacuations?: EvacuationOptions | undefined;
-  readonly clock: Clock;
-  readonly log: LeaderLog;
-}
-
 export class LeaderSession {
   private readonly registry: JobRegistry;
   private readonly clock: Clock;
@@ -88,7 +65,9 @@
   private readonly commitQueue: CommitQueue;
   private readonly admissions: AdmissionTickets;
   private readonly roundTimer: RoundTimer;
-  private readonly runTimes = new RunTimeTable();
+  private readonly runTimes: RunTimeTable;
+  /** Absent if workers are chosen without regard to their speeds. */
+  private readonly workerSpeeds: WorkerSpeeds | undefined;
   private readonly paceController = new PaceController();
   private readonly outages: WorkerOutages;
   private readonly crashMonitor: CrashMonitor;
@@ -108,6 +87,10 @@
     this.clock = new SteadyClock(dependencies.clock);
     this.roundTimer = new RoundTimer(scope, () => this.runRound());
     this.registry = new JobRegistry(log);
+    if (settings.usesWorkerSpeeds === true) {
+      this.workerSpeeds = new WorkerSpeeds();
+    }
+    this.runTimes = new RunTimeTable(this.workerSpeeds);
     this.outages = new WorkerOutages(() => this.workerTable.listedCount);
     this.crashMonitor = new CrashMonitor(log, this.outages);
     this.commitQueue = new CommitQueue(store, authority.leaderRevision, scope, {
@@ -128,24 +111,7 @@
       holdMaximumMs: settings.holdMaximumMs,
       scope,
       log,
-      events: {
-        workerSilent: (worker) => this.outages.record(worker, this.now()),
-        runEnded: (run, ending, checkpoint) =>
-          this.runEnded(run, ending, checkpoint),
-        runLost: (run, reason) => this.runLost(run, reason),
-        runsLostWithWorker: (worker, runs, fate) =>
-          this.runsLostWithWorker(worker, runs, fate),
-        runStarted: (run) => this.runStarted(run),
-        paceChangesFor: (worker) => this.paceChangesFor(worker),
-        whenDurable: (then) => this.commitQueue.afterPending(then),
-        capacityChanged: () => this.scheduleRound(),
-        now: () => this.now(),
-        withholdStart: ({entry}) =>
-          this.evacuations.withholdStart(entry.zone, steadyNow()),
-        ticketFor: (run) => this.ticketFor(run),
-        ticketRejected: (run) =>
-          this.admissions.discardTicket(run.unit, run.workerId),
-      },
+      events: this.workerEvents(),
     });
     this.evacuations = new EvacuationTable(
       dependencies.evacuations,
@@ -158,6 +124,27 @@
     );
   }
 
+  private workerEvents(): WorkerLinkEvents {
+    return {
+      workerSilent: (worker) => this.outages.record(worker, this.now()),
+      runEnded: (run, ending, checkpoint) =>
+        this.runEnded(run, ending, checkpoint),
+      runLost: (run, reason) => this.runLost(run, reason),
+      runsLostWithWorker: (worker, runs, fate) =>
+        this.runsLostWithWorker(worker, runs, fate),
+      runStarted: (run) => this.runStarted(run),
+      paceChangesFor: (worker) => this.paceChangesFor(worker),
+      whenDurable: (then) => this.commitQueue.afterPending(then),
+      capacityChanged: () => this.scheduleRound(),
+      now: () => this.now(),
+      withholdStart: ({entry}) =>
+        this.evacuations.withholdStart(entry.zone, steadyNow()),
+      ticketFor: (run) => this.ticketFor(run),
+      ticketRejected: (run) =>
+        this.admissions.discardTicket(run.unit, run.workerId),
+    };
+  }
+
   /** True once the records of earlier leaders have been read. */
   get isReady(): boolean {
     return this.isAdopted;
@@ -344,6 +331,10 @@
     const wasEnded = job.isEnded;
     const now = this.now();
     const limit = this.maximumAttempts(job);
+    if (worker !== undefined) {
+      const completed = completedRun(run, ending, now);
+      this.workerSpeeds?.recordEnd(run, worker, completed, now);
+    }
     const failed = job.runEnded(run, ending, checkpoint, limit, now);
     this.crashMonitor.recordEnd(run, now);
     this.dependencies.log.runEnded(run, ending, unit.failures);
@@ -446,6 +437,7 @@
 
   private tick(): void {
     this.workerTable.tick(steadyNow());
+    this.workerSpeeds?.observe(this.workerTable.workers.values(), this.now());
     this.resolveFates();
     if (this.registry.open.size > 0) this.scheduleRound();
   }
@@ -466,6 +458,7 @@
       workers: this.workerTable.workers,
       configuration,
       runTimes: this.runTimes,
+      speeds: this.workerSpeeds,
       now,
       steady,
       isCalm: this.outages.isCalm(now),
@@ -497,7 +490,10 @@
     const runs = workers.map((worker, offset) =>
       plannedRun(unit, offset, runNumber, worker, now),
     );
-    for (const run of runs) run.isIsolated = isIsolated;
+    for (const run of runs) {
+      run.isIsolated = isIsolated;
+      run.members = runs;
+    }
     this.dependencies.log.placed(unit, runNumber, workers, now);
     this.commitQueue.write(unit.job, () => this.sendStarts(runs));
   }
--- a/src/leader/workers/worker_fences.ts
+++ b/src/leader/workers/worker_fences.ts
@@ -6,6 +6,7 @@
  */
 
 import type {WorkerId} from '../../model/ids.js';
+import type {LeaseRenewalOutcome} from '../../interfaces/task_worker.js';
 
 /** Terms rise by this number, so that their ranges of tokens are disjoint. */
 export const FENCES_PER_TERM = 64;
@@ -22,6 +23,16 @@
     return lowest + (this.raises.get(workerId) ?? 0);
   }
 
+  /** A renewal without an answer may acknowledge ends of a later incarnation. */
+  recordRenewal(
+    workerId: WorkerId,
+    acknowledgedSequence: number,
+    {kind}: LeaseRenewalOutcome,
+  ): void {
+    const isAnswered = kind === 'seen' || kind === 'superseded';
+    if (!isAnswered && acknowledgedSequence > 0) this.raise(workerId);
+  }
+
   /** Voids unanswered calls. Has no effect once the range is used up. */
   raise(workerId: WorkerId): void {
     const raises = this.raises.get(workerId) ?? 0;
--- a/src/leader/workers/worker_link.ts
+++ b/src/leader/workers/worker_link.ts
@@ -187,10 +187,7 @@
       },
       this.renewalAbort.signal,
     );
-    const isAnswered = outcome.kind === 'seen' || outcome.kind === 'superseded';
-    if (!isAnswered && acknowledgedSequence > 0) {
-      this.fences.raise(worker.workerId);
-    }
+    this.fences.recordRenewal(worker.workerId, acknowledgedSequence, outcome);
     if (this.scope.closed || this.isClosed) return false;
     switch (outcome.kind) {
       case 'seen':
@@ -236,8 +233,9 @@
     if (worker.recordIncarnation(outcome.incarnation, sentAt)) {
       this.acknowledgedSequence = 0;
     }
+    const unobservedMs = worker.answerAgeMs(sentAt);
     worker.recordAnswer(outcome.clockMs, now);
-    this.processEndedRuns(outcome);
+    this.processEndedRuns(outcome, unobservedMs);
     this.processRunningTasks(outcome, sentAt);
     for (const {run, percent} of events.paceChangesFor(worker)) {
       this.setPace(run, percent);
@@ -250,6 +248,7 @@
 
   private processEndedRuns(
     outcome: LeaseRenewalOutcome & {kind: 'seen'},
+    unobservedMs: number,
   ): void {
     const {worker, events} = this;
     let highest = worker.processedSequence;
@@ -257,8 +256,10 @@
       if (end.sequence <= worker.processedSequence) continue;
       highest = Math.max(highest, end.sequence);
       const run = worker.find(end.task, end.run);
-      if (run !== undefined) events.runEnded(run, end.ending, end.checkpoint);
-      else this.log.unknownEnd(worker, end);
+      if (run !== undefined) {
+        run.unobservedMs = Math.max(0, unobservedMs);
+        events.runEnded(run, end.ending, end.checkpoint);
+      } else this.log.unknownEnd(worker, end);
     }
     if (highest === worker.processedSequence) return;
     worker.processedSequence = highest;
@@ -286,6 +287,7 @@
       listed.add(run);
       run.incarnation = outcome.incarnation;
       run.updateFromList(running, events.now());
+      run.progress.add(running.percent, outcome.clockMs);
       run.atWorkAt = this.timeOf(sentAt);
       if (run.phase === 'ordered') this.confirmStart(run, sentAt);
     }
@@ -316,7 +318,6 @@
     await this.client.stop(this.worker.entry, {task, run}, this.fence);
   }
 
-  /** Token of the next call. */
   private get fence(): number {
     return this.fences.fenceFor(this.worker.workerId);
   }
