Use cold workers after the warm ones once a zone is taken back

The workers of a zone that is taken back may be cold; their entries say for how much longer. On sites whose zones may be evacuated, warm workers with room come first; a cold worker is still better than waiting.

--- a/emulator/http_platform.ts
+++ b/emulator/http_platform.ts
@@ -469,6 +469,7 @@
     ...(entry.remainingMs === undefined
       ? {}
       : {remainingMs: entry.remainingMs}),
+    coldRemainingMs: entry.coldRemainingMs ?? 0,
   };
 }
 
--- a/emulator/worker_state.ts
+++ b/emulator/worker_state.ts
@@ -196,6 +196,10 @@
     this.currentEntry = {...this.currentEntry, isDraining: true, remainingMs};
   }
 
+  becomeCold(coldRemainingMs: number): void {
+    this.currentEntry = {...this.currentEntry, coldRemainingMs};
+  }
+
   /** Starts may rely on the former capacity until a later time. */
   setCapacity(capacity: TaskShape, now: number, formerUntil: number): void {
     this.formerCapacities = [
--- a/src/leader/planning/free_capacity.ts
+++ b/src/leader/planning/free_capacity.ts
@@ -41,7 +41,10 @@
   /** A unit was placed in this round. */
   private isAllocated = false;
 
-  constructor(readonly worker: WorkerState) {
+  constructor(
+    readonly worker: WorkerState,
+    readonly isCold = false,
+  ) {
     const free = worker.freeCapacity();
     this.processorMillicores = free.processorMillicores;
     this.memoryMegabytes = free.memoryMegabytes;
@@ -230,7 +233,7 @@
   ) {
     for (const worker of workers) {
       if (worker.entry.serviceId !== serviceId || !worker.isUsable) continue;
-      const capacity = new FreeCapacity(worker);
+      const capacity = new FreeCapacity(worker, worker.isCold(steady));
       if (worker.isQuarantined(steady)) {
         this.quarantined.push(capacity);
         continue;
--- a/src/leader/planning/placement.ts
+++ b/src/leader/planning/placement.ts
@@ -359,6 +359,7 @@
   a: FreeCapacity,
   b: FreeCapacity,
 ): number {
+  if (a.isCold !== b.isCold) return a.isCold ? 1 : -1;
   if (step.usesSpareProcessor === true) {
     return b.spareProcessorMillicores - a.spareProcessorMillicores;
   }
--- a/src/leader/session.ts
+++ b/src/leader/session.ts
@@ -104,7 +104,7 @@
     private readonly configuration: () => HostedConfiguration | undefined,
     private readonly scope: CleanupScope,
   ) {
-    const {store, log} = dependencies;
+    const {store, log, evacuations} = dependencies;
     this.clock = new SteadyClock(dependencies.clock);
     this.roundTimer = new RoundTimer(scope, () => this.runRound());
     this.registry = new JobRegistry(log);
@@ -126,6 +126,7 @@
       client: dependencies.workers,
       authority,
       holdMaximumMs: settings.holdMaximumMs,
+      prefersWarm: evacuations !== undefined,
       scope,
       log,
       events: {
@@ -147,15 +148,10 @@
           this.admissions.discardTicket(run.unit, run.workerId),
       },
     });
-    this.evacuations = new EvacuationTable(
-      dependencies.evacuations,
-      scope,
-      log,
-      (zones) => {
-        this.workerTable.setEvacuatedZones(zones);
-        this.scheduleRound();
-      },
-    );
+    this.evacuations = new EvacuationTable(evacuations, scope, log, (zones) => {
+      this.workerTable.setEvacuatedZones(zones);
+      this.scheduleRound();
+    });
   }
 
   /** True once the records of earlier leaders have been read. */
--- a/src/leader/workers/worker_state.ts
+++ b/src/leader/workers/worker_state.ts
@@ -82,6 +82,7 @@
   private quarantineMs = INITIAL_QUARANTINE_MS;
   private readonly failedJobs = new Set<JobId>();
   private drainEndsAt: SteadyTime | undefined;
+  private warmAt: SteadyTime = steadyTime(0);
 
   constructor(private currentEntry: WorkerEntry) {
     // Earlier leaders may have seen notices of earlier incarnations.
@@ -122,6 +123,15 @@
     return hasRestarted;
   }
 
+  /** Notes how much longer the worker is slow, by its newest entry. */
+  recordColdness(now: SteadyTime): void {
+    this.warmAt = steadyTime(now + (this.currentEntry.coldRemainingMs ?? 0));
+  }
+
+  isCold(now: SteadyTime): boolean {
+    return now < this.warmAt;
+  }
+
   /** Delay before a failed renewal is repeated. */
   get renewalRetryMs(): number {
     if (this.failedRenewals <= 1) return 0;
--- a/src/leader/workers/worker_table.ts
+++ b/src/leader/workers/worker_table.ts
@@ -45,6 +45,8 @@
   readonly client: TaskWorkerClient;
   readonly authority: Authority;
   readonly holdMaximumMs: number;
+  /** Cold workers are used after those that are warm. */
+  readonly prefersWarm: boolean;
   readonly scope: CleanupScope;
   readonly events: WorkerLinkEvents;
   readonly log: LeaderLog;
@@ -174,11 +176,13 @@
       const added = new WorkerState(entry);
       added.isClosedToNewRuns = this.isClosedToNewRuns(entry);
       added.isEvacuated = this.evacuatedZones.has(entry.zone);
+      if (this.options.prefersWarm) added.recordColdness(steadyNow());
       this.workerStates.set(entry.workerId, added);
       return;
     }
     const hasRestarted = worker.update(entry, steadyNow());
     worker.isEvacuated = this.evacuatedZones.has(worker.entry.zone);
+    if (this.options.prefersWarm) worker.recordColdness(steadyNow());
     if (worker.runs.size === 0) return;
     const link = this.linkFor(worker);
     if (hasRestarted) {
--- a/test/leader_evacuation.test.ts
+++ b/test/leader_evacuation.test.ts
@@ -98,6 +98,25 @@
     assert.equal(runsIn(NORTH), 16);
   });
 
+  it('is used after the other zone while its workers are cold', async () => {
+    const leader = await fixture.startLeader();
+    await evacuateForGood(NORTH);
+    // Fuller workers come first, unless they are cold.
+    fixture.submit(submission({steps: [step({taskCount: 4})]}), 5_000);
+    await until('the south is in use', () => runsIn(SOUTH) === 4);
+    for (const worker of fixture.site.workers.values()) {
+      if (worker.entry.zone !== SOUTH) continue;
+      worker.becomeCold(10_000);
+      fixture.site.register(worker.entry.workerId);
+    }
+    fixture.site.zones.takeBack(NORTH);
+    await delay(100);
+    fixture.submit(submission({steps: [step({taskCount: 20})]}), 2_000);
+    await until('all tasks run', () => fixture.runCount === 24);
+    assert.equal(runsIn(NORTH), 16);
+    assert.ok(leader.isLeader);
+  });
+
   it('gets no run from a leader elected meanwhile', async () => {
     const leader = await fixture.startLeader();
     await evacuateForGood(SOUTH);
