Acknowledge each end of a run once

Cause: every lease renewal repeated the highest acknowledged number. A worker that restarts under its id and address numbers its ends from 1 again, and the header with the expected instance holds its id, which is the same. A renewal to the former incarnation that arrived at the later one discarded ends there unread, and a finished task ran again.

Change: a renewal acknowledges ends only until that has been answered; sending 0 afterwards changes nothing at the worker. What is left is the single renewal with the acknowledgement under way during the restart.

--- a/emulator/faults.ts
+++ b/emulator/faults.ts
@@ -41,6 +41,8 @@
   readonly rejectedTasks: Set<string>;
   /** Latency of a lease renewal, in addition to its wait. */
   renewalMs: number;
+  /** Time that a renewal takes to its worker, which may restart meanwhile. */
+  renewalTransitMs: number;
 }
 
 export function noOrderFaults(): OrderFaults {
@@ -51,5 +53,6 @@
     unanswering: new Set(),
     rejectedTasks: new Set(),
     renewalMs: 1,
+    renewalTransitMs: 0,
   };
 }
--- a/emulator/site.ts
+++ b/emulator/site.ts
@@ -246,6 +246,8 @@
     signal: AbortSignal,
   ): Promise<LeaseRenewalOutcome> {
     const endsAt = Date.now() + request.waitMs;
+    const {renewalTransitMs} = this.faults;
+    if (renewalTransitMs > 0) await pause(renewalTransitMs);
     const incarnation = this.reachableWorker(worker)?.entry.incarnation;
     for (;;) {
       await pause(this.faults.renewalMs);
--- a/src/leader/workers/worker_link.ts
+++ b/src/leader/workers/worker_link.ts
@@ -149,14 +149,11 @@
   private needsRenewal(): boolean {
     if (this.scope.closed || this.isClosed) return false;
     const {worker} = this;
-    if (worker.durableSequence > this.acknowledgedSequence) return true;
+    if (worker.durableSequence > worker.acknowledgedSequence) return true;
     if (worker.failedRenewals > 0 && worker.isListed) return true;
     return this.hasSentRuns();
   }
 
-  /** Highest sequence number of an end that the worker may discard. */
-  private acknowledgedSequence = 0;
-
   private get renewalWaitMs(): number {
     const share = Math.floor(this.holdMaximumMs * RENEWAL_WAIT_LEASE_FRACTION);
     return Math.min(RENEWAL_WAIT_MS, share);
@@ -216,8 +213,8 @@
     if (this.scope.closed || this.isClosed) return false;
     switch (outcome.kind) {
       case 'seen':
-        this.acknowledgedSequence = Math.max(
-          this.acknowledgedSequence,
+        worker.acknowledgedSequence = Math.max(
+          worker.acknowledgedSequence,
           acknowledgedSequence,
         );
         this.handleRenewal(outcome, sentAt);
@@ -257,9 +254,7 @@
     const {worker, events} = this;
     const now = steadyNow();
     if (worker.failedRenewals > 0) this.log.responsive(worker);
-    if (worker.recordIncarnation(outcome.incarnation, sentAt)) {
-      this.acknowledgedSequence = 0;
-    }
+    worker.recordIncarnation(outcome.incarnation, sentAt);
     worker.recordAnswer(outcome.clockMs, now);
     this.processEndedRuns(outcome);
     this.processRunningTasks(outcome, sentAt);
--- a/src/leader/workers/worker_state.ts
+++ b/src/leader/workers/worker_state.ts
@@ -54,6 +54,8 @@
   /** Highest sequence numbers of ends that were processed and are durable. */
   processedSequence = 0;
   durableSequence = 0;
+  /** Highest one whose acknowledgement the worker has answered. */
+  acknowledgedSequence = 0;
   /** Incarnation that sent the last list of runs. */
   lastSeenIncarnation: number | undefined;
   /** Consecutive lease renewals without an answer. */
@@ -297,8 +299,14 @@
     );
   }
 
-  /** Highest sequence number of an end that the worker may discard. */
+  /**
+   * Highest sequence number of an end that the worker may discard and has not
+   * discarded yet, or 0. Each end is acknowledged until that is answered and no
+   * longer: a call that was sent to this incarnation may reach a later one, and
+   * would discard ends there that were never read.
+   */
   get acknowledgeableSequence(): number {
+    if (this.durableSequence <= this.acknowledgedSequence) return 0;
     // A later incarnation numbers its ends from 1, so that an acknowledgement
     // meant for an earlier one would discard ends that were never read.
     const isSameIncarnation =
@@ -402,15 +410,14 @@
     this.quarantineMs = INITIAL_QUARANTINE_MS;
   }
 
-  /** Notes which incarnation sent a list; returns true if it is a new one. */
-  recordIncarnation(incarnation: number, sentAt: SteadyTime): boolean {
+  /** Notes which incarnation sent a list. */
+  recordIncarnation(incarnation: number, sentAt: SteadyTime): void {
     if (this.gone?.incarnation === incarnation) this.gone = undefined;
     if (sentAt >= (this.mayHaveRestartedAt ?? Infinity)) {
       this.mayHaveRestartedAt = undefined;
     }
-    if (this.lastSeenIncarnation === incarnation) return false;
+    if (this.lastSeenIncarnation === incarnation) return;
     this.startIncarnation(incarnation);
-    return true;
   }
 
   /** Resets what belongs to the previous incarnation. */
@@ -418,6 +425,7 @@
     this.lastSeenIncarnation = incarnation;
     this.processedSequence = 0;
     this.durableSequence = 0;
+    this.acknowledgedSequence = 0;
     this.leaseUntilMs = 0;
     this.failedJobs.clear();
     this.quarantinedUntil = steadyTime(0);
--- a/test/leader_workers.test.ts
+++ b/test/leader_workers.test.ts
@@ -159,6 +159,19 @@
     await runJob();
   });
 
+  it('no end is discarded by a renewal that its successor receives', async () => {
+    const [worker] = fixture.site.workers.values();
+    fixture.submit(submission(), 5_000);
+    await until('a long task runs', () => fixture.runCount === 1);
+    // Then the next renewal is under way for long enough to arrive too late.
+    await delay(1_000);
+    leader.orderFaults.renewalTransitMs = 1_500;
+    await delay(900);
+    worker?.endNow(Date.now());
+    worker?.startAgain(Date.now());
+    await runJob();
+  });
+
   it('a gang whose worker crashes before all members are sent runs again', async () => {
     const gang = step({taskCount: 4, gang: true});
     leader.storeFaults.slowMs = 100;
