--- a/emulator/faults.ts
+++ b/emulator/faults.ts
@@ -43,6 +43,8 @@
   renewalMs: number;
   /** Lease renewals that a frozen link holds; each entry delivers one. */
   heldRenewals: Array<() => void> | undefined;
+  /** Time that a renewal takes to its worker, which may restart meanwhile. */
+  renewalTransitMs: number;
 }
 
 export function noOrderFaults(): OrderFaults {
@@ -54,5 +56,6 @@
     rejectedTasks: new Set(),
     renewalMs: 1,
     heldRenewals: undefined,
+    renewalTransitMs: 0,
   };
 }
--- a/src/leader/planning/worker_choice.ts
+++ b/src/leader/planning/worker_choice.ts
@@ -33,6 +33,13 @@
   abstract compare(a: FreeCapacity, b: FreeCapacity): number;
 }
 
+/** Cold workers are slow for a while, so warm ones come first. */
+class WarmWorker extends WorkerPreference {
+  compare(a: FreeCapacity, b: FreeCapacity): number {
+    return Number(a.isCold) - Number(b.isCold);
+  }
+}
+
 /** Best-effort tasks go to the workers with the most spare processors. */
 class MostSpareProcessor extends WorkerPreference {
   compare(a: FreeCapacity, b: FreeCapacity): number {
@@ -134,14 +141,14 @@
   ) {
     const {unit} = work;
     if (unit.step.usesSpareProcessor === true) {
-      this.terms = [new MostSpareProcessor()];
+      this.terms = [new WarmWorker(), new MostSpareProcessor()];
     } else if (unit.crashes.isSuspect) {
-      this.terms = [new UnsuspectedWorker(unit.crashes)];
+      this.terms = [new WarmWorker(), new UnsuspectedWorker(unit.crashes)];
     } else if (speeds === undefined || unit.step.longRunning === true) {
-      this.terms = [new FullerWorker()];
+      this.terms = [new WarmWorker(), new FullerWorker()];
     } else {
       this.sufficientSpeed = new SufficientSpeed(work, speeds, now);
-      this.terms = [this.sufficientSpeed, new FullerWorker()];
+      this.terms = [new WarmWorker(), this.sufficientSpeed, new FullerWorker()];
     }
   }
 
--- a/src/leader/session.ts
+++ b/src/leader/session.ts
@@ -83,7 +83,7 @@
     private readonly configuration: () => HostedConfiguration | undefined,
     private readonly scope: CleanupScope,
   ) {
-    const {store, log} = dependencies;
+    const {store, log, evacuations} = dependencies;
     this.clock = new SteadyClock(dependencies.clock);
     this.roundTimer = new RoundTimer(scope, () => this.runRound());
     this.registry = new JobRegistry(log);
@@ -109,19 +109,15 @@
       client: dependencies.workers,
       authority,
       holdMaximumMs: settings.holdMaximumMs,
+      prefersWarm: evacuations !== undefined,
       scope,
       log,
       events: this.workerEvents(),
     });
-    this.evacuations = new EvacuationTable(
-      dependencies.evacuations,
-      scope,
-      log,
-      (zones) => {
-        this.workerTable.setEvacuatedZones(zones);
-        this.scheduleRound();
-      },
-    );
+    this.evacuations = new EvacuationTable(evacuations, scope, log, (zones) => {
+      this.workerTable.setEvacuatedZones(zones);
+      this.scheduleRound();
+    });
   }
 
   private workerEvents(): WorkerLinkEvents {
