Choose victims by what a stop costs, and leave leaving workers early

Cause: the cost of stopping a task with checkpoints was taken as up to a second of its work, although a stop saves its state; a unit was chosen again and again if it had run for the shortest time; and a gang with a member on a worker that leaves at notice worked on until it was lost.

Change: the cost of a stop is a policy. The immediate one is the rule so far; the economical one counts the stop and the restoring, and the stops that the unit has had before, and waits for a reservation as long as the start bound allows. Units that cannot end before one of their workers leaves are stopped at once. The settings choose; auto is economical where tasks write checkpoints more often than every second, so the sites with longer intervals are served as before. Metrics and log lines tell the work that is lost by cause, and for which job a run is preempted.

--- a/src/entry/entry_daemon.ts
+++ b/src/entry/entry_daemon.ts
@@ -11,6 +11,7 @@
 import type {RandomSource} from '../lifecycle/random.js';
 import {LeaderLog} from '../leader/leader_log.js';
 import {Leadership} from '../leader/leadership.js';
+import type {LeadershipSettings} from '../leader/leadership.js';
 import {MEMBER_PREFIX} from '../leader/jobs/records.js';
 import type {MemberRecord} from '../leader/jobs/records.js';
 import type {WorkerVmOptions} from '../leader/vms/vm_management.js';
@@ -118,14 +119,7 @@
         clock,
         log: new LeaderLog(log),
       },
-      {
-        vmId: settings.vmId,
-        peerAddress: this.peerAddress,
-        cores: settings.cores,
-        linkMbps: settings.linkMbps,
-        holdMaximumMs: settings.workerLeaseMs,
-        stateRetentionMs: settings.stateRetentionS * 1_000,
-      },
+      leadershipSettings(settings, this.peerAddress),
       this.site,
       () => this.feed.configuration,
       random,
@@ -294,6 +288,22 @@
   }
 }
 
+function leadershipSettings(
+  settings: EntrySettings,
+  peerAddress: string,
+): LeadershipSettings {
+  const {vmId, cores, linkMbps, preemption} = settings;
+  return {
+    vmId,
+    peerAddress,
+    cores,
+    linkMbps,
+    preemption,
+    holdMaximumMs: settings.workerLeaseMs,
+    stateRetentionMs: settings.stateRetentionS * 1_000,
+  };
+}
+
 function workerVmOptions(
   {vmId, vmService}: EntrySettings,
   dependencies: EntryDependencies,
--- a/src/entry/entry_metrics.ts
+++ b/src/entry/entry_metrics.ts
@@ -51,6 +51,19 @@
     registers: [this.registry],
   });
 
+  private readonly lostRuns = new Gauge({
+    name: `${NAME_PREFIX}lost_runs`,
+    help: 'Runs that ended in this term before their work was done, on the leader',
+    labelNames: ['cause'],
+    registers: [this.registry],
+  });
+  private readonly lostCoreSeconds = new Gauge({
+    name: `${NAME_PREFIX}lost_core_seconds`,
+    help: 'Work lost with these runs, an accelerator as 8 cores, on the leader',
+    labelNames: ['cause'],
+    registers: [this.registry],
+  });
+
   recordAnswer(method: string, kind: string, tookMs: number): void {
     this.answers.inc({method, kind});
     this.answerSeconds.observe({method}, tookMs / MILLISECONDS_PER_SECOND);
@@ -61,6 +74,12 @@
     this.openJobs.set(session?.openJobCount ?? 0);
     this.workerCrashes.set(session?.crashCounts.workerCrashes ?? 0);
     this.jobsGivenUp.set(session?.crashCounts.jobsGivenUp ?? 0);
+    this.lostRuns.reset();
+    this.lostCoreSeconds.reset();
+    for (const [cause, {runs, coreSeconds}] of session?.lossCounts ?? []) {
+      this.lostRuns.set({cause}, runs);
+      this.lostCoreSeconds.set({cause}, coreSeconds);
+    }
     return this.registry.metrics();
   }
 }
--- a/src/entry/settings.ts
+++ b/src/entry/settings.ts
@@ -30,6 +30,28 @@
     .describe('A new leader gives no order about VMs for this time.'),
 });
 
+const preemptionSchema = z.strictObject({
+  policy: z
+    .enum(['auto', 'immediate', 'economical'])
+    .describe(
+      'How runs are chosen that are stopped for guaranteed work; auto is ' +
+        'economical if tasks write checkpoints more often than every second.',
+    ),
+  reclaimMs: z
+    .number()
+    .positive()
+    .describe('Guaranteed work starts within this time after its acceptance.'),
+  stopMs: z.number().nonnegative().describe('Longest time that a stop takes.'),
+  restoreMs: z
+    .number()
+    .nonnegative()
+    .describe('Time that a task takes to resume from a checkpoint.'),
+  checkpointIntervalS: z
+    .number()
+    .positive()
+    .describe('Work between two checkpoints of a task, seconds.'),
+});
+
 export const entrySettingsSchema = z.strictObject({
   vmId: z.string().min(1).describe('Name of this entry VM.'),
   availabilityZone: z.string().min(1).describe('Zone of this entry VM.'),
@@ -66,6 +88,9 @@
     .number()
     .positive()
     .describe('How long the state of an ended job can be asked for, seconds.'),
+  preemption: preemptionSchema
+    .optional()
+    .describe('Without it, the policy is immediate.'),
   stopGraceS: z
     .number()
     .positive()
--- a/src/leader/jobs/jobs.ts
+++ b/src/leader/jobs/jobs.ts
@@ -37,6 +37,8 @@
   readonly avoidedWorkers: AvoidedWorkers;
   /** Earliest time of the next run after a failure. */
   retryAt: Instant = instant(0);
+  /** How often this leader stopped the unit for other work. */
+  preemptions = 0;
   /** When the unit became ready to start. */
   readySince: Instant | undefined;
   /** Highest run number with a counted failure; a gang fails once per run. */
--- a/src/leader/jobs/runs.ts
+++ b/src/leader/jobs/runs.ts
@@ -9,6 +9,7 @@
 import {taskName} from '../../model/submissions.js';
 import type {RunningTask} from '../../interfaces/task_worker.js';
 import type {Unit} from './jobs.js';
+import type {StopCause} from './lost_work.js';
 
 /**
  * - `planned`: the placement is not durable yet, and nothing was sent;
@@ -87,6 +88,8 @@
   atWorkAt: Instant | undefined;
   /** The record tells since when the run is at work. */
   isStartRecorded = false;
+  /** Why this leader stops the run, if not for another member's end. */
+  stopCause: StopCause | undefined;
   /** The run was placed on a worker that other units must not use. */
   isIsolated = false;
 
--- a/src/leader/leader_log.ts
+++ b/src/leader/leader_log.ts
@@ -11,6 +11,7 @@
 import type {TaskShape} from '../model/submissions.js';
 import type {WorkerFate} from './losses/crash_history.js';
 import type {Job, Unit} from './jobs/jobs.js';
+import type {Loss} from './jobs/lost_work.js';
 import type {Run} from './jobs/runs.js';
 import type {PaceChange} from './workers/pacing.js';
 import type {PoolMove} from './vms/pool_plan.js';
@@ -103,10 +104,20 @@
     );
   }
 
-  runEnded(run: Run, ending: string, failures: number): void {
+  runEnded(
+    run: Run,
+    ending: string,
+    failures: number,
+    loss: Loss | undefined,
+  ): void {
+    const lost =
+      loss === undefined
+        ? ''
+        : `, ${Math.round(loss.coreSeconds)} core-seconds lost: ${loss.cause}`;
     this.logRun(
       run,
-      `${run.task} run ${run.runNumber} ended: ${ending}, ${failures} failures`,
+      `${run.task} run ${run.runNumber} ended: ${ending}, ${failures} failures` +
+        lost,
     );
   }
 
@@ -121,10 +132,13 @@
     );
   }
 
-  preempted(run: Run): void {
+  preempted(run: Run, beneficiary: Unit | undefined): void {
+    const {preemptions, job} = run.unit;
+    const forJob = beneficiary === undefined ? '' : ` of ${beneficiary.job.id}`;
     this.logRun(
       run,
-      `${run.task} run ${run.runNumber} preempted for guaranteed work`,
+      `${run.task} run ${run.runNumber} in ${job.queueId} preempted for ` +
+        `guaranteed work${forJob}, after ${preemptions} preemptions`,
     );
   }
 
--- a/src/leader/planning/placement.ts
+++ b/src/leader/planning/placement.ts
@@ -7,6 +7,7 @@
 import type {Instant} from '../../model/ids.js';
 import {instant} from '../../model/ids.js';
 import type {CrashHistory} from '../losses/crash_history.js';
+import {findDoomedRuns} from './doomed_units.js';
 import type {FreeCapacity, FreeCapacityTable} from './free_capacity.js';
 import {FreeCapacityTables} from './free_capacity.js';
 import {ExhaustedShapes} from './exhausted_shapes.js';
@@ -14,7 +15,8 @@
 import type {Job, Unit} from '../jobs/jobs.js';
 import type {Run} from '../jobs/runs.js';
 import type {PlanningView} from './planning_view.js';
-import {selectVictims, coreSecondsOf} from './preemption.js';
+import {selectVictims} from './preemption.js';
+import {coreSecondsOf} from './preemption_policy.js';
 import type {VictimSelection} from './preemption.js';
 import type {Rank} from './queue_order.js';
 import type {Reservation} from './reservation.js';
@@ -41,6 +43,10 @@
   readonly placements: readonly Placement[];
   /** Runs of whole units to stop. */
   readonly preemptions: readonly Run[];
+  /** The unit that each of these runs is stopped for. */
+  readonly beneficiaries: ReadonlyMap<Run, Unit>;
+  /** Runs of whole units that would be lost with workers that are leaving. */
+  readonly doomed: readonly Run[];
   /** Units that were not placed; some may first need admission tickets. */
   readonly waiting: readonly Unit[];
   /** Earliest time at which a unit becomes ready without any other event. */
@@ -53,13 +59,6 @@
 /** Limit of searches for capacity to reserve, each over all workers. */
 const MAXIMUM_RESERVATION_SEARCHES = 12;
 
-/**
- * Guaranteed work preempts runs whose work would be lost unless capacity is
- * expected to become free within this time after the work became ready. This
- * leaves time for a stop and a start within the 2.7 s start bound.
- */
-const MAXIMUM_GUARANTEED_WAIT_MS = 1_500;
-
 /** Expected ends may come later than this by chance. */
 const RESERVATION_MARGIN_MS = 300;
 
@@ -84,7 +83,7 @@
 
 class SchedulingRound {
   private readonly placements: Placement[] = [];
-  private readonly preemptions = new Set<Run>();
+  private readonly beneficiaries = new Map<Run, Unit>();
   private readonly waiting: Unit[] = [];
   private readonly tables: FreeCapacityTables;
   private reservationCount = 0;
@@ -102,12 +101,20 @@
     for (const batch of batches) this.place(batch);
     return {
       placements: this.placements,
-      preemptions: [...this.preemptions],
+      preemptions: [...this.beneficiaries.keys()],
+      beneficiaries: this.beneficiaries,
+      doomed: this.doomedRuns(),
       waiting: this.waiting,
       nextDueAt,
     };
   }
 
+  private doomedRuns(): readonly Run[] {
+    const {preemption, workers, runTimes, now, steady} = this.view;
+    if (!preemption.stopsDoomedRuns) return [];
+    return findDoomedRuns(workers.values(), runTimes, now, steady);
+  }
+
   private place(batch: RankedBatch): void {
     const {unit} = batch;
     const {now} = this.view;
@@ -267,7 +274,7 @@
     const readySince = unit.readySince ?? this.view.now;
     const latestAt = Math.min(
       timeliness === 'inTime' ? deadlines.inTime : Infinity,
-      readySince + MAXIMUM_GUARANTEED_WAIT_MS,
+      readySince + this.view.preemption.maximumGuaranteedWaitMs,
     );
     return reservation.startsAt + RESERVATION_MARGIN_MS <= latestAt;
   }
@@ -324,6 +331,7 @@
       unit,
       eligible,
       (run) => this.isPreemptible(run, request),
+      this.view.preemption,
       this.view.now,
     );
   }
@@ -336,7 +344,7 @@
   ): void {
     const endsAt = instant(this.view.now + batch.expectedMs);
     this.waiting.push(unit);
-    for (const run of victims) this.preemptions.add(run);
+    for (const run of victims) this.beneficiaries.set(run, unit);
     for (const {capacity, count} of allocations) {
       capacity.allocate(unit, count, endsAt);
     }
--- a/src/leader/planning/planning_view.ts
+++ b/src/leader/planning/planning_view.ts
@@ -5,6 +5,7 @@
 import type {HostedConfiguration} from '../../model/queues.js';
 import type {Job, Unit} from '../jobs/jobs.js';
 import type {RunTimeTable} from '../jobs/run_times.js';
+import type {PreemptionPolicy} from './preemption_policy.js';
 import type {WorkerState} from '../workers/worker_state.js';
 
 export interface PlanningView {
@@ -12,6 +13,7 @@
   readonly workers: ReadonlyMap<string, WorkerState>;
   readonly configuration: HostedConfiguration;
   readonly runTimes: RunTimeTable;
+  readonly preemption: PreemptionPolicy;
   readonly now: Instant;
   readonly steady: SteadyTime;
   /** False while many workers become silent or end. */
--- a/src/leader/planning/preemption.ts
+++ b/src/leader/planning/preemption.ts
@@ -7,15 +7,7 @@
 import type {Run} from '../jobs/runs.js';
 import type {FreeCapacity} from './free_capacity.js';
 import {NO_SHAPE, addShape} from './free_capacity.js';
-
-/** Weight of an accelerator relative to a core, as in the users' prices. */
-const CORES_PER_ACCELERATOR = 8;
-
-/** A checkpointing task loses at most the work since its last checkpoint. */
-const MAXIMUM_CHECKPOINT_LOSS_MS = 1_000;
-
-/** Core-seconds added per stop, so that fewer stops win at equal loss. */
-const COST_PER_STOP = 5;
+import type {PreemptionPolicy} from './preemption_policy.js';
 
 export interface VictimSelection {
   /** Runs of whole units to stop, without those that are already stopping. */
@@ -42,11 +34,12 @@
   unit: Unit,
   groups: ReadonlyArray<readonly FreeCapacity[]>,
   isPreemptible: (run: Run) => boolean,
+  policy: PreemptionPolicy,
   now: Instant,
 ): VictimSelection | undefined {
   let best: VictimSelection | undefined;
   for (const group of groups) {
-    const selection = selectVictimsIn(unit, group, isPreemptible, now);
+    const selection = selectVictimsIn(unit, group, isPreemptible, policy, now);
     if (selection !== undefined && selection.cost < (best?.cost ?? Infinity)) {
       best = selection;
     }
@@ -58,10 +51,13 @@
   unit: Unit,
   group: readonly FreeCapacity[],
   isPreemptible: (run: Run) => boolean,
+  policy: PreemptionPolicy,
   now: Instant,
 ): VictimSelection | undefined {
   const increments = group
-    .flatMap((capacity) => incrementsOf(unit, capacity, isPreemptible, now))
+    .flatMap((capacity) =>
+      incrementsOf(unit, capacity, isPreemptible, policy, now),
+    )
     .sort((a, b) => a.cost / a.slots - b.cost / b.slots);
   const allocations = new Map<FreeCapacity, number>();
   const victims = new Set<Run>();
@@ -99,13 +95,17 @@
   unit: Unit,
   capacity: FreeCapacity,
   isPreemptible: (run: Run) => boolean,
+  policy: PreemptionPolicy,
   now: Instant,
 ): CapacityIncrement[] {
   let reclaimed = NO_SHAPE;
   const candidates: Array<{run: Run; cost: number}> = [];
   for (const run of capacity.worker.runs.values()) {
-    if (run.phase === 'stopping') reclaimed = addShape(reclaimed, run);
-    else if (isPreemptible(run)) candidates.push({run, cost: costOf(run, now)});
+    if (run.phase === 'stopping') {
+      reclaimed = addShape(reclaimed, run);
+    } else if (isPreemptible(run)) {
+      candidates.push({run, cost: policy.costOf(run, now)});
+    }
   }
   candidates.sort((a, b) => a.cost - b.cost);
   const increments: CapacityIncrement[] = [];
@@ -131,28 +131,3 @@
   }
   return increments;
 }
-
-/**
- * Returns the work that all tasks of a unit do in `durationMs`, in
- * core-seconds. An accelerator counts as `CORES_PER_ACCELERATOR` cores.
- */
-export function coreSecondsOf(
-  {taskCount: width, step}: Unit,
-  durationMs: number,
-): number {
-  const cores =
-    step.shape.processorMillicores / 1_000 +
-    step.shape.accelerators * CORES_PER_ACCELERATOR;
-  return (cores * width * durationMs) / 1_000;
-}
-
-/** Returns the cost of stopping the run's whole unit, in core-seconds. */
-function costOf(run: Run, now: Instant): number {
-  const {unit, step} = run;
-  const runtimeMs = Math.max(0, now - run.plannedAt);
-  const lostMs =
-    step.checkpointing === true
-      ? Math.min(runtimeMs, MAXIMUM_CHECKPOINT_LOSS_MS)
-      : runtimeMs;
-  return coreSecondsOf(unit, lostMs) + COST_PER_STOP;
-}
--- a/src/leader/session.ts
+++ b/src/leader/session.ts
@@ -26,9 +26,19 @@
 import type {CrashCounts} from './losses/crash_monitor.js';
 import {JobRegistry} from './jobs/job_registry.js';
 import type {InboxSource} from './jobs/job_registry.js';
+import {LostWork} from './jobs/lost_work.js';
+import type {LossCause, LossCount} from './jobs/lost_work.js';
 import {Run} from './jobs/runs.js';
 import type {Unit, Job} from './jobs/jobs.js';
 import type {LeaderLog} from './leader_log.js';
+import {
+  checkpointIntervalMs,
+  createPreemptionPolicy,
+} from './planning/preemption_policy.js';
+import type {
+  PreemptionPolicy,
+  PreemptionSettings,
+} from './planning/preemption_policy.js';
 import {planRound} from './planning/placement.js';
 import type {Placement} from './planning/placement.js';
 import {PaceController} from './workers/pacing.js';
@@ -47,6 +57,7 @@
 import type {WorkerVmOptions} from './vms/vm_management.js';
 import {WorkerOutages} from './losses/worker_outages.js';
 import type {WorkerState} from './workers/worker_state.js';
+import {sendPlannedStops} from './workers/planned_stops.js';
 import {WorkerTable} from './workers/worker_table.js';
 
 /** Attempts if neither the configuration nor the submission has a number. */
@@ -58,6 +69,7 @@
 export interface SessionSettings {
   /** Longest lease that a worker accepts, in milliseconds. */
   readonly holdMaximumMs: number;
+  readonly preemption?: PreemptionSettings | undefined;
 }
 
 export interface SessionDependencies {
@@ -80,6 +92,8 @@
   private readonly admissions: AdmissionTickets;
   private readonly roundTimer: RoundTimer;
   private readonly runTimes = new RunTimeTable();
+  private readonly preemption: PreemptionPolicy;
+  private readonly lostWork: LostWork;
   private readonly paceController = new PaceController();
   private readonly outages: WorkerOutages;
   private readonly crashMonitor: CrashMonitor;
@@ -96,6 +110,8 @@
   ) {
     const {store, log} = dependencies;
     this.clock = new SteadyClock(dependencies.clock);
+    this.preemption = createPreemptionPolicy(settings.preemption);
+    this.lostWork = new LostWork(checkpointIntervalMs(settings.preemption));
     this.roundTimer = new RoundTimer(scope, () => this.runRound());
     this.registry = new JobRegistry(log);
     this.outages = new WorkerOutages(() => this.workerTable.listedCount);
@@ -146,6 +162,10 @@
     return this.crashMonitor.counts;
   }
 
+  get lossCounts(): ReadonlyMap<LossCause, LossCount> {
+    return this.lostWork.counts;
+  }
+
   get openJobCount(): number {
     return this.registry.open.size;
   }
@@ -279,7 +299,7 @@
       run.isStartRecorded = true;
       this.commitQueue.write(job);
     }
-    if (job.isEnded || run.unit.isDone) this.workerTable.stop(run);
+    if (job.isEnded || run.unit.isDone) this.workerTable.stop(run, 'jobEnded');
     else if (run.step.usesSpareProcessor === true) this.setInitialPace(run);
   }
 
@@ -318,7 +338,8 @@
     const limit = this.maximumAttempts(job);
     const failed = job.runEnded(run, ending, checkpoint, limit, now);
     this.crashMonitor.recordEnd(run, now);
-    this.dependencies.log.runEnded(run, ending, unit.failures);
+    const loss = this.lostWork.record(run, ending, now);
+    this.dependencies.log.runEnded(run, ending, unit.failures, loss);
     if (failed) {
       if (worker?.countFailure(job.id, steadyNow()) === true) {
         this.dependencies.log.quarantined(
@@ -338,6 +359,7 @@
     const wasEnded = job.isEnded;
     this.dependencies.log.runLost(run, reason);
     const now = this.now();
+    this.lostWork.record(run, 'lost', now);
     job.runEnded(run, 'lost', run.checkpoint, Infinity, now);
     this.crashMonitor.recordEnd(run, now);
     this.handleRunEnd(run, wasEnded);
@@ -351,7 +373,9 @@
     const endedBefore = new Set(
       runs.map(({unit}) => unit.job).filter(({isEnded}) => isEnded),
     );
-    this.crashMonitor.recordLosses(worker, runs, fate, this.now());
+    const now = this.now();
+    for (const run of runs) this.lostWork.record(run, 'lost', now);
+    this.crashMonitor.recordLosses(worker, runs, fate, now);
     for (const run of runs) {
       const {job} = run.unit;
       this.handleRunEnd(run, endedBefore.has(job));
@@ -392,7 +416,7 @@
     this.admissions.forgetJob(job.id);
     this.dependencies.log.jobEnded(job, this.now());
     for (const unit of job.openUnits) {
-      for (const run of [...unit.runs]) this.workerTable.stop(run);
+      for (const run of [...unit.runs]) this.workerTable.stop(run, 'jobEnded');
     }
     this.recordJobEnd(job);
   }
@@ -437,6 +461,7 @@
       workers: this.workerTable.workers,
       configuration,
       runTimes: this.runTimes,
+      preemption: this.preemption,
       now,
       steady,
       isCalm: this.outages.isCalm(now),
@@ -450,10 +475,7 @@
         steady,
       );
     }
-    for (const run of plan.preemptions) {
-      this.dependencies.log.preempted(run);
-      this.workerTable.stop(run);
-    }
+    sendPlannedStops(plan, this.workerTable, this.dependencies.log);
     for (const placement of plan.placements) this.place(placement, now);
     const {nextDueAt} = plan;
     this.roundTimer.requestAfter(
@@ -477,7 +499,7 @@
     for (const run of runs) {
       const isCurrent = run.unit.runs.includes(run);
       if (!isCurrent || run.phase !== 'planned') continue;
-      if (run.unit.job.isEnded) this.workerTable.stop(run);
+      if (run.unit.job.isEnded) this.workerTable.stop(run, 'jobEnded');
       else this.workerTable.start(run);
     }
   }
--- a/src/leader/vms/maintenance.ts
+++ b/src/leader/vms/maintenance.ts
@@ -194,7 +194,7 @@
         run,
         'the VM of its worker is due for maintenance',
       );
-      this.table.stopUnit(run);
+      this.table.stopUnit(run, 'maintenance');
     }
     const repeated = [...this.waves.values()].flatMap((open) =>
       vmsInState(open, 'ordered').map((vmId) => ({
--- a/src/leader/workers/worker_table.ts
+++ b/src/leader/workers/worker_table.ts
@@ -16,6 +16,7 @@
 import type {TaskShape} from '../../model/submissions.js';
 import type {WorkerChange} from '../../interfaces/worker_directory.js';
 import type {WorkerFate} from '../losses/crash_history.js';
+import type {StopCause} from '../jobs/lost_work.js';
 import type {Run} from '../jobs/runs.js';
 import type {LeaderLog} from '../leader_log.js';
 import type {WorkerLoss} from '../jobs/records.js';
@@ -212,7 +213,9 @@
     if (worker !== undefined) this.linkFor(worker).start(run);
   }
 
-  stop(run: Run): void {
+  /** Without a cause, the run is stopped for the end of another member. */
+  stop(run: Run, cause?: StopCause): void {
+    run.stopCause ??= cause;
     if (run.phase === 'stopping') return;
     const worker = this.workerStates.get(run.workerId);
     if (worker === undefined) return;
@@ -232,8 +235,8 @@
     if (worker !== undefined) this.linkFor(worker).setPace(run, percent);
   }
 
-  stopUnit(run: Run): void {
-    for (const member of [...run.unit.runs]) this.stop(member);
+  stopUnit(run: Run, cause?: StopCause): void {
+    for (const member of [...run.unit.runs]) this.stop(member, cause);
   }
 
   // Time.
@@ -317,7 +320,7 @@
       if (run.phase !== 'running') continue;
       if (isLeaving && run.step.checkpointing === true) {
         log.stopRequested(run, 'its worker is leaving');
-        this.stopUnit(run);
+        this.stopUnit(run, 'workerLeaving');
       } else if (worker.failedRenewals === 0 && isStalled(run)) {
         if (run.unit.blameWorker(worker.workerId, this.options.events.now())) {
           worker.quarantine(steady);
@@ -325,7 +328,7 @@
         }
         const atPercent = `${run.progressPercent}% for ${run.stalledMs} ms`;
         log.stopRequested(run, `it makes no progress: ${atPercent}`);
-        this.stopUnit(run);
+        this.stopUnit(run, 'stalled');
       }
     }
   }
--- a/test/leader_load.test.ts
+++ b/test/leader_load.test.ts
@@ -62,7 +62,14 @@
       }
     }
   }
-  return {placements, preemptions: [], waiting, nextDueAt: undefined};
+  return {
+    placements,
+    preemptions: [],
+    beneficiaries: new Map(),
+    doomed: [],
+    waiting,
+    nextDueAt: undefined,
+  };
 }
 
 /** Mean share of the queue's work that was finished within its objective. */
--- a/test/leader_load.ts
+++ b/test/leader_load.ts
@@ -8,6 +8,10 @@
 import {Job} from '../src/leader/jobs/jobs.js';
 import {Run} from '../src/leader/jobs/runs.js';
 import type {Unit} from '../src/leader/jobs/jobs.js';
+import {
+  ImmediatePreemption,
+  type PreemptionPolicy,
+} from '../src/leader/planning/preemption_policy.js';
 import {planRound} from '../src/leader/planning/placement.js';
 import type {Placement} from '../src/leader/planning/placement.js';
 import type {PlanningView} from '../src/leader/planning/planning_view.js';
@@ -37,9 +41,6 @@
 /** Time that a stop takes on a worker, in milliseconds. */
 const STOP_MS = 60;
 
-/** Interval of a task's own checkpoints, in milliseconds of its work. */
-const CHECKPOINT_INTERVAL_MS = 1_000;
-
 /** Factor by which a task runs longer away from its data or its gang's rack. */
 const REMOTE_FACTOR = 3;
 
@@ -64,6 +65,8 @@
   readonly queues: ReadonlyMap<string, QueueOutcome>;
   /** Core-seconds that preemptions threw away. */
   readonly lostCoreSeconds: number;
+  /** Stops of whole units for other work. */
+  readonly preemptions: number;
   readonly acceleratorUtilization: number;
   /** Longest wait of a job within its customer's guarantee, in milliseconds. */
   readonly longestGuaranteedWaitMs: number;
@@ -102,6 +105,7 @@
   private readonly remainingMs = new Map<Unit, number>();
   private readonly runTimes = new RunTimeTable();
   private lostCoreSeconds = 0;
+  private preemptions = 0;
   private busyAcceleratorMs = 0;
   private longestGuaranteedWaitMs = 0;
   private readonly guaranteedSince = new Map<Job, number>();
@@ -110,6 +114,7 @@
     private readonly load: Load,
     seed: number,
     private readonly planner: Planner = planRound,
+    private readonly preemption: PreemptionPolicy = new ImmediatePreemption(),
   ) {
     this.random = new SeededRandom(seed);
     this.configuration = this.createConfiguration();
@@ -144,6 +149,7 @@
     return {
       queues: this.outcomes(),
       lostCoreSeconds: this.lostCoreSeconds,
+      preemptions: this.preemptions,
       acceleratorUtilization: this.busyAcceleratorMs / accelerators,
       longestGuaranteedWaitMs: this.longestGuaranteedWaitMs,
       rounds,
@@ -257,7 +263,8 @@
       estimatedMs: this.logarithmic(workMs, queue.estimateSpread),
       after: [],
       gang: queue.isGang,
-      sameRack: random.next() < queue.sameRackShare,
+      sameRack:
+        random.next() < queue.sameRackShare && tasks <= queue.maximumRackTasks,
       checkpointing: random.next() < queue.checkpointingShare,
     };
     const submission: Submission = {
@@ -312,7 +319,7 @@
   }
 
   private lose(unit: Unit, now: number): void {
-    this.stop(unit, now);
+    this.stop(unit, now, false);
     const active = this.active.get(unit);
     if (active !== undefined) active.endsAt = now;
     this.endRuns(now);
@@ -325,12 +332,16 @@
       workers: this.workers,
       configuration: this.configuration,
       runTimes: this.runTimes,
+      preemption: this.preemption,
       now: instant(now),
       steady: steadyTime(now),
       isCalm: true,
       admits: () => true,
     });
-    for (const run of plan.preemptions) this.stop(run.unit, now);
+    const stopped = new Set(plan.preemptions.map(({unit}) => unit));
+    this.preemptions += stopped.size;
+    for (const unit of stopped) unit.preemptions += 1;
+    for (const run of plan.preemptions) this.stop(run.unit, now, true);
     for (const placement of plan.placements) this.place(placement, now);
   }
 
@@ -410,7 +421,7 @@
     );
   }
 
-  private stop(unit: Unit, now: number): void {
+  private stop(unit: Unit, now: number, isPreemption: boolean): void {
     const active = this.active.get(unit);
     if (active === undefined || active.isStopped) return;
     active.isStopped = true;
@@ -418,18 +429,23 @@
     const {startsAt, slowdown, endsAt} = active;
     const doneMs = Math.max(0, now - startsAt) / slowdown;
     const totalMs = (endsAt - startsAt) / slowdown;
-    const savedMs =
-      unit.step.checkpointing === true
-        ? Math.floor(doneMs / CHECKPOINT_INTERVAL_MS) * CHECKPOINT_INTERVAL_MS
-        : 0;
+    const savedMs = unit.step.checkpointing === true ? this.savedMs(doneMs) : 0;
     this.remainingMs.set(unit, totalMs - savedMs);
     const {shape} = unit.step;
     const cores = shape.processorMillicores / 1_000 + shape.accelerators * 8;
-    this.lostCoreSeconds +=
-      (cores * unit.taskCount * (doneMs - savedMs) * slowdown) / 1_000;
+    if (isPreemption) {
+      this.lostCoreSeconds +=
+        (cores * unit.taskCount * (doneMs - savedMs) * slowdown) / 1_000;
+    }
     active.endsAt = Math.min(endsAt, now + ORDER_MS + STOP_MS);
   }
 
+  private savedMs(doneMs: number): number {
+    const {checkpointIntervalMs, savesAtStop} = this.load;
+    if (savesAtStop) return doneMs;
+    return Math.floor(doneMs / checkpointIntervalMs) * checkpointIntervalMs;
+  }
+
   private endRuns(now: number): void {
     for (const active of [...this.active.values()]) {
       if (active.endsAt > now) continue;
--- a/test/leader_loads.ts
+++ b/test/leader_loads.ts
@@ -17,6 +17,8 @@
   readonly breakingShare: number;
   /** Share of the jobs whose tasks have to run in one rack. */
   readonly sameRackShare: number;
+  /** Wider jobs never ask for one rack. */
+  readonly maximumRackTasks: number;
   readonly checkpointingShare: number;
   /** Standard deviation of the logarithm of estimate / actual duration. */
   readonly estimateSpread: number;
@@ -54,6 +56,10 @@
   readonly queues: readonly QueueLoad[];
   readonly bursts: readonly Burst[];
   readonly absences: readonly Absence[];
+  /** Longest work that is lost if a task with checkpoints is not stopped. */
+  readonly checkpointIntervalMs: number;
+  /** A stop saves the state of a task with checkpoints. */
+  readonly savesAtStop: boolean;
 }
 
 /** Long gangs that may wait; they need many accelerators at once. */
@@ -71,6 +77,7 @@
   breakingShare: 0.15,
   isGang: true,
   sameRackShare: 0.6,
+  maximumRackTasks: Infinity,
   checkpointingShare: 0.45,
   estimateSpread: 0.9,
   objectiveFactor: 3,
@@ -92,6 +99,7 @@
   breakingShare: 0.05,
   isGang: true,
   sameRackShare: 0.8,
+  maximumRackTasks: Infinity,
   checkpointingShare: 0,
   estimateSpread: 0.2,
   objectiveFactor: 1.5,
@@ -113,6 +121,7 @@
   breakingShare: 0.02,
   isGang: false,
   sameRackShare: 0,
+  maximumRackTasks: Infinity,
   checkpointingShare: 0.45,
   estimateSpread: 0.5,
   objectiveFactor: 3,
@@ -152,5 +161,66 @@
       {share: 0.09, fromMs: 10_200, toMs: 15_200},
       {share: 0.1, fromMs: 25_600, toMs: 31_600},
     ],
+    checkpointIntervalMs: 1_000,
+    savesAtStop: false,
+  };
+}
+
+/**
+ * A site whose customers compete for whole workers: the gangs of `bake` fit
+ * once on a worker, half of those of `check` need all of its accelerators, and
+ * a burst of both `check` and `scan` comes on top. `share` scales the site and
+ * its load, not the width of the jobs.
+ */
+export function competingSite(share: number): Load {
+  const shaped: ReadonlyArray<Partial<QueueLoad>> = [
+    {
+      jobsPerSecond: 1.9,
+      processorMillicores: 52_000,
+      memoryMegabytes: 140_000,
+      maximumRackTasks: 8,
+      estimateSpread: 0.5,
+    },
+    {
+      jobsPerSecond: 5.2,
+      processorMillicores: 15_000,
+      memoryMegabytes: 22_000,
+      maximumRackTasks: 8,
+      estimateSpread: 0.5,
+    },
+    {
+      jobsPerSecond: 1.3,
+      processorMillicores: 11_000,
+      memoryMegabytes: 23_000,
+      meanWorkMs: 9_500,
+    },
+  ];
+  return {
+    racks: Math.round(31 * share),
+    workersPerRack: 8,
+    processorMillicores: 128_000,
+    memoryMegabytes: 262_144,
+    acceleratorsPerWorker: 8,
+    customers: Math.round(10 * share),
+    guaranteedShare: 0.62,
+    lengthMs: 41_000,
+    finishMs: 14_000,
+    queues: [BAKE, CHECK, SCAN].map((queue, index) => {
+      const changed = {...queue, ...shaped[index]};
+      return {...changed, jobsPerSecond: changed.jobsPerSecond * share};
+    }),
+    bursts: [
+      {queue: 'bake', factor: 7, fromMs: 0, toMs: 1_000},
+      {queue: 'scan', factor: 14, fromMs: 0, toMs: 1_000},
+      {queue: 'check', factor: 2.1, fromMs: 2_500, toMs: 8_500},
+      {queue: 'scan', factor: 2.1, fromMs: 4_400, toMs: 11_200},
+    ],
+    absences: [
+      {share: 0.08, fromMs: 8_000, toMs: 14_000},
+      {share: 0.08, fromMs: 24_500, toMs: 30_000},
+      {share: 0.33, fromMs: 33_500, toMs: 39_500},
+    ],
+    checkpointIntervalMs: 500,
+    savesAtStop: true,
   };
 }
--- a/test/leader_placement.test.ts
+++ b/test/leader_placement.test.ts
@@ -7,6 +7,7 @@
 import {describe, it} from 'node:test';
 import {Job} from '../src/leader/jobs/jobs.js';
 import {Run} from '../src/leader/jobs/runs.js';
+import {ImmediatePreemption} from '../src/leader/planning/preemption_policy.js';
 import {planRound} from '../src/leader/planning/placement.js';
 import type {RoundPlan} from '../src/leader/planning/placement.js';
 import type {WorkerLoss} from '../src/leader/jobs/records.js';
@@ -93,6 +94,7 @@
     workers: states,
     configuration: configuration(),
     runTimes: new RunTimeTable(),
+    preemption: new ImmediatePreemption(),
     now: instant(now),
     steady: steadyTime(now),
     isCalm: true,
