--- a/src/entry/entry_daemon.ts
+++ b/src/entry/entry_daemon.ts
@@ -303,6 +303,7 @@
     linkMbps: settings.linkMbps,
     holdMaximumMs: settings.workerLeaseMs,
     usesWorkerSpeeds: usesWorkerSpeeds(settings),
+    preemption: settings.preemption,
     stateRetentionMs: settings.stateRetentionS * 1_000,
   };
 }
--- a/src/entry/entry_metrics.ts
+++ b/src/entry/entry_metrics.ts
@@ -66,6 +66,18 @@
     help: 'Starts withheld in this term for an evacuation, on the leader',
     registers: [this.registry],
   });
+  private readonly lostRuns = new Gauge({
+    name: `${NAME_PREFIX}lost_runs`,
+    help: 'Runs that ended in this term before their work was done, on the leader',
+    labelNames: ['cause'],
+    registers: [this.registry],
+  });
+  private readonly lostCoreSeconds = new Gauge({
+    name: `${NAME_PREFIX}lost_core_seconds`,
+    help: 'Work lost with these runs, an accelerator as 8 cores, on the leader',
+    labelNames: ['cause'],
+    registers: [this.registry],
+  });
 
   recordAnswer(method: string, kind: string, tookMs: number): void {
     this.answers.inc({method, kind});
@@ -81,6 +93,12 @@
     this.evacuatedZones.set(evacuation?.zones.length ?? 0);
     this.evacuatedRuns.set(evacuation?.runs ?? 0);
     this.withheldStarts.set(evacuation?.withheldStarts ?? 0);
+    this.lostRuns.reset();
+    this.lostCoreSeconds.reset();
+    for (const [cause, {runs, coreSeconds}] of session?.lossCounts ?? []) {
+      this.lostRuns.set({cause}, runs);
+      this.lostCoreSeconds.set({cause}, coreSeconds);
+    }
     return this.registry.metrics();
   }
 }
--- a/src/leader/session_options.ts
+++ b/src/leader/session_options.ts
@@ -6,12 +6,15 @@
 import type {TaskWorkerClient} from '../interfaces/task_worker.js';
 import type {WorkerDirectory} from '../interfaces/worker_directory.js';
 import type {LeaderLog} from './leader_log.js';
+import type {PreemptionSettings} from './planning/preemption_policy.js';
 import type {EvacuationOptions} from './vms/evacuations.js';
 import type {WorkerVmOptions} from './vms/vm_management.js';
 
 export interface SessionSettings {
   /** Longest lease that a worker accepts, in milliseconds. */
   readonly holdMaximumMs: number;
+  /** How runs are chosen that are stopped for guaranteed work. */
+  readonly preemption?: PreemptionSettings | undefined;
   /** Workers are chosen by their speeds; false if absent. */
   readonly usesWorkerSpeeds?: boolean | undefined;
 }
