Test the speeds of workers, and take speeds in coarser steps

Workers within a factor of 1.5 count as alike now.

A load with uneven workers shows what callers get.

--- a/src/leader/planning/worker_choice.ts
+++ b/src/leader/planning/worker_choice.ts
@@ -11,7 +11,7 @@
 import type {FreeCapacity} from './free_capacity.js';
 
 /** Workers whose speeds differ by less than this factor count as alike. */
-const SPEED_STEP = 1.25;
+const SPEED_STEP = 1.5;
 
 /**
  * Share of the slack that a slow worker may use up; the rest is for run times
--- a/src/leader/workers/worker_speeds.ts
+++ b/src/leader/workers/worker_speeds.ts
@@ -55,7 +55,7 @@
 const FORGOTTEN_WEIGHT = 0.02;
 
 /** Observations beyond the first on each worker that show their spread. */
-const MINIMUM_DEGREES_OF_FREEDOM = 20;
+const MINIMUM_DEGREES_OF_FREEDOM = 10;
 
 /** Workers that differ by less, as a logarithm, are treated as alike. */
 const NEGLIGIBLE_SPREAD = 0.08;
@@ -332,9 +332,7 @@
  * speed is that of the median worker.
  */
 function usualMeanOf(workers: readonly Sums[]): number {
-  const means = workers
-    .filter(({weight}) => weight > 1)
-    .map(({mean}) => mean);
+  const means = workers.filter(({weight}) => weight > 1).map(({mean}) => mean);
   return means.length === 0 ? 0 : medianOf(means);
 }
 
--- a/test/entry_settings.test.ts
+++ b/test/entry_settings.test.ts
@@ -5,7 +5,11 @@
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import {after, before, describe, it} from 'node:test';
-import {entrySettingsSchema, readEntrySettings} from '../src/entry/settings.js';
+import {
+  entrySettingsSchema,
+  readEntrySettings,
+  usesWorkerSpeeds,
+} from '../src/entry/settings.js';
 
 const TEMPLATE = 'deploy/settings.json';
 
@@ -52,6 +56,17 @@
     assert.equal(await errorOf(JSON.stringify(without)), 'no error');
   });
 
+  it('turn the placement by speeds on where moving a run takes long', () => {
+    const isOn = (changes: object): boolean =>
+      usesWorkerSpeeds(entrySettingsSchema.parse({...VALID, ...changes}));
+    const slow = {workerRuns: {stopMs: 800, restoreMs: 300}};
+    assert.ok(!isOn({}));
+    assert.ok(!isOn({workerRuns: {stopMs: 400, restoreMs: 250}}));
+    assert.ok(isOn(slow));
+    assert.ok(!isOn({...slow, speedPlacement: 'off'}));
+    assert.ok(isOn({speedPlacement: 'on'}));
+  });
+
   it('are rejected with the field and the remedy', async () => {
     const cases: Array<[object, RegExp]> = [
       [{...VALID, callerAddress: 'nowhere'}, /callerAddress.*use host:port/],
--- a/test/leader_load.ts
+++ b/test/leader_load.ts
@@ -12,6 +12,7 @@
 import type {Placement} from '../src/leader/planning/placement.js';
 import type {PlanningView} from '../src/leader/planning/planning_view.js';
 import {RunTimeTable} from '../src/leader/jobs/run_times.js';
+import {WorkerSpeeds} from '../src/leader/workers/worker_speeds.js';
 import {WorkerState} from '../src/leader/workers/worker_state.js';
 import {steadyTime} from '../src/lifecycle/clock.js';
 import {SeededRandom} from '../src/lifecycle/random.js';
@@ -37,12 +38,21 @@
 /** Time that a stop takes on a worker, in milliseconds. */
 const STOP_MS = 60;
 
+/** Interval at which workers report progress, in milliseconds. */
+const REPORT_INTERVAL_MS = 200;
+
 /** Interval of a task's own checkpoints, in milliseconds of its work. */
 const CHECKPOINT_INTERVAL_MS = 1_000;
 
 /** Factor by which a task runs longer away from its data or its gang's rack. */
 const REMOTE_FACTOR = 3;
 
+/**
+ * How much less work than a step's longest task the others have, as a standard
+ * deviation of the logarithm. A job's objective counts its longest tasks.
+ */
+const TASK_SPREAD = 0.1;
+
 /** Work later than this multiple of its objective is worth nothing. */
 const LATEST_OBJECTIVES = 3;
 
@@ -85,6 +95,8 @@
   readonly unit: Unit;
   readonly startsAt: number;
   readonly slowdown: number;
+  /** Time that each member needs on its worker, in milliseconds. */
+  readonly memberMs: readonly number[];
   endsAt: number;
   isStopped: boolean;
   readonly breaks: boolean;
@@ -100,7 +112,11 @@
   private readonly open = new Set<Job>();
   private readonly active = new Map<Unit, ActiveRun>();
   private readonly remainingMs = new Map<Unit, number>();
-  private readonly runTimes = new RunTimeTable();
+  private readonly runTimes: RunTimeTable;
+  private readonly speeds: WorkerSpeeds | undefined;
+  /** Draws only what concerns speeds, so that other draws do not depend on it. */
+  private readonly speedRandom: SeededRandom;
+  private readonly factors = new Map<WorkerId, number>();
   private lostCoreSeconds = 0;
   private busyAcceleratorMs = 0;
   private longestGuaranteedWaitMs = 0;
@@ -110,8 +126,12 @@
     private readonly load: Load,
     seed: number,
     private readonly planner: Planner = planRound,
+    learnsSpeeds = false,
   ) {
     this.random = new SeededRandom(seed);
+    this.speedRandom = new SeededRandom(seed);
+    if (learnsSpeeds) this.speeds = new WorkerSpeeds();
+    this.runTimes = new RunTimeTable(this.speeds);
     this.configuration = this.createConfiguration();
     this.createWorkers();
   }
@@ -132,6 +152,7 @@
       }
       this.endRuns(now);
       this.updateAbsences(now);
+      this.reportProgress(now);
       const startedAt = performance.now();
       this.runRound(now);
       const roundMs = performance.now() - startedAt;
@@ -189,6 +210,9 @@
       const rackId = trustedId<RackId>(`rack-${rack}`);
       for (let index = 0; index < load.workersPerRack; index += 1) {
         const workerId = trustedId<WorkerId>(`w${rack}-${index}`);
+        const {speedFactors = [1]} = load;
+        const position = this.speedRandom.nextBelow(speedFactors.length);
+        this.factors.set(workerId, speedFactors[position] ?? 1);
         this.workers.set(
           workerId,
           new WorkerState({
@@ -325,6 +349,7 @@
       workers: this.workers,
       configuration: this.configuration,
       runTimes: this.runTimes,
+      speeds: this.speeds,
       now: instant(now),
       steady: steadyTime(now),
       isCalm: true,
@@ -352,9 +377,14 @@
       worker.add(run);
       return run;
     });
+    for (const run of runs) run.members = runs;
     const racks = new Set(workers.map(({entry}) => entry.rackId));
-    const slowdown =
+    const remoteFactor =
       step.sameRack === true && racks.size > 1 ? REMOTE_FACTOR : 1;
+    const factors = workers.map(
+      ({workerId}) => remoteFactor * this.taskFactor(workerId),
+    );
+    const slowdown = Math.max(...factors);
     const wholeMs = this.remainingMs.get(unit) ?? this.workMsOf(unit);
     const breaks = unit.lastRun === 1 && this.breaksFirst(unit);
     const workMs = breaks ? wholeMs / 2 : wholeMs;
@@ -365,12 +395,35 @@
       unit,
       startsAt,
       slowdown,
+      memberMs: factors.map((factor) => workMs * factor),
       endsAt: startsAt + workMs * slowdown,
       isStopped: false,
       breaks,
     });
   }
 
+  /** Time of a task on the worker as a multiple of the step's usual time. */
+  private taskFactor(workerId: WorkerId): number {
+    if (this.load.speedFactors === undefined) return 1;
+    const radius = Math.sqrt(-2 * Math.log(1 - this.speedRandom.next()));
+    const normal = radius * Math.cos(2 * Math.PI * this.speedRandom.next());
+    return (
+      (this.factors.get(workerId) ?? 1) *
+      Math.exp(-TASK_SPREAD * Math.abs(normal))
+    );
+  }
+
+  private reportProgress(now: number): void {
+    if (this.speeds === undefined || now % REPORT_INTERVAL_MS !== 0) return;
+    for (const {runs, startsAt, memberMs} of this.active.values()) {
+      runs.forEach(({progress}, index) => {
+        const share = (now - startsAt) / (memberMs[index] ?? Infinity);
+        progress.add(Math.floor(100 * share), now);
+      });
+    }
+    this.speeds.observe(this.workers.values(), instant(now));
+  }
+
   private breaksFirst({job}: Unit): boolean {
     const {breakingShare} = this.jobs.get(job.id)?.queue ?? {breakingShare: 0};
     return this.random.next() < breakingShare;
@@ -437,7 +490,11 @@
       const isStopped = active.isStopped || active.breaks;
       this.active.delete(unit);
       for (const run of runs) {
-        this.workers.get(run.workerId)?.remove(run);
+        const worker = this.workers.get(run.workerId);
+        worker?.remove(run);
+        if (worker !== undefined) {
+          this.speeds?.recordEnd(run, worker, undefined, instant(now));
+        }
         this.busyAcceleratorMs +=
           (active.endsAt - active.startsAt) * unit.step.shape.accelerators;
         unit.job.runEnded(
--- a/test/leader_loads.ts
+++ b/test/leader_loads.ts
@@ -54,6 +54,8 @@
   readonly queues: readonly QueueLoad[];
   readonly bursts: readonly Burst[];
   readonly absences: readonly Absence[];
+  /** Run time of a worker as a multiple of the usual one; absent: all alike. */
+  readonly speedFactors?: readonly number[];
 }
 
 /** Long gangs that may wait; they need many accelerators at once. */
@@ -154,3 +156,21 @@
     ],
   };
 }
+
+/**
+ * A site with room for all its work, on which one worker of three is fast and
+ * one is slow, so that most gangs meet a slow one by chance.
+ */
+export function unevenSite(): Load {
+  return {
+    ...overloadedSite(0.5),
+    queues: [
+      {...BAKE, jobsPerSecond: 1},
+      {...CHECK, jobsPerSecond: 5},
+      {...SCAN, jobsPerSecond: 1.5},
+    ],
+    bursts: [],
+    absences: [],
+    speedFactors: [0.6, 1, 1.6],
+  };
+}
