--- a/src/cli/site_commands.ts
+++ b/src/cli/site_commands.ts
@@ -119,9 +119,15 @@
         `  ${unit.name} (${unit.tasks} tasks${failures})${reason}`,
       );
       for (const run of unit.runs) {
+        const {speed} = run;
+        const worker =
+          speed === undefined
+            ? ''
+            : `, worker takes ${speed.factor} times as long as usual ` +
+              `(${speed.observations} observations)`;
         this.writeLine(
           `    ${run.task} run ${run.run} on ${run.workerId}: ` +
-            `${run.phase}, ${run.percent}%`,
+            `${run.phase}, ${run.percent}%${worker}`,
         );
       }
     }
--- a/src/entry/entry_metrics.ts
+++ b/src/entry/entry_metrics.ts
@@ -51,6 +51,13 @@
     registers: [this.registry],
   });
 
+  private readonly workersBySpeed = new Gauge({
+    name: `${NAME_PREFIX}workers_by_speed`,
+    help: 'Workers by learned speed, on the leader, if it uses speeds',
+    labelNames: ['speed'],
+    registers: [this.registry],
+  });
+
   recordAnswer(method: string, kind: string, tookMs: number): void {
     this.answers.inc({method, kind});
     this.answerSeconds.observe({method}, tookMs / MILLISECONDS_PER_SECOND);
@@ -61,6 +68,10 @@
     this.openJobs.set(session?.openJobCount ?? 0);
     this.workerCrashes.set(session?.crashCounts.workerCrashes ?? 0);
     this.jobsGivenUp.set(session?.crashCounts.jobsGivenUp ?? 0);
+    this.workersBySpeed.reset();
+    for (const [speed, count] of Object.entries(session?.speedCounts ?? {})) {
+      this.workersBySpeed.set({speed}, Number(count));
+    }
     return this.registry.metrics();
   }
 }
--- a/src/leader/jobs/reports.ts
+++ b/src/leader/jobs/reports.ts
@@ -8,6 +8,7 @@
 import type {Instant} from '../../model/ids.js';
 import type {HostedConfiguration} from '../../model/queues.js';
 import type {Job, Unit} from './jobs.js';
+import type {Machine, WorkerSpeeds} from '../workers/worker_speeds.js';
 import type {WorkerState} from '../workers/worker_state.js';
 
 export const jobSummarySchema = z.object({
@@ -39,6 +40,14 @@
       workerId: z.string(),
       phase: z.string(),
       percent: z.number(),
+      /** Speed of the run's worker, if the leader uses speeds. */
+      speed: z
+        .object({
+          /** Run time as a multiple of the usual one. */
+          factor: z.number(),
+          observations: z.number(),
+        })
+        .optional(),
     }),
   ),
   /** Why the unit waits; absent if it has runs. */
@@ -69,6 +78,7 @@
   readonly configuration: HostedConfiguration | undefined;
   readonly now: Instant;
   readonly steady: SteadyTime;
+  readonly speeds?: WorkerSpeeds | undefined;
   /** True if the worker may run the unit by its queue's policy. */
   admits(unit: Unit, worker: WorkerState): boolean;
 }
@@ -102,26 +112,32 @@
       name: `${unit.occurrence}.${unit.stepIndex}.${unit.firstIndex}`,
       tasks: unit.taskCount,
       failures: unit.failures,
-      runs: unit.runs.map(
-        ({
-          task,
-          runNumber: run,
-          workerId,
-          phase,
-          progressPercent: percent,
-        }) => ({
-          task,
-          run,
-          workerId,
-          phase,
-          percent,
-        }),
-      ),
+      runs: unit.runs.map((run) => ({
+        task: run.task,
+        run: run.runNumber,
+        workerId: run.workerId,
+        phase: run.phase,
+        percent: run.progressPercent,
+        ...(view.speeds === undefined
+          ? {}
+          : {speed: reportSpeed(view.speeds, run)}),
+      })),
       ...(unit.runs.length > 0 ? {} : {reason: waitingReason(unit, view)}),
     })),
   };
 }
 
+function reportSpeed(
+  speeds: WorkerSpeeds,
+  machine: Machine,
+): {factor: number; observations: number} {
+  const {factor, observations} = speeds.speedOf(machine);
+  return {
+    factor: Number(factor.toFixed(2)),
+    observations: Math.round(observations),
+  };
+}
+
 /** Returns one sentence for operators on why a unit has no runs. */
 export function waitingReason(unit: Unit, view: ReportView): string {
   const {job, step} = unit;
--- a/src/leader/planning/worker_choice.ts
+++ b/src/leader/planning/worker_choice.ts
@@ -7,12 +7,10 @@
 import {instant} from '../../model/ids.js';
 import type {CrashHistory} from '../losses/crash_history.js';
 import type {Unit} from '../jobs/jobs.js';
+import {stepsOf} from '../workers/worker_speeds.js';
 import type {WorkerSpeeds} from '../workers/worker_speeds.js';
 import type {FreeCapacity} from './free_capacity.js';
 
-/** Workers whose speeds differ by less than this factor count as alike. */
-const SPEED_STEP = 1.5;
-
 /**
  * Share of the slack that a slow worker may use up; the rest is for run times
  * that vary.
@@ -101,7 +99,7 @@
     let rank = this.ranks.get(capacity);
     if (rank === undefined) {
       const {factor} = this.speeds.speedOf(capacity.worker.entry);
-      const step = Math.round(Math.log(factor) / Math.log(SPEED_STEP));
+      const step = stepsOf(factor);
       rank = this.isSufficient(capacity) ? -step : TOO_SLOW + step;
       this.ranks.set(capacity, rank);
     }
--- a/src/leader/session.ts
+++ b/src/leader/session.ts
@@ -49,6 +49,7 @@
 import {WorkerOutages} from './losses/worker_outages.js';
 import type {WorkerState} from './workers/worker_state.js';
 import {WorkerSpeeds} from './workers/worker_speeds.js';
+import type {SpeedCounts} from './workers/worker_speeds.js';
 import {WorkerTable} from './workers/worker_table.js';
 
 /** Attempts if neither the configuration nor the submission has a number. */
@@ -248,10 +249,16 @@
       configuration: this.configuration(),
       now: this.now(),
       steady,
+      speeds: this.workerSpeeds,
       admits: (unit, worker) => this.admissions.admits(unit, worker, steady),
     });
   }
 
+  /** Undefined if workers are chosen without regard to their speeds. */
+  get speedCounts(): SpeedCounts | undefined {
+    return this.workerSpeeds?.counts(this.workerTable.workers.values());
+  }
+
   workerCounts(now: SteadyTime): WorkerCounts {
     return countWorkers(this.workerTable.workers.values(), now);
   }
--- a/src/leader/workers/worker_speeds.ts
+++ b/src/leader/workers/worker_speeds.ts
@@ -60,6 +60,20 @@
 /** Workers that differ by less, as a logarithm, are treated as alike. */
 const NEGLIGIBLE_SPREAD = 0.08;
 
+/** Workers whose speeds differ by less than this factor count as alike. */
+export const SPEED_STEP = 1.5;
+
+/** How many workers have which speed; `unknown` ones are taken as usual. */
+export interface SpeedCounts {
+  readonly fast: number;
+  readonly usual: number;
+  readonly slow: number;
+  readonly unknown: number;
+}
+
+/** With less confidence a worker counts as unknown in reports. */
+const REPORTED_CONFIDENCE = 0.5;
+
 const USUAL: WorkerSpeed = {
   factor: 1,
   cautiousFactor: 1,
@@ -141,6 +155,17 @@
     return Math.max(...machines.map((each) => this.speedOf(each).factor));
   }
 
+  counts(workers: Iterable<WorkerState>): SpeedCounts {
+    const counts = {fast: 0, usual: 0, slow: 0, unknown: 0};
+    for (const {entry, isListed} of workers) {
+      if (!isListed) continue;
+      const {factor, confidence} = this.speedOf(entry);
+      if (confidence < REPORTED_CONFIDENCE) counts.unknown += 1;
+      else counts[SPEED_NAMES[Math.sign(stepsOf(factor))] ?? 'usual'] += 1;
+    }
+    return counts;
+  }
+
   /** Reads the progress of all runs and updates the speeds. */
   observe(workers: Iterable<WorkerState>, now: Instant): void {
     for (const [name, siblings] of this.siblings) {
@@ -277,6 +302,16 @@
   }
 }
 
+const SPEED_NAMES: Readonly<Record<number, keyof SpeedCounts>> = {
+  [-1]: 'fast',
+  1: 'slow',
+};
+
+/** Returns by how many steps a worker is slower than usual; negative: faster. */
+export function stepsOf(factor: number): number {
+  return Math.round(Math.log(factor) / Math.log(SPEED_STEP));
+}
+
 function keyOf({vmId, workerId}: Machine): string {
   return vmId ?? workerId;
 }
--- a/test/leader_load.ts
+++ b/test/leader_load.ts
@@ -28,6 +28,7 @@
 import {HostedConfiguration} from '../src/model/queues.js';
 import type {Step, Submission} from '../src/model/submissions.js';
 import type {Load, QueueLoad} from './leader_loads.js';
+import {UnevenWorkers, nextNormal, reportProgress} from './uneven_workers.js';
 
 /** Time between two scheduling rounds, in milliseconds. */
 const ROUND_INTERVAL_MS = 50;
@@ -38,21 +39,12 @@
 /** Time that a stop takes on a worker, in milliseconds. */
 const STOP_MS = 60;
 
-/** Interval at which workers report progress, in milliseconds. */
-const REPORT_INTERVAL_MS = 200;
-
 /** Interval of a task's own checkpoints, in milliseconds of its work. */
 const CHECKPOINT_INTERVAL_MS = 1_000;
 
 /** Factor by which a task runs longer away from its data or its gang's rack. */
 const REMOTE_FACTOR = 3;
 
-/**
- * How much less work than a step's longest task the others have, as a standard
- * deviation of the logarithm. A job's objective counts its longest tasks.
- */
-const TASK_SPREAD = 0.1;
-
 /** Work later than this multiple of its objective is worth nothing. */
 const LATEST_OBJECTIVES = 3;
 
@@ -114,9 +106,7 @@
   private readonly remainingMs = new Map<Unit, number>();
   private readonly runTimes: RunTimeTable;
   private readonly speeds: WorkerSpeeds | undefined;
-  /** Draws only what concerns speeds, so that other draws do not depend on it. */
-  private readonly speedRandom: SeededRandom;
-  private readonly factors = new Map<WorkerId, number>();
+  private readonly unevenWorkers: UnevenWorkers;
   private lostCoreSeconds = 0;
   private busyAcceleratorMs = 0;
   private longestGuaranteedWaitMs = 0;
@@ -129,7 +119,7 @@
     learnsSpeeds = false,
   ) {
     this.random = new SeededRandom(seed);
-    this.speedRandom = new SeededRandom(seed);
+    this.unevenWorkers = new UnevenWorkers(load.speedFactors, seed);
     if (learnsSpeeds) this.speeds = new WorkerSpeeds();
     this.runTimes = new RunTimeTable(this.speeds);
     this.configuration = this.createConfiguration();
@@ -152,7 +142,7 @@
       }
       this.endRuns(now);
       this.updateAbsences(now);
-      this.reportProgress(now);
+      reportProgress(this.active.values(), this.workers, this.speeds, now);
       const startedAt = performance.now();
       this.runRound(now);
       const roundMs = performance.now() - startedAt;
@@ -210,9 +200,7 @@
       const rackId = trustedId<RackId>(`rack-${rack}`);
       for (let index = 0; index < load.workersPerRack; index += 1) {
         const workerId = trustedId<WorkerId>(`w${rack}-${index}`);
-        const {speedFactors = [1]} = load;
-        const position = this.speedRandom.nextBelow(speedFactors.length);
-        this.factors.set(workerId, speedFactors[position] ?? 1);
+        this.unevenWorkers.add(workerId);
         this.workers.set(
           workerId,
           new WorkerState({
@@ -308,8 +296,7 @@
 
   /** Returns a positive number with this mean and spread of its logarithm. */
   private logarithmic(mean: number, spread: number): number {
-    const radius = Math.sqrt(-2 * Math.log(1 - this.random.next()));
-    const normal = radius * Math.cos(2 * Math.PI * this.random.next());
+    const normal = nextNormal(this.random);
     return mean * Math.exp(spread * normal - (spread * spread) / 2);
   }
 
@@ -382,7 +369,7 @@
     const remoteFactor =
       step.sameRack === true && racks.size > 1 ? REMOTE_FACTOR : 1;
     const factors = workers.map(
-      ({workerId}) => remoteFactor * this.taskFactor(workerId),
+      ({workerId}) => remoteFactor * this.unevenWorkers.taskFactor(workerId),
     );
     const slowdown = Math.max(...factors);
     const wholeMs = this.remainingMs.get(unit) ?? this.workMsOf(unit);
@@ -402,28 +389,6 @@
     });
   }
 
-  /** Time of a task on the worker as a multiple of the step's usual time. */
-  private taskFactor(workerId: WorkerId): number {
-    if (this.load.speedFactors === undefined) return 1;
-    const radius = Math.sqrt(-2 * Math.log(1 - this.speedRandom.next()));
-    const normal = radius * Math.cos(2 * Math.PI * this.speedRandom.next());
-    return (
-      (this.factors.get(workerId) ?? 1) *
-      Math.exp(-TASK_SPREAD * Math.abs(normal))
-    );
-  }
-
-  private reportProgress(now: number): void {
-    if (this.speeds === undefined || now % REPORT_INTERVAL_MS !== 0) return;
-    for (const {runs, startsAt, memberMs} of this.active.values()) {
-      runs.forEach(({progress}, index) => {
-        const share = (now - startsAt) / (memberMs[index] ?? Infinity);
-        progress.add(Math.floor(100 * share), now);
-      });
-    }
-    this.speeds.observe(this.workers.values(), instant(now));
-  }
-
   private breaksFirst({job}: Unit): boolean {
     const {breakingShare} = this.jobs.get(job.id)?.queue ?? {breakingShare: 0};
     return this.random.next() < breakingShare;
--- a/test/worker_speeds.test.ts
+++ b/test/worker_speeds.test.ts
@@ -14,10 +14,14 @@
 import type {JobId, VmId, WorkerId} from '../src/model/ids.js';
 import {LoadReplay} from './leader_load.js';
 import {overloadedSite, unevenSite} from './leader_loads.js';
+import {nextNormal} from './uneven_workers.js';
 
 const SHAPE = {processorMillicores: 1_000, memoryMegabytes: 1, accelerators: 1};
 const WORKERS = 60;
 
+/** Standard deviation of the logarithm of the work of a step's tasks. */
+const TASK_SPREAD = 0.25;
+
 /** Hash of the planner's decisions on a load, from before it knew of speeds. */
 const RECORDED_DECISIONS = 'a82192049c73450b';
 
@@ -119,9 +123,8 @@
       instant(this.now),
       entry.vmId,
     );
-    const radius = Math.sqrt(-2 * Math.log(1 - this.random.next()));
-    const normal = radius * Math.cos(2 * Math.PI * this.random.next());
-    this.workMs.set(run, unit.step.estimatedMs * Math.exp(0.25 * normal));
+    const spread = TASK_SPREAD * nextNormal(this.random);
+    this.workMs.set(run, unit.step.estimatedMs * Math.exp(spread));
     return run;
   }
 
