--- a/src/entry/entry_metrics.ts
+++ b/src/entry/entry_metrics.ts
@@ -78,6 +78,12 @@
     labelNames: ['cause'],
     registers: [this.registry],
   });
+  private readonly workersBySpeed = new Gauge({
+    name: `${NAME_PREFIX}workers_by_speed`,
+    help: 'Workers by learned speed, on the leader, if it uses speeds',
+    labelNames: ['speed'],
+    registers: [this.registry],
+  });
 
   recordAnswer(method: string, kind: string, tookMs: number): void {
     this.answers.inc({method, kind});
@@ -99,6 +105,10 @@
       this.lostRuns.set({cause}, runs);
       this.lostCoreSeconds.set({cause}, coreSeconds);
     }
+    this.workersBySpeed.reset();
+    for (const [speed, count] of Object.entries(session?.speedCounts ?? {})) {
+      this.workersBySpeed.set({speed}, Number(count));
+    }
     return this.registry.metrics();
   }
 }
--- a/src/leader/session.ts
+++ b/src/leader/session.ts
@@ -58,6 +58,7 @@
 import type {WorkerState} from './workers/worker_state.js';
 import {WorkerSpeeds} from './workers/worker_speeds.js';
 import {sendPlannedStops} from './workers/planned_stops.js';
+import type {SpeedCounts} from './workers/worker_speeds.js';
 import {WorkerTable} from './workers/worker_table.js';
 
 /** Attempts if neither the configuration nor the submission has a number. */
@@ -261,10 +262,16 @@
       configuration: this.configuration(),
       now: this.now(),
       steady,
+      speeds: this.workerSpeeds,
       admits: (unit, worker) => this.admissions.admits(unit, worker, steady),
     });
   }
 
+  /** Undefined if workers are chosen without regard to their speeds. */
+  get speedCounts(): SpeedCounts | undefined {
+    return this.workerSpeeds?.counts(this.workerTable.workers.values());
+  }
+
   workerCounts(now: SteadyTime): WorkerCounts {
     return countWorkers(this.workerTable.workers.values(), now);
   }
--- a/test/leader_load.ts
+++ b/test/leader_load.ts
@@ -16,6 +16,7 @@
 import type {Placement} from '../src/leader/planning/placement.js';
 import type {PlanningView} from '../src/leader/planning/planning_view.js';
 import {RunTimeTable} from '../src/leader/jobs/run_times.js';
+import {WorkerSpeeds} from '../src/leader/workers/worker_speeds.js';
 import {WorkerState} from '../src/leader/workers/worker_state.js';
 import {steadyTime} from '../src/lifecycle/clock.js';
 import {SeededRandom} from '../src/lifecycle/random.js';
@@ -31,6 +32,8 @@
 import {HostedConfiguration} from '../src/model/queues.js';
 import type {Step, Submission} from '../src/model/submissions.js';
 import type {Load, QueueLoad} from './leader_loads.js';
+import type {LoadOutcome, QueueOutcome} from './load_outcome.js';
+import {UnevenWorkers, nextNormal, reportProgress} from './uneven_workers.js';
 
 /** Time between two scheduling rounds, in milliseconds. */
 const ROUND_INTERVAL_MS = 50;
@@ -53,28 +56,6 @@
 
 const SERVICE_ID = trustedId<ServiceId>('service');
 
-/** What the callers of one queue got; shares of the work that they asked for. */
-export interface QueueOutcome {
-  readonly jobs: number;
-  readonly onTime: number;
-  /** Within three times the objective, those on time included. */
-  readonly useful: number;
-}
-
-export interface LoadOutcome {
-  readonly queues: ReadonlyMap<string, QueueOutcome>;
-  /** Core-seconds that preemptions threw away. */
-  readonly lostCoreSeconds: number;
-  /** Stops of whole units for other work. */
-  readonly preemptions: number;
-  readonly acceleratorUtilization: number;
-  /** Longest wait of a job within its customer's guarantee, in milliseconds. */
-  readonly longestGuaranteedWaitMs: number;
-  readonly rounds: number;
-  readonly slowestRoundMs: number;
-  readonly roundsMs: number;
-}
-
 interface LoadedJob {
   readonly job: Job;
   readonly queue: QueueLoad;
@@ -88,6 +69,8 @@
   readonly unit: Unit;
   readonly startsAt: number;
   readonly slowdown: number;
+  /** Time that each member needs on its worker, in milliseconds. */
+  readonly memberMs: readonly number[];
   endsAt: number;
   isStopped: boolean;
   readonly breaks: boolean;
@@ -103,7 +86,9 @@
   private readonly open = new Set<Job>();
   private readonly active = new Map<Unit, ActiveRun>();
   private readonly remainingMs = new Map<Unit, number>();
-  private readonly runTimes = new RunTimeTable();
+  private readonly runTimes: RunTimeTable;
+  private readonly speeds: WorkerSpeeds | undefined;
+  private readonly unevenWorkers: UnevenWorkers;
   private lostCoreSeconds = 0;
   private preemptions = 0;
   private busyAcceleratorMs = 0;
@@ -115,8 +100,12 @@
     seed: number,
     private readonly planner: Planner = planRound,
     private readonly preemption: PreemptionPolicy = new ImmediatePreemption(),
+    learnsSpeeds = false,
   ) {
     this.random = new SeededRandom(seed);
+    this.unevenWorkers = new UnevenWorkers(load.speedFactors, seed);
+    if (learnsSpeeds) this.speeds = new WorkerSpeeds();
+    this.runTimes = new RunTimeTable(this.speeds);
     this.configuration = this.createConfiguration();
     this.createWorkers();
   }
@@ -137,6 +126,7 @@
       }
       this.endRuns(now);
       this.updateAbsences(now);
+      reportProgress(this.active.values(), this.workers, this.speeds, now);
       const startedAt = performance.now();
       this.runRound(now);
       const roundMs = performance.now() - startedAt;
@@ -195,6 +185,7 @@
       const rackId = trustedId<RackId>(`rack-${rack}`);
       for (let index = 0; index < load.workersPerRack; index += 1) {
         const workerId = trustedId<WorkerId>(`w${rack}-${index}`);
+        this.unevenWorkers.add(workerId);
         this.workers.set(
           workerId,
           new WorkerState({
@@ -291,8 +282,7 @@
 
   /** Returns a positive number with this mean and spread of its logarithm. */
   private logarithmic(mean: number, spread: number): number {
-    const radius = Math.sqrt(-2 * Math.log(1 - this.random.next()));
-    const normal = radius * Math.cos(2 * Math.PI * this.random.next());
+    const normal = nextNormal(this.random);
     return mean * Math.exp(spread * normal - (spread * spread) / 2);
   }
 
@@ -333,6 +323,7 @@
       configuration: this.configuration,
       runTimes: this.runTimes,
       preemption: this.preemption,
+      speeds: this.speeds,
       now: instant(now),
       steady: steadyTime(now),
       isCalm: true,
@@ -363,9 +354,14 @@
       worker.add(run);
       return run;
     });
+    for (const run of runs) run.members = runs;
     const racks = new Set(workers.map(({entry}) => entry.rackId));
-    const slowdown =
+    const remoteFactor =
       step.sameRack === true && racks.size > 1 ? REMOTE_FACTOR : 1;
+    const factors = workers.map(
+      ({workerId}) => remoteFactor * this.unevenWorkers.taskFactor(workerId),
+    );
+    const slowdown = Math.max(...factors);
     const wholeMs = this.remainingMs.get(unit) ?? this.workMsOf(unit);
     const breaks = unit.lastRun === 1 && this.breaksFirst(unit);
     const workMs = breaks ? wholeMs / 2 : wholeMs;
@@ -376,6 +372,7 @@
       unit,
       startsAt,
       slowdown,
+      memberMs: factors.map((factor) => workMs * factor),
       endsAt: startsAt + workMs * slowdown,
       isStopped: false,
       breaks,
@@ -453,7 +450,11 @@
       const isStopped = active.isStopped || active.breaks;
       this.active.delete(unit);
       for (const run of runs) {
-        this.workers.get(run.workerId)?.remove(run);
+        const worker = this.workers.get(run.workerId);
+        worker?.remove(run);
+        if (worker !== undefined) {
+          this.speeds?.recordEnd(run, worker, undefined, instant(now));
+        }
         this.busyAcceleratorMs +=
           (active.endsAt - active.startsAt) * unit.step.shape.accelerators;
         unit.job.runEnded(
--- a/test/leader_loads.ts
+++ b/test/leader_loads.ts
@@ -60,6 +60,8 @@
   readonly checkpointIntervalMs: number;
   /** A stop saves the state of a task with checkpoints. */
   readonly savesAtStop: boolean;
+  /** Run time of a worker as a multiple of the usual one; absent: all alike. */
+  readonly speedFactors?: readonly number[];
 }
 
 /** Long gangs that may wait; they need many accelerators at once. */
@@ -224,3 +226,21 @@
     savesAtStop: true,
   };
 }
+
+/**
+ * A site with room for all its work, on which one worker of three is fast and
+ * one is slow, so that most gangs meet a slow one by chance.
+ */
+export function unevenSite(): Load {
+  return {
+    ...overloadedSite(0.5),
+    queues: [
+      {...BAKE, jobsPerSecond: 1},
+      {...CHECK, jobsPerSecond: 5},
+      {...SCAN, jobsPerSecond: 1.5},
+    ],
+    bursts: [],
+    absences: [],
+    speedFactors: [0.6, 1, 1.6],
+  };
+}
