--- a/test/leader_load.test.ts
+++ b/test/leader_load.test.ts
@@ -11,7 +11,7 @@
 import type {PlanningView} from '../src/leader/planning/planning_view.js';
 import type {WorkerState} from '../src/leader/workers/worker_state.js';
 import {LoadReplay} from './leader_load.js';
-import type {LoadOutcome} from './leader_load.js';
+import type {LoadOutcome} from './load_outcome.js';
 import {overloadedSite} from './leader_loads.js';
 
 /** Share of the large site's workers and load, to limit the time. */
