--- a/test/leader_evacuation.test.ts
+++ b/test/leader_evacuation.test.ts
@@ -87,7 +87,7 @@
     );
     const {unanswering} = leader.orderFaults;
     for (const {entry} of south) unanswering.add(entry.workerId);
-    submitToAll(1_500);
+    submitToAll(5_000);
     await until('a start in the south', () => runsIn(SOUTH) > 0);
     fixture.site.zones.evacuate(SOUTH);
     const withheld = () =>
@@ -95,7 +95,8 @@
     await until('a repetition is withheld', () => withheld() > 0);
     unanswering.clear();
     await until('the south is empty', () => runsIn(SOUTH) === 0);
-    assert.equal(runsIn(NORTH), 16);
+    await until('the north is full', () => runsIn(NORTH) === 16);
+    assert.equal(runsIn(SOUTH), 0);
   });
 
   it('is used after the other zone while its workers are cold', async () => {
--- a/test/leader_workers.test.ts
+++ b/test/leader_workers.test.ts
@@ -172,6 +172,20 @@
     await runJob();
   });
 
+  it('no end is discarded by an acknowledgement that waits at its successor', async () => {
+    const [worker] = fixture.site.workers.values();
+    fixture.submit(submission(), 5_000);
+    await until('a long task runs', () => fixture.runCount === 1);
+    leader.orderFaults.renewalTransitMs = 300;
+    await runJob();
+    // The acknowledgement is under way, and arrives before the next job ends.
+    await delay(100);
+    worker?.endNow(Date.now());
+    worker?.startAgain(Date.now());
+    const jobId = fixture.submit(submission(), 400);
+    await fixture.untilState(leader, jobId, 'complete');
+  });
+
   it('a gang whose worker crashes before all members are sent runs again', async () => {
     const gang = step({taskCount: 4, gang: true});
     leader.storeFaults.slowMs = 100;
