Learn which kinds of work slow each other down

Ends of runs show which kinds of work run longer beside which others on one worker, but nothing looked at them. InterferenceTable compares runs of one step with each other and then those on one worker with each other. NeighbourTable notes the kinds beside a run shortly after its start. keepApart orders a unit's workers by it, once the planner gets a table.

--- a/src/leader/planning/free_capacity.ts
+++ b/src/leader/planning/free_capacity.ts
@@ -4,13 +4,14 @@
  */
 
 import type {SteadyTime} from '../../lifecycle/clock.js';
-import type {Instant, RackId, ServiceId} from '../../model/ids.js';
+import type {Instant, RackId, ServiceId, WorkKind} from '../../model/ids.js';
 import type {TaskShape} from '../../model/submissions.js';
 import {PROVEN_AFTER_MS} from '../jobs/runs.js';
 import type {Unit} from '../jobs/jobs.js';
 import type {Run} from '../jobs/runs.js';
 import type {PlanningView} from './planning_view.js';
 import type {RunTimeTable} from '../jobs/run_times.js';
+import {kindOf} from '../workers/neighbours.js';
 import type {WorkerState} from '../workers/worker_state.js';
 
 export interface ExpectedEnd {
@@ -40,6 +41,9 @@
   private isolatedFor: Unit | undefined;
   /** A unit was placed in this round. */
   private isAllocated = false;
+  /** Kinds of work on the worker, computed when first needed. */
+  private kinds: Set<WorkKind> | undefined;
+  private readonly placedKinds = new Set<WorkKind>();
 
   constructor(readonly worker: WorkerState) {
     const free = worker.freeCapacity();
@@ -87,6 +91,17 @@
     return this.processorMillicores;
   }
 
+  /** True if a run or a placement on the worker is of one of these kinds. */
+  hasAnyOf(kinds: ReadonlySet<WorkKind>): boolean {
+    this.kinds ??= new Set(
+      [...this.worker.runs.values()].map(({unit}) => kindOf(unit)),
+    );
+    for (const kind of kinds) {
+      if (this.kinds.has(kind) || this.placedKinds.has(kind)) return true;
+    }
+    return false;
+  }
+
   /** Returns the worker's runs in the order of their expected ends. */
   expectedEnds(runTimes: RunTimeTable, now: Instant): readonly ExpectedEnd[] {
     this.ends ??= [...this.worker.runs.values()]
@@ -164,6 +179,7 @@
     const {step} = unit;
     const key = stepKey(unit);
     this.isAllocated = true;
+    this.placedKinds.add(kindOf(unit));
     this.placed.set(key, (this.placed.get(key) ?? 0) + count);
     const processor = step.shape.processorMillicores * count;
     this.spareProcessor -= processor;
--- a/src/leader/planning/placement.ts
+++ b/src/leader/planning/placement.ts
@@ -11,6 +11,8 @@
 import {FreeCapacityTables} from './free_capacity.js';
 import {ExhaustedShapes} from './exhausted_shapes.js';
 import {holdVacating, mayIsolate, mayShareWorkers} from './isolation.js';
+import {keepApart} from './interference_order.js';
+import type {Candidate} from './interference_order.js';
 import type {Job, Unit} from '../jobs/jobs.js';
 import type {Run} from '../jobs/runs.js';
 import type {PlanningView} from './planning_view.js';
@@ -191,6 +193,8 @@
         remaining.length * unit.taskCount,
         table.eligible(group, unit),
         endsAt,
+        (candidates) =>
+          keepApart(unit, candidates, table, this.view.interference),
       );
       const fitting = Math.floor(chosen.length / unit.taskCount);
       remaining.slice(0, fitting).forEach((each, position) => {
@@ -391,13 +395,14 @@
   count: number,
   capacities: readonly FreeCapacity[],
   endsAt: Instant,
+  reorder: (candidates: readonly Candidate[]) => readonly Candidate[],
 ): FreeCapacity[] {
   const sorted = capacities
     .map((capacity) => ({capacity, slots: capacity.slotsUntil(unit, endsAt)}))
     .filter(({slots}) => slots > 0)
     .sort((a, b) => comparePreference(unit, a.capacity, b.capacity));
   const chosen: FreeCapacity[] = [];
-  for (const {capacity, slots} of sorted) {
+  for (const {capacity, slots} of reorder(sorted)) {
     const tasks = Math.min(slots, count - chosen.length);
     for (let i = 0; i < tasks; i += 1) chosen.push(capacity);
     if (chosen.length === count) break;
--- a/src/leader/planning/planning_view.ts
+++ b/src/leader/planning/planning_view.ts
@@ -5,6 +5,7 @@
 import type {HostedConfiguration} from '../../model/queues.js';
 import type {Job, Unit} from '../jobs/jobs.js';
 import type {RunTimeTable} from '../jobs/run_times.js';
+import type {KnownInterference} from '../workers/interference.js';
 import type {WorkerState} from '../workers/worker_state.js';
 
 export interface PlanningView {
@@ -16,6 +17,8 @@
   readonly steady: SteadyTime;
   /** False while many workers become silent or end. */
   readonly isCalm: boolean;
+  /** Absent unless kinds of work that slow each other down are kept apart. */
+  readonly interference?: KnownInterference | undefined;
   /** True if the worker may run the unit by its queue's policy. */
   admits(unit: Unit, worker: WorkerState): boolean;
 }
--- a/src/model/ids.ts
+++ b/src/model/ids.ts
@@ -40,6 +40,7 @@
 export const workerIdSchema = hostedName.brand<'WorkerId'>();
 export const hostedCustomerIdSchema = hostedName.brand<'CustomerId'>();
 export const hostedVmIdSchema = hostedName.brand<'VmId'>();
+const workKindSchema = hostedName.brand<'WorkKind'>();
 
 /** Milliseconds since the Unix epoch. */
 export const instantSchema = z.number().nonnegative().brand<'Instant'>();
@@ -65,6 +66,8 @@
 export type ChangeId = z.infer<typeof changeIdSchema>;
 /** A queue of a hosted site, to which callers submit jobs. */
 export type QueueId = z.infer<typeof queueIdSchema>;
+/** Work whose tasks behave alike, see `kindOf`. */
+export type WorkKind = z.infer<typeof workKindSchema>;
 /** A group of workers that run the jobs of certain queues. */
 export type ServiceId = z.infer<typeof serviceIdSchema>;
 /** A worker of a hosted site; all its incarnations share the id. */
@@ -87,7 +90,8 @@
   | ChangeId
   | QueueId
   | ServiceId
-  | WorkerId;
+  | WorkerId
+  | WorkKind;
 
 /** Creates a random id with a readable prefix, for example `job-<uuid>`. */
 export function randomId<T extends BrandedId>(prefix: string): T {
