Estimate interference by step and worker, and show the pairs

A run's time depends on its job and its worker more than on neighbours. A fit with a constant per step and per worker separates them. Operators see the pairs by site interference, two metrics and one log line each.

--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -26,6 +26,7 @@
 import {
   SiteCancelCommand,
   SiteJobCommand,
+  SiteInterferenceCommand,
   SiteJobsCommand,
   SiteStatusCommand,
 } from './site_commands.js';
@@ -53,6 +54,7 @@
   DrainCommand,
   AuditCommand,
   SiteStatusCommand,
+  SiteInterferenceCommand,
   SiteJobsCommand,
   SiteJobCommand,
   SiteCancelCommand,
--- a/src/cli/operator_client.ts
+++ b/src/cli/operator_client.ts
@@ -25,11 +25,17 @@
 } from '../daemon/operator_messages.js';
 import {
   SITE_PATH,
+  siteInterferenceSchema,
   siteJobSchema,
   siteJobsSchema,
   siteStatusSchema,
 } from '../entry/site_operators.js';
-import type {SiteJob, SiteJobs, SiteStatus} from '../entry/site_operators.js';
+import type {
+  SiteInterference,
+  SiteJob,
+  SiteJobs,
+  SiteStatus,
+} from '../entry/site_operators.js';
 import type {Configuration} from '../model/configuration.js';
 import {jobReportSchema} from '../interfaces/peer_client.js';
 import type {JobReport} from '../interfaces/peer_client.js';
@@ -119,6 +125,14 @@
     return this.call('GET', path, siteJobSchema);
   }
 
+  siteInterference(): CallResult<SiteInterference> {
+    return this.call(
+      'GET',
+      `${SITE_PATH}/interference`,
+      siteInterferenceSchema,
+    );
+  }
+
   cancelSiteJob(jobId: string): CallResult<{jobId: string}> {
     const path = `${SITE_PATH}/jobs/${encodeURIComponent(jobId)}`;
     return this.call('DELETE', path, z.object({jobId: z.string()}));
--- a/src/cli/site_commands.ts
+++ b/src/cli/site_commands.ts
@@ -1,10 +1,10 @@
 /**
  * Commands for a site on the hosting platform: status, job lists, details of a
- * job and cancellation. `--daemon` takes the peer address of any daemon.
+ * job, work that slows other work down, and cancellation. `--daemon` takes the peer address of any daemon.
  */
 
 import {Command, Option} from 'clipanion';
-import type {SiteStatus} from '../entry/site_operators.js';
+import type {SiteInterference, SiteStatus} from '../entry/site_operators.js';
 import type {JobReport} from '../leader/jobs/reports.js';
 import {OperatorCommand} from './command.js';
 import {formatTime, writeTable} from './output.js';
@@ -128,6 +128,37 @@
   }
 }
 
+export class SiteInterferenceCommand extends OperatorCommand {
+  static override paths = [['site', 'interference']];
+  static override usage = Command.Usage({
+    category: 'Hosted site',
+    description: 'List the kinds of work that slow each other down',
+  });
+
+  override async execute(): Promise<number> {
+    return this.reportResult(
+      await this.client().siteInterference(),
+      ({pairs}) => {
+        if (pairs.length === 0) this.writeLine('no pair is known');
+        else this.print(pairs);
+      },
+    );
+  }
+
+  private print(pairs: SiteInterference['pairs']): void {
+    writeTable(
+      this.context.stdout,
+      ['SLOWED', 'BESIDE', 'RUN TIME', 'RUNS SEEN'],
+      pairs.map(({slowed, beside, slowdown, observations}) => [
+        slowed,
+        beside,
+        `${slowdown.toFixed(2)}x`,
+        String(observations),
+      ]),
+    );
+  }
+}
+
 export class SiteCancelCommand extends OperatorCommand {
   static override paths = [['site', 'cancel']];
   static override usage = Command.Usage({
--- a/src/entry/entry_daemon.ts
+++ b/src/entry/entry_daemon.ts
@@ -124,6 +124,7 @@
         cores: settings.cores,
         linkMbps: settings.linkMbps,
         holdMaximumMs: settings.workerLeaseMs,
+        keepsApart: settings.keepApart,
         stateRetentionMs: settings.stateRetentionS * 1_000,
       },
       this.site,
--- a/src/entry/entry_metrics.ts
+++ b/src/entry/entry_metrics.ts
@@ -51,6 +51,17 @@
     registers: [this.registry],
   });
 
+  private readonly interferingPairs = new Gauge({
+    name: `${NAME_PREFIX}interfering_pairs`,
+    help: 'Pairs of kinds of work that slow each other down, on the leader',
+    registers: [this.registry],
+  });
+  private readonly largestSlowdown = new Gauge({
+    name: `${NAME_PREFIX}interference_largest_slowdown`,
+    help: 'Largest factor of a run time in such a pair, 1 without pairs',
+    registers: [this.registry],
+  });
+
   recordAnswer(method: string, kind: string, tookMs: number): void {
     this.answers.inc({method, kind});
     this.answerSeconds.observe({method}, tookMs / MILLISECONDS_PER_SECOND);
@@ -61,6 +72,9 @@
     this.openJobs.set(session?.openJobCount ?? 0);
     this.workerCrashes.set(session?.crashCounts.workerCrashes ?? 0);
     this.jobsGivenUp.set(session?.crashCounts.jobsGivenUp ?? 0);
+    const pairs = session?.interferingPairs ?? [];
+    this.interferingPairs.set(pairs.length);
+    this.largestSlowdown.set(pairs[0]?.slowdown ?? 1);
     return this.registry.metrics();
   }
 }
--- a/src/entry/settings.ts
+++ b/src/entry/settings.ts
@@ -53,6 +53,12 @@
   vmService: vmServiceSchema
     .optional()
     .describe('Service for the VMs of workers.'),
+  keepApart: z
+    .boolean()
+    .optional()
+    .describe(
+      'Whether kinds of work that slow each other down are placed on different workers, where there is room.',
+    ),
   cores: z
     .number()
     .positive()
--- a/src/entry/site_operators.ts
+++ b/src/entry/site_operators.ts
@@ -1,6 +1,6 @@
 /**
  * HTTP API for operators of a hosted site, on the peer address: status, open
- * jobs, why a job waits, and cancellation. A daemon that is not the leader
+ * jobs, why a job waits, which work slows other work down, and cancellation. A daemon that is not the leader
  * forwards queries about jobs to the leader.
  */
 
@@ -25,6 +25,7 @@
 
 export const SITE_PATH = '/operator/site';
 const JOBS_PATH = `${SITE_PATH}/jobs`;
+const INTERFERENCE_PATH = `${SITE_PATH}/interference`;
 
 /** Marks a query that another daemon forwarded. */
 const FORWARDED_HEADER = 'bramleystep-passed';
@@ -56,6 +57,20 @@
 export const siteJobSchema = jobReportSchema;
 export type SiteJob = z.infer<typeof siteJobSchema>;
 
+export const siteInterferenceSchema = z.object({
+  pairs: z.array(
+    z.object({
+      /** The kind of work that runs longer. */
+      slowed: z.string(),
+      beside: z.string(),
+      /** Factor of the run time. */
+      slowdown: z.number(),
+      observations: z.number(),
+    }),
+  ),
+});
+export type SiteInterference = z.infer<typeof siteInterferenceSchema>;
+
 /** Error response in the format that the operators' tool expects. */
 interface Problem {
   readonly status: number;
@@ -99,14 +114,17 @@
       await this.cancel(jobId, response);
       return;
     }
-    const isQuery = path === JOBS_PATH || jobId !== undefined;
+    const isQuery =
+      path === JOBS_PATH || path === INTERFERENCE_PATH || jobId !== undefined;
     if (!isQuery || request.method !== 'GET') {
       sendProblem(response, NO_SUCH_PATH);
       return;
     }
     const session = this.dependencies.session();
     if (session === undefined) await this.forward(request, path, response);
-    else this.answer(session, jobId, response);
+    else if (path === INTERFERENCE_PATH) {
+      send(response, 200, {pairs: session.interferingPairs});
+    } else this.answer(session, jobId, response);
   }
 
   private status(): SiteStatus {
--- a/src/leader/leader_log.ts
+++ b/src/leader/leader_log.ts
@@ -12,6 +12,7 @@
 import type {WorkerFate} from './losses/crash_history.js';
 import type {Job, Unit} from './jobs/jobs.js';
 import type {Run} from './jobs/runs.js';
+import type {InterferingPair} from './workers/interference.js';
 import type {PaceChange} from './workers/pacing.js';
 import type {PoolMove} from './vms/pool_plan.js';
 import type {WorkerState} from './workers/worker_state.js';
@@ -140,6 +141,14 @@
     );
   }
 
+  interferenceFound(pair: InterferingPair): void {
+    this.workers.info(`interference found: ${describePair(pair)}`);
+  }
+
+  interferenceGone(pair: InterferingPair): void {
+    this.workers.info(`interference not confirmed: ${describePair(pair)}`);
+  }
+
   vmListFailed(reason: string): void {
     this.vms.warn(`cannot list the VMs: ${reason}`);
   }
@@ -313,6 +322,16 @@
   }
 }
 
+function describePair({
+  slowed,
+  beside,
+  slowdown,
+  observations,
+}: InterferingPair): string {
+  const factor = slowdown.toFixed(2);
+  return `${slowed} takes ${factor} times as long beside ${beside}, seen in ${observations} runs`;
+}
+
 function describeShape({
   processorMillicores,
   memoryMegabytes,
--- a/src/leader/session.ts
+++ b/src/leader/session.ts
@@ -24,6 +24,7 @@
 import type {WorkerFate} from './losses/crash_history.js';
 import {CrashMonitor} from './losses/crash_monitor.js';
 import type {CrashCounts} from './losses/crash_monitor.js';
+import {completedRun} from './jobs/completed_runs.js';
 import {JobRegistry} from './jobs/job_registry.js';
 import type {InboxSource} from './jobs/job_registry.js';
 import {Run} from './jobs/runs.js';
@@ -31,6 +32,8 @@
 import type {LeaderLog} from './leader_log.js';
 import {planRound} from './planning/placement.js';
 import type {Placement} from './planning/placement.js';
+import {InterferenceTable} from './workers/interference.js';
+import type {InterferingPair} from './workers/interference.js';
 import {PaceController} from './workers/pacing.js';
 import type {PaceChange} from './workers/pacing.js';
 import {PrefixFollower} from './prefix_follower.js';
@@ -58,6 +61,8 @@
 export interface SessionSettings {
   /** Longest lease that a worker accepts, in milliseconds. */
   readonly holdMaximumMs: number;
+  /** Kinds of work that slow each other down are placed apart. */
+  readonly keepsApart?: boolean | undefined;
 }
 
 export interface SessionDependencies {
@@ -81,6 +86,7 @@
   private readonly roundTimer: RoundTimer;
   private readonly runTimes = new RunTimeTable();
   private readonly paceController = new PaceController();
+  private readonly interference: InterferenceTable;
   private readonly outages: WorkerOutages;
   private readonly crashMonitor: CrashMonitor;
   /** Units for which the last round found no free capacity. */
@@ -89,7 +95,7 @@
 
   constructor(
     private readonly dependencies: SessionDependencies,
-    settings: SessionSettings,
+    private readonly settings: SessionSettings,
     private readonly authority: Authority,
     private readonly configuration: () => HostedConfiguration | undefined,
     private readonly scope: CleanupScope,
@@ -98,6 +104,10 @@
     this.clock = new SteadyClock(dependencies.clock);
     this.roundTimer = new RoundTimer(scope, () => this.runRound());
     this.registry = new JobRegistry(log);
+    this.interference = new InterferenceTable({
+      pairBelieved: (pair) => log.interferenceFound(pair),
+      pairDropped: (pair) => log.interferenceGone(pair),
+    });
     this.outages = new WorkerOutages(() => this.workerTable.listedCount);
     this.crashMonitor = new CrashMonitor(log, this.outages);
     this.commitQueue = new CommitQueue(store, authority.leaderRevision, scope, {
@@ -146,6 +156,11 @@
     return this.crashMonitor.counts;
   }
 
+  /** Kinds of work that are known to slow each other down. */
+  get interferingPairs(): readonly InterferingPair[] {
+    return this.interference.believedPairs();
+  }
+
   get openJobCount(): number {
     return this.registry.open.size;
   }
@@ -272,6 +287,7 @@
   // Runs.
 
   private runStarted(run: Run): void {
+    this.interference.runStarted(run, this.usualMs(run), this.now());
     const {job} = run.unit;
     if (job.state === 'queued') job.state = 'running';
     if (run.step.longRunning === true && !run.isStartRecorded) {
@@ -315,6 +331,7 @@
     const {job} = unit;
     const wasEnded = job.isEnded;
     const now = this.now();
+    this.learnInterference(run, ending, worker, now);
     const limit = this.maximumAttempts(job);
     const failed = job.runEnded(run, ending, checkpoint, limit, now);
     this.crashMonitor.recordEnd(run, now);
@@ -338,6 +355,7 @@
     const wasEnded = job.isEnded;
     this.dependencies.log.runLost(run, reason);
     const now = this.now();
+    this.interference.runEnded(run, now);
     job.runEnded(run, 'lost', run.checkpoint, Infinity, now);
     this.crashMonitor.recordEnd(run, now);
     this.handleRunEnd(run, wasEnded);
@@ -351,8 +369,10 @@
     const endedBefore = new Set(
       runs.map(({unit}) => unit.job).filter(({isEnded}) => isEnded),
     );
-    this.crashMonitor.recordLosses(worker, runs, fate, this.now());
+    const now = this.now();
+    this.crashMonitor.recordLosses(worker, runs, fate, now);
     for (const run of runs) {
+      this.interference.runEnded(run, now);
       const {job} = run.unit;
       this.handleRunEnd(run, endedBefore.has(job));
       if (job.isEnded) endedBefore.add(job);
@@ -407,6 +427,27 @@
     return this.admissions.ticketFor(run.unit, worker, steadyNow());
   }
 
+  private learnInterference(
+    run: Run,
+    ending: RunEnding,
+    worker: WorkerState | undefined,
+    now: Instant,
+  ): void {
+    const {step} = run;
+    const completed = completedRun(run, ending, now);
+    const isAway =
+      step.dataRack !== undefined && worker?.entry.rackId !== step.dataRack;
+    if (completed === undefined || isAway) {
+      this.interference.runEnded(run, now);
+    } else {
+      this.interference.runCompleted(completed, this.usualMs(run));
+    }
+  }
+
+  private usualMs({unit}: Run): number {
+    return this.runTimes.expectedMs(unit.job, unit.step);
+  }
+
   private maximumAttempts(job: Job): number {
     // A new leader may have no configuration yet, or the queue may be dropped.
     const queue = this.configuration()?.queue(job.queueId);
@@ -440,6 +481,8 @@
       now,
       steady,
       isCalm: this.outages.isCalm(now),
+      interference:
+        this.settings.keepsApart === true ? this.interference : undefined,
       admits: (unit, worker) => this.admissions.admits(unit, worker, steady),
     });
     this.waitingUnits = plan.waiting;
--- a/src/leader/workers/interference.ts
+++ b/src/leader/workers/interference.ts
@@ -1,13 +1,14 @@
 /**
  * Learns from the ends of runs which kinds of work run longer beside which
- * others on one worker. Runs of one step are compared with each other, and then
- * those on one worker with each other, so that neither a slow job nor a slow
- * worker looks like interference. See docs/design/interference.md.
+ * others on one worker, and for how long that is to be believed. See
+ * docs/design/interference.md.
  */
 
-import type {Instant, WorkerId, WorkKind} from '../../model/ids.js';
+import type {Instant, WorkKind} from '../../model/ids.js';
+import type {CompletedRun} from '../jobs/completed_runs.js';
 import type {Run} from '../jobs/runs.js';
-import type {Unit} from '../jobs/jobs.js';
+import {estimateEffects} from './neighbour_effects.js';
+import type {NeighbourEffect, RunCluster} from './neighbour_effects.js';
 import {NeighbourTable, kindOf} from './neighbours.js';
 
 /** Slowdown from which a pair may be believed. */
@@ -16,7 +17,7 @@
 /** A believed pair with a smaller slowdown is dropped. */
 const DROPPED_SLOWDOWN = 1.05;
 
-/** The lower bound of confidence of a believed pair is above this slowdown. */
+/** The lower bound of confidence of a pair is above this when it is believed. */
 const CERTAIN_SLOWDOWN = 1.03;
 
 /** Standard errors below the estimate; many pairs are tested many times. */
@@ -24,33 +25,27 @@
 const DROP_ERRORS = 1.5;
 
 /** Runs beside the other kind, and their workers, before a pair is believed. */
-const MINIMUM_OBSERVATIONS = 12;
+const MINIMUM_RUNS = 12;
 const MINIMUM_WORKERS = 4;
 
-/** Below this the scatter of a kind's run times is not known. */
-const MINIMUM_DEGREES_OF_FREEDOM = 30;
-const MAXIMUM_DEGREES_OF_FREEDOM = 500;
+/** Limit of the logarithm of a run time relative to the usual one. */
+const MAXIMUM_DEVIATION = 1.5;
 
-/** Smallest scatter of the logarithm of run times that is assumed. */
-const MINIMUM_SCATTER = 0.03;
+/** Latest runs of one kind that are compared with each other. */
+const MAXIMUM_CLUSTERS_PER_KIND = 1_024;
+const MAXIMUM_AGE_MS = 300_000;
 
-/** Evidence of a pair is scaled down to this, so that recent work decides. */
-const MAXIMUM_INFORMATION = 50;
-const HALF_LIFE_MS = 300_000;
+/** Over all kinds; the kind without new runs for longest is forgotten. */
+const MAXIMUM_CLUSTERS = 8_192;
 
-/** Limit of the logarithm of a run time relative to its siblings. */
-const MAXIMUM_DEVIATION = 1.5;
+/** New runs of a kind after which its pairs are estimated again. */
+const RUNS_PER_ESTIMATE = 128;
 
-const SIBLINGS_PER_BLOCK = 32;
-const RUNS_PER_WORKER_BLOCK = 6;
-const SIBLINGS_MAXIMUM_AGE_MS = 10_000;
-const WORKER_BLOCK_MAXIMUM_AGE_MS = 20_000;
-const SWEEP_INTERVAL_MS = 1_000;
+/** Interval of estimates of kinds with fewer new runs, and of decay. */
+const ESTIMATE_INTERVAL_MS = 15_000;
+const MINIMUM_NEW_RUNS = 32;
 
 const MAXIMUM_PAIRS = 1_000;
-const MAXIMUM_KINDS = 500;
-const MAXIMUM_SIBLING_BLOCKS = 256;
-const MAXIMUM_WORKER_BLOCKS = 2_048;
 
 export interface InterferingPair {
   /** The kind that runs longer. */
@@ -58,17 +53,10 @@
   readonly beside: WorkKind;
   /** Factor of the run time. */
   readonly slowdown: number;
-  /** Runs of the slowed kind that were beside the other. */
+  /** Recent runs of the slowed kind that were beside the other. */
   readonly observations: number;
 }
 
-/** Run times in milliseconds of a run that did all the work of its task. */
-export interface CompletedRunTime {
-  readonly runMs: number;
-  /** What is usual for the step on this worker. */
-  readonly expectedMs: number;
-}
-
 export interface InterferenceEvents {
   pairBelieved(pair: InterferingPair): void;
   pairDropped(pair: InterferingPair): void;
@@ -80,42 +68,15 @@
   conflictsOf(kind: WorkKind): ReadonlySet<WorkKind>;
 }
 
-/** One run, compared with its siblings. */
-interface Observation {
-  readonly workerId: WorkerId;
-  readonly neighbours: ReadonlySet<WorkKind>;
-  /** Logarithm of its run time relative to the usual one. */
-  readonly deviation: number;
-  /** Share of the siblings that each kind was beside. */
-  readonly siblingShares: ReadonlyMap<WorkKind, number>;
-}
-
-interface Sibling {
-  readonly workerId: WorkerId;
-  readonly neighbours: ReadonlySet<WorkKind>;
-  readonly deviation: number;
-}
-
-interface Block<Entry> {
-  readonly kind: WorkKind;
-  readonly openedAt: Instant;
-  readonly entries: Entry[];
-}
-
 const NO_KINDS: ReadonlySet<WorkKind> = new Set();
-const NO_SHARES: ReadonlyMap<WorkKind, number> = new Map();
 
 export class InterferenceTable implements KnownInterference {
   private readonly neighbours = new NeighbourTable();
-  private readonly siblings = new Map<string, Block<Sibling>>();
-  private readonly workerBlocks = new Map<string, Block<Observation>>();
-  private readonly scatters = new Map<WorkKind, Scatter>();
-  /** In order of their last evidence. */
-  private readonly pairs = new Map<string, PairEvidence>();
-  /** Believed pairs by the kind that they slow down. */
-  private readonly believed = new Map<WorkKind, PairEvidence[]>();
+  /** In order of their latest runs. */
+  private readonly kinds = new Map<WorkKind, KindHistory>();
+  private clusterCount = 0;
   private conflicts = new Map<WorkKind, Set<WorkKind>>();
-  private sweptAt = 0;
+  private estimatedAt = 0;
 
   constructor(private readonly events: InterferenceEvents) {}
 
@@ -125,373 +86,209 @@
 
   /** The believed pairs, those with the largest slowdown first. */
   believedPairs(): readonly InterferingPair[] {
-    return [...this.believed.values()]
-      .flat()
-      .map((pair) => pair.toReport())
+    return [...this.kinds.values()]
+      .flatMap((history) => history.believedPairs())
       .sort((a, b) => b.slowdown - a.slowdown);
   }
 
-  runStarted(run: Run, now: Instant): void {
-    this.neighbours.runStarted(run, now);
-  }
-
-  /** `time` is absent if the run time shows nothing about its neighbours. */
-  runEnded(run: Run, time: CompletedRunTime | undefined, now: Instant): void {
-    const neighbours = this.neighbours.runEnded(run, now);
-    this.sweep(now);
-    // Which worker held up a gang is not known.
-    if (time === undefined || run.unit.taskCount > 1) return;
-    if (neighbours === undefined) return;
-    const {unit, workerId} = run;
-    const deviation = Math.log(
-      Math.max(1, time.runMs) / Math.max(1, time.expectedMs),
-    );
-    if (unit.step.taskCount > 1) {
-      this.addSibling(unit, {workerId, neighbours, deviation}, now);
-      return;
-    }
-    const observation = {
-      workerId,
-      neighbours,
-      deviation: clamp(deviation),
-      siblingShares: NO_SHARES,
-    };
-    this.addObservation(kindOf(unit), observation, now);
-  }
-
-  // Blocks.
-
-  private addSibling(unit: Unit, sibling: Sibling, now: Instant): void {
-    const {job, occurrence, stepIndex, step} = unit;
-    const key = `${job.id}.${occurrence}.${stepIndex}`;
-    const block = blockFor(this.siblings, key, kindOf(unit), now);
-    block.entries.push(sibling);
-    const limit = Math.min(step.taskCount, SIBLINGS_PER_BLOCK);
-    if (block.entries.length >= limit) this.closeSiblings(key, block, now);
-    else this.limitSiblings(now);
+  /** `expectedMs`: how long the run usually takes on its worker. */
+  runStarted(run: Run, expectedMs: number, now: Instant): void {
+    this.neighbours.runStarted(run, expectedMs, now);
   }
 
-  private limitSiblings(now: Instant): void {
-    if (this.siblings.size <= MAXIMUM_SIBLING_BLOCKS) return;
-    const [oldest] = this.siblings;
-    if (oldest !== undefined) this.closeSiblings(...oldest, now);
+  /** The run is no longer on its worker, for whatever reason. */
+  runEnded(run: Run, now: Instant): ReadonlySet<WorkKind> | undefined {
+    if (now - this.estimatedAt >= ESTIMATE_INTERVAL_MS) this.estimateAll(now);
+    return this.neighbours.runEnded(run, now);
   }
 
-  /** Compares the runs of one step with each other. */
-  private closeSiblings(
-    key: string,
-    {kind, entries}: Block<Sibling>,
-    now: Instant,
-  ): void {
-    this.siblings.delete(key);
-    if (entries.length < 2) return;
-    const middle = median(entries.map(({deviation}) => deviation));
-    const clamped = entries.map(({deviation}) => clamp(deviation - middle));
-    const mean = meanOf(clamped);
-    const siblingShares = new Map<WorkKind, number>();
-    for (const {neighbours} of entries) {
-      for (const other of neighbours) {
-        const share = siblingShares.get(other) ?? 0;
-        siblingShares.set(other, share + 1 / entries.length);
-      }
-    }
-    entries.forEach(({workerId, neighbours}, index) => {
-      const deviation = (clamped[index] ?? 0) - mean;
-      const observation = {workerId, neighbours, deviation, siblingShares};
-      this.addObservation(kind, observation, now);
-    });
-  }
-
-  private addObservation(
-    kind: WorkKind,
-    observation: Observation,
-    now: Instant,
-  ): void {
-    const key = pairKey(observation.workerId, kind);
-    const block = blockFor(this.workerBlocks, key, kind, now);
-    block.entries.push(observation);
-    if (block.entries.length >= RUNS_PER_WORKER_BLOCK) {
-      this.closeWorkerBlock(key, block, now);
-    } else if (this.workerBlocks.size > MAXIMUM_WORKER_BLOCKS) {
-      const [oldest] = this.workerBlocks;
-      if (oldest !== undefined) this.closeWorkerBlock(...oldest, now);
-    }
-  }
-
-  /** Compares runs of one kind on one worker with each other. */
-  private closeWorkerBlock(
-    key: string,
-    {kind, entries}: Block<Observation>,
-    now: Instant,
-  ): void {
-    this.workerBlocks.delete(key);
-    const [first] = entries;
-    if (first === undefined || entries.length < 2) return;
-    const believed = this.believed.get(kind) ?? [];
-    // What the believed pairs don't explain.
-    const rests = entries.map((entry) =>
-      believed.reduce(
-        (rest, pair) => rest - pair.estimate * presence(entry, pair.beside),
-        entry.deviation,
-      ),
-    );
-    const scatter = this.scatterOf(kind);
-    scatter.add(rests);
-    const others = new Set(entries.flatMap((entry) => [...entry.neighbours]));
-    for (const beside of others) {
-      const pair = this.pairOf(kind, beside, now);
-      const presences = entries.map((entry) => presence(entry, beside));
-      const values = pair.isBelieved
-        ? rests.map((rest, i) => rest + pair.estimate * (presences[i] ?? 0))
-        : rests;
-      const seen = entries.filter(({neighbours}) => neighbours.has(beside));
-      pair.add(presences, values, seen.length, first.workerId, now);
-      this.judge(pair, scatter);
-    }
+  /** Learns from a run that usually takes `expectedMs` on its worker. */
+  runCompleted(completed: CompletedRun, expectedMs: number): void {
+    const {run, ranMs, endedAt: now} = completed;
+    const besides = this.runEnded(run, now);
+    // Which worker held up a gang is not known.
+    if (besides === undefined || run.unit.taskCount > 1) return;
+    const history = this.historyOf(kindOf(run.unit));
+    const deviation = Math.log(ranMs / Math.max(1, expectedMs));
+    const before = history.size;
+    history.add(run, besides, deviation, now);
+    this.clusterCount += history.size - before;
+    this.forgetOldKinds();
+    if (history.newRuns >= RUNS_PER_ESTIMATE) this.estimate(history, now);
   }
 
-  private scatterOf(kind: WorkKind): Scatter {
-    const scatter = this.scatters.get(kind) ?? new Scatter();
-    this.scatters.delete(kind);
-    this.scatters.set(kind, scatter);
-    const [oldest] = this.scatters.keys();
-    if (this.scatters.size > MAXIMUM_KINDS && oldest !== undefined) {
-      this.scatters.delete(oldest);
-    }
-    return scatter;
+  private historyOf(kind: WorkKind): KindHistory {
+    const history = this.kinds.get(kind) ?? new KindHistory(kind);
+    this.kinds.delete(kind);
+    this.kinds.set(kind, history);
+    return history;
   }
 
-  private pairOf(
-    slowed: WorkKind,
-    beside: WorkKind,
-    now: Instant,
-  ): PairEvidence {
-    const key = pairKey(slowed, beside);
-    const pair =
-      this.pairs.get(key) ?? new PairEvidence(slowed, beside, now);
-    this.pairs.delete(key);
-    this.pairs.set(key, pair);
-    const [oldest] = this.pairs;
-    if (this.pairs.size > MAXIMUM_PAIRS && oldest !== undefined) {
-      const [oldestKey, evicted] = oldest;
-      this.pairs.delete(oldestKey);
-      if (evicted.isBelieved) this.drop(evicted);
-    }
-    return pair;
+  private forgetOldKinds(): void {
+    if (this.clusterCount <= MAXIMUM_CLUSTERS) return;
+    const [oldest] = this.kinds;
+    if (oldest === undefined) return;
+    const [kind, history] = oldest;
+    this.kinds.delete(kind);
+    this.clusterCount -= history.size;
+    const dropped = history.believedPairs();
+    if (dropped.length > 0) this.updateConflicts();
+    for (const pair of dropped) this.events.pairDropped(pair);
   }
 
-  // Beliefs.
-
-  private judge(pair: PairEvidence, scatter: Scatter): void {
-    if (pair.isBelieved) {
-      if (pair.isRefuted(scatter)) this.drop(pair);
-    } else if (pair.isProven(scatter)) {
-      this.believe(pair);
+  private estimateAll(now: Instant): void {
+    this.estimatedAt = now;
+    for (const history of [...this.kinds.values()]) {
+      const isDue =
+        history.newRuns >= MINIMUM_NEW_RUNS || history.pairCount > 0;
+      if (isDue) this.estimate(history, now);
+      if (history.size === 0) this.kinds.delete(history.kind);
     }
   }
 
-  private believe(pair: PairEvidence): void {
-    pair.isBelieved = true;
-    const {slowed} = pair;
-    this.believed.set(slowed, [...(this.believed.get(slowed) ?? []), pair]);
-    for (const [key, other] of this.pairs) {
-      // Their evidence contains the effect of the new pair.
-      if (other.slowed === slowed && !other.isBelieved) this.pairs.delete(key);
-    }
+  private estimate(history: KindHistory, now: Instant): void {
+    const before = history.size;
+    const limit = MAXIMUM_PAIRS - this.believedPairCount;
+    const {believed, dropped} = history.estimate(limit, now);
+    this.clusterCount += history.size - before;
+    if (believed.length + dropped.length === 0) return;
     this.updateConflicts();
-    this.events.pairBelieved(pair.toReport());
+    for (const pair of believed) this.events.pairBelieved(pair);
+    for (const pair of dropped) this.events.pairDropped(pair);
   }
 
-  private drop(pair: PairEvidence): void {
-    pair.isBelieved = false;
-    const {slowed, beside} = pair;
-    const rest = (this.believed.get(slowed) ?? []).filter(
-      (other) => other !== pair,
-    );
-    if (rest.length > 0) this.believed.set(slowed, rest);
-    else this.believed.delete(slowed);
-    this.pairs.delete(pairKey(slowed, beside));
-    this.updateConflicts();
-    this.events.pairDropped(pair.toReport());
+  private get believedPairCount(): number {
+    let count = 0;
+    for (const {pairCount} of this.kinds.values()) count += pairCount;
+    return count;
   }
 
   private updateConflicts(): void {
     this.conflicts = new Map();
-    for (const {slowed, beside} of [...this.believed.values()].flat()) {
-      addTo(this.conflicts, slowed, beside);
-      addTo(this.conflicts, beside, slowed);
+    for (const {slowed, beside} of this.believedPairs()) {
+      this.addConflict(slowed, beside);
+      this.addConflict(beside, slowed);
     }
   }
 
-  /** Closes old blocks and drops pairs whose evidence has decayed. */
-  private sweep(now: Instant): void {
-    if (now - this.sweptAt < SWEEP_INTERVAL_MS) return;
-    this.sweptAt = now;
-    for (const [key, block] of this.siblings) {
-      if (now - block.openedAt < SIBLINGS_MAXIMUM_AGE_MS) break;
-      this.closeSiblings(key, block, now);
-    }
-    for (const [key, block] of this.workerBlocks) {
-      if (now - block.openedAt < WORKER_BLOCK_MAXIMUM_AGE_MS) break;
-      this.closeWorkerBlock(key, block, now);
-    }
-    for (const pair of [...this.believed.values()].flat()) {
-      pair.decay(now);
-      this.judge(pair, this.scatterOf(pair.slowed));
-    }
+  private addConflict(kind: WorkKind, other: WorkKind): void {
+    const conflicts = this.conflicts.get(kind) ?? new Set();
+    conflicts.add(other);
+    this.conflicts.set(kind, conflicts);
   }
 }
 
-/** Sums over the worker blocks of one pair. */
-class PairEvidence {
-  isBelieved = false;
-  private observations = 0;
-  private information = 0;
-  private weightedEffects = 0;
-  private readonly workers = new Set<WorkerId>();
-
-  constructor(
-    readonly slowed: WorkKind,
-    readonly beside: WorkKind,
-    private decayedAt: Instant,
-  ) {}
-
-  /** Logarithm of the slowdown. */
-  get estimate(): number {
-    return this.information === 0 ? 0 : this.weightedEffects / this.information;
-  }
-
-  add(
-    presences: readonly number[],
-    values: readonly number[],
-    observations: number,
-    workerId: WorkerId,
-    now: Instant,
-  ): void {
-    this.decay(now);
-    const meanPresence = meanOf(presences);
-    const meanValue = meanOf(values);
-    let information = 0;
-    presences.forEach((presence, index) => {
-      const difference = presence - meanPresence;
-      information += difference ** 2;
-      this.weightedEffects += difference * ((values[index] ?? 0) - meanValue);
-    });
-    this.information += information;
-    this.scale(MAXIMUM_INFORMATION / this.information);
-    this.observations += observations;
-    const isWitness = observations > 0 && information > 0;
-    if (isWitness && this.workers.size < MINIMUM_WORKERS) {
-      this.workers.add(workerId);
-    }
-  }
+interface BeliefChanges {
+  readonly believed: readonly InterferingPair[];
+  readonly dropped: readonly InterferingPair[];
+}
 
-  decay(now: Instant): void {
-    this.scale(0.5 ** (Math.max(0, now - this.decayedAt) / HALF_LIFE_MS));
-    this.decayedAt = now;
-  }
+/** The latest runs of one kind, and the pairs that they show. */
+class KindHistory {
+  /** By step and worker, in order of their first run. */
+  private readonly clusters = new Map<string, RunCluster>();
+  private readonly pairs = new Map<WorkKind, InterferingPair>();
+  /** Kinds that the last estimate showed to slow this one down. */
+  private suspected: ReadonlySet<WorkKind> = new Set();
+  private runsSinceEstimate = 0;
 
-  isProven(scatter: Scatter): boolean {
-    return (
-      this.observations >= MINIMUM_OBSERVATIONS &&
-      this.workers.size >= MINIMUM_WORKERS &&
-      scatter.isKnown &&
-      this.estimate >= Math.log(MINIMUM_SLOWDOWN) &&
-      this.lowerBound(scatter, BELIEF_ERRORS) > Math.log(CERTAIN_SLOWDOWN)
-    );
-  }
+  constructor(readonly kind: WorkKind) {}
 
-  isRefuted(scatter: Scatter): boolean {
-    return (
-      this.estimate < Math.log(DROPPED_SLOWDOWN) ||
-      this.lowerBound(scatter, DROP_ERRORS) < 0
-    );
+  get size(): number {
+    return this.clusters.size;
   }
 
-  toReport(): InterferingPair {
-    const {slowed, beside, observations} = this;
-    const slowdown = Math.exp(this.estimate);
-    return {slowed, beside, slowdown, observations};
+  get newRuns(): number {
+    return this.runsSinceEstimate;
   }
 
-  private lowerBound({deviation}: Scatter, errors: number): number {
-    return this.estimate - (errors * deviation) / Math.sqrt(this.information);
+  get pairCount(): number {
+    return this.pairs.size;
   }
 
-  private scale(factor: number): void {
-    if (factor >= 1) return;
-    this.information *= factor;
-    this.weightedEffects *= factor;
-  }
-}
-
-/** Scatter of the run times of one kind on one worker. */
-class Scatter {
-  private squares = 0;
-  private degreesOfFreedom = 0;
-
-  get isKnown(): boolean {
-    return this.degreesOfFreedom >= MINIMUM_DEGREES_OF_FREEDOM;
+  believedPairs(): readonly InterferingPair[] {
+    return [...this.pairs.values()];
   }
 
-  /** Standard deviation of the logarithm of the run times. */
-  get deviation(): number {
-    const variance = this.squares / Math.max(1, this.degreesOfFreedom);
-    return Math.max(MINIMUM_SCATTER, Math.sqrt(variance));
+  add(
+    {unit, workerId}: Run,
+    besides: ReadonlySet<WorkKind>,
+    deviation: number,
+    now: Instant,
+  ): void {
+    const {job, occurrence, stepIndex} = unit;
+    const stepName = `${job.id}.${occurrence}.${stepIndex}`;
+    const key = `${stepName}\u0000${workerId}`;
+    const cluster = this.clusters.get(key) ?? {
+      stepName,
+      workerId,
+      startedAt: now,
+      runs: 0,
+      deviations: 0,
+      besides: new Map<WorkKind, number>(),
+    };
+    this.clusters.set(key, cluster);
+    cluster.runs += 1;
+    cluster.deviations += clamp(deviation);
+    for (const beside of besides) {
+      cluster.besides.set(beside, (cluster.besides.get(beside) ?? 0) + 1);
+    }
+    this.runsSinceEstimate += 1;
+    const [oldest] = this.clusters.keys();
+    if (this.size > MAXIMUM_CLUSTERS_PER_KIND && oldest !== undefined) {
+      this.clusters.delete(oldest);
+    }
   }
 
-  add(values: readonly number[]): void {
-    const mean = meanOf(values);
-    for (const value of values) this.squares += (value - mean) ** 2;
-    this.degreesOfFreedom += values.length - 1;
-    if (this.degreesOfFreedom <= MAXIMUM_DEGREES_OF_FREEDOM) return;
-    this.squares *= MAXIMUM_DEGREES_OF_FREEDOM / this.degreesOfFreedom;
-    this.degreesOfFreedom = MAXIMUM_DEGREES_OF_FREEDOM;
+  /** Believes at most `limit` new pairs, and drops those that don't hold. */
+  estimate(limit: number, now: Instant): BeliefChanges {
+    this.runsSinceEstimate = 0;
+    for (const [key, {startedAt}] of this.clusters) {
+      if (now - startedAt <= MAXIMUM_AGE_MS) break;
+      this.clusters.delete(key);
+    }
+    const believed: InterferingPair[] = [];
+    const dropped = new Map(this.pairs);
+    const suspected = new Set<WorkKind>();
+    for (const effect of estimateEffects([...this.clusters.values()])) {
+      const {beside} = effect;
+      const isKnown = this.pairs.has(beside);
+      const isSuspect = !isKnown && isProven(effect);
+      if (isSuspect) suspected.add(beside);
+      const isConfirmed = isSuspect && this.suspected.has(beside);
+      const isNew = isConfirmed && believed.length < limit;
+      if (!isNew && !(isKnown && isUpheld(effect))) continue;
+      const pair = {
+        slowed: this.kind,
+        beside,
+        slowdown: Math.exp(effect.estimate),
+        observations: effect.runs,
+      };
+      this.pairs.set(beside, pair);
+      dropped.delete(beside);
+      if (isNew) believed.push(pair);
+    }
+    this.suspected = suspected;
+    for (const beside of dropped.keys()) this.pairs.delete(beside);
+    return {believed, dropped: [...dropped.values()]};
   }
 }
 
-/** 1 or 0, relative to the share of the siblings. */
-function presence(
-  {neighbours, siblingShares}: Observation,
-  kind: WorkKind,
-): number {
-  return Number(neighbours.has(kind)) - (siblingShares.get(kind) ?? 0);
-}
-
-function blockFor<Entry>(
-  blocks: Map<string, Block<Entry>>,
-  key: string,
-  kind: WorkKind,
-  now: Instant,
-): Block<Entry> {
-  const block = blocks.get(key) ?? {kind, openedAt: now, entries: []};
-  blocks.set(key, block);
-  return block;
-}
-
-function pairKey(first: string, second: string): string {
-  return `${first}\u0000${second}`;
+function isProven({estimate, error, runs, workers}: NeighbourEffect): boolean {
+  return (
+    runs >= MINIMUM_RUNS &&
+    workers >= MINIMUM_WORKERS &&
+    estimate >= Math.log(MINIMUM_SLOWDOWN) &&
+    estimate - BELIEF_ERRORS * error > Math.log(CERTAIN_SLOWDOWN)
+  );
 }
 
-function addTo<Key, Value>(
-  sets: Map<Key, Set<Value>>,
-  key: Key,
-  value: Value,
-): void {
-  const set = sets.get(key) ?? new Set();
-  set.add(value);
-  sets.set(key, set);
+function isUpheld({estimate, error}: NeighbourEffect): boolean {
+  return (
+    estimate >= Math.log(DROPPED_SLOWDOWN) && estimate > DROP_ERRORS * error
+  );
 }
 
 function clamp(deviation: number): number {
   return Math.max(-MAXIMUM_DEVIATION, Math.min(MAXIMUM_DEVIATION, deviation));
 }
-
-function meanOf(values: readonly number[]): number {
-  return values.reduce((sum, value) => sum + value, 0) / values.length;
-}
-
-function median(values: readonly number[]): number {
-  const sorted = [...values].sort((a, b) => a - b);
-  return sorted[Math.floor(sorted.length / 2)] ?? 0;
-}
--- a/src/leader/workers/neighbours.ts
+++ b/src/leader/workers/neighbours.ts
@@ -1,17 +1,17 @@
 /**
- * Which kinds of work were beside a run on its worker shortly after its start.
- * Later neighbours don't count: a run that takes longer for any reason meets
- * more of them. Kinds are counted per worker, so that the cost of a start and
+ * Which kinds of work were beside a run on its worker in its first part. Later
+ * neighbours don't count: a run that takes longer for any reason meets more of
+ * them. Kinds are counted per worker, so that the cost of a start and
  * of an end doesn't grow with the pairs of runs.
  */
 
 import type {Instant, WorkerId, WorkKind} from '../../model/ids.js';
-import {trustedId} from '../../model/ids.js';
+import {instant, trustedId} from '../../model/ids.js';
 import type {Unit} from '../jobs/jobs.js';
 import type {Run} from '../jobs/runs.js';
 
-/** Time from the start of a run until its neighbours are noted. */
-const SETTLING_TIME_MS = 500;
+/** Share of its usual time after which a run's neighbours are noted. */
+const NOTED_SHARE = 0.3;
 
 /** Beside more kinds, none of them can be told apart from the others. */
 const MAXIMUM_KINDS = 16;
@@ -24,14 +24,14 @@
 export class NeighbourTable {
   private readonly workers = new Map<WorkerId, WorkerNeighbours>();
 
-  /** Notes that the run is on its worker. */
-  runStarted(run: Run, now: Instant): void {
+  /** Notes that the run is on its worker, usually for `expectedMs`. */
+  runStarted(run: Run, expectedMs: number, now: Instant): void {
     let worker = this.workers.get(run.workerId);
     if (worker === undefined) {
       worker = new WorkerNeighbours();
       this.workers.set(run.workerId, worker);
     }
-    worker.add(run, now);
+    worker.add(run, instant(now + NOTED_SHARE * expectedMs), now);
   }
 
   /**
@@ -48,30 +48,35 @@
 
 interface PresentRun {
   readonly kind: WorkKind;
-  readonly notedAt: number;
+  readonly notedAt: Instant;
   neighbours: ReadonlySet<WorkKind> | undefined;
 }
 
 class WorkerNeighbours {
   private readonly runs = new Map<Run, PresentRun>();
   private readonly runsByKind = new Map<WorkKind, number>();
-  /** Runs whose neighbours are still to be noted, in order of their start. */
+  /** Runs whose neighbours are still to be noted, in order of that time. */
   private unsettled: PresentRun[] = [];
 
   get isVacant(): boolean {
     return this.runs.size === 0;
   }
 
-  add(run: Run, now: Instant): void {
+  add(run: Run, notedAt: Instant, now: Instant): void {
     if (this.runs.has(run)) return;
     this.settle(now);
     const present: PresentRun = {
       kind: kindOf(run.unit),
-      notedAt: now + SETTLING_TIME_MS,
+      notedAt,
       neighbours: undefined,
     };
     this.runs.set(run, present);
-    this.unsettled.push(present);
+    const later = this.unsettled.findIndex((other) => other.notedAt > notedAt);
+    this.unsettled.splice(
+      later < 0 ? this.unsettled.length : later,
+      0,
+      present,
+    );
     this.count(present.kind, 1);
   }
 
--- a/test/site_operators.test.ts
+++ b/test/site_operators.test.ts
@@ -133,6 +133,14 @@
     assert.equal(job.units.waiting, 1);
   });
 
+  it('lists through any daemon which work slows other work down', async () => {
+    for (const index of [0, 1]) {
+      const {code, output} = await tool(address(index), 'interference');
+      assert.equal(code, 0, output);
+      assert.match(output, /no pair is known/);
+    }
+  });
+
   it('cancels a job, and the leader ends it', async () => {
     const {code} = await tool(address(1), 'cancel', WIDE_JOB);
     assert.equal(code, 0);
