--- a/src/entry/entry_metrics.ts
+++ b/src/entry/entry_metrics.ts
@@ -72,7 +72,7 @@
     this.openJobs.set(session?.openJobCount ?? 0);
     this.workerCrashes.set(session?.crashCounts.workerCrashes ?? 0);
     this.jobsGivenUp.set(session?.crashCounts.jobsGivenUp ?? 0);
-    const pairs = session?.interferingPairs ?? [];
+    const pairs = session?.interference.believedPairs() ?? [];
     this.interferingPairs.set(pairs.length);
     this.largestSlowdown.set(pairs[0]?.slowdown ?? 1);
     return this.registry.metrics();
--- a/src/entry/site_operators.ts
+++ b/src/entry/site_operators.ts
@@ -123,7 +123,7 @@
     const session = this.dependencies.session();
     if (session === undefined) await this.forward(request, path, response);
     else if (path === INTERFERENCE_PATH) {
-      send(response, 200, {pairs: session.interferingPairs});
+      send(response, 200, {pairs: session.interference.believedPairs()});
     } else this.answer(session, jobId, response);
   }
 
--- a/src/leader/session.ts
+++ b/src/leader/session.ts
@@ -21,10 +21,10 @@
 import type {Authority} from './authority.js';
 import {AdmissionTickets} from './planning/admissions.js';
 import {CommitQueue} from './jobs/commit_queue.js';
+import {completedRun} from './jobs/completed_runs.js';
 import type {WorkerFate} from './losses/crash_history.js';
 import {CrashMonitor} from './losses/crash_monitor.js';
 import type {CrashCounts} from './losses/crash_monitor.js';
-import {completedRun} from './jobs/completed_runs.js';
 import {JobRegistry} from './jobs/job_registry.js';
 import type {InboxSource} from './jobs/job_registry.js';
 import {Run} from './jobs/runs.js';
@@ -33,7 +33,6 @@
 import {planRound} from './planning/placement.js';
 import type {Placement} from './planning/placement.js';
 import {InterferenceTable} from './workers/interference.js';
-import type {InterferingPair} from './workers/interference.js';
 import {PaceController} from './workers/pacing.js';
 import type {PaceChange} from './workers/pacing.js';
 import {PrefixFollower} from './prefix_follower.js';
@@ -50,6 +49,7 @@
 import type {WorkerVmOptions} from './vms/vm_management.js';
 import {WorkerOutages} from './losses/worker_outages.js';
 import type {WorkerState} from './workers/worker_state.js';
+import {WorkerSpeeds} from './workers/worker_speeds.js';
 import {WorkerTable} from './workers/worker_table.js';
 
 /** Attempts if neither the configuration nor the submission has a number. */
@@ -63,6 +63,8 @@
   readonly holdMaximumMs: number;
   /** Kinds of work that slow each other down are placed apart. */
   readonly keepsApart?: boolean | undefined;
+  /** Workers are chosen by their speeds; false if absent. */
+  readonly usesWorkerSpeeds?: boolean | undefined;
 }
 
 export interface SessionDependencies {
@@ -84,9 +86,11 @@
   private readonly commitQueue: CommitQueue;
   private readonly admissions: AdmissionTickets;
   private readonly roundTimer: RoundTimer;
-  private readonly runTimes = new RunTimeTable();
+  private readonly runTimes: RunTimeTable;
+  /** Absent if workers are chosen without regard to their speeds. */
+  private readonly workerSpeeds: WorkerSpeeds | undefined;
   private readonly paceController = new PaceController();
-  private readonly interference: InterferenceTable;
+  readonly interference: InterferenceTable;
   private readonly outages: WorkerOutages;
   private readonly crashMonitor: CrashMonitor;
   /** Units for which the last round found no free capacity. */
@@ -104,10 +108,11 @@
     this.clock = new SteadyClock(dependencies.clock);
     this.roundTimer = new RoundTimer(scope, () => this.runRound());
     this.registry = new JobRegistry(log);
-    this.interference = new InterferenceTable({
-      pairBelieved: (pair) => log.interferenceFound(pair),
-      pairDropped: (pair) => log.interferenceGone(pair),
-    });
+    if (settings.usesWorkerSpeeds === true) {
+      this.workerSpeeds = new WorkerSpeeds();
+    }
+    this.runTimes = new RunTimeTable(this.workerSpeeds);
+    this.interference = new InterferenceTable(this.runTimes, log);
     this.outages = new WorkerOutages(() => this.workerTable.listedCount);
     this.crashMonitor = new CrashMonitor(log, this.outages);
     this.commitQueue = new CommitQueue(store, authority.leaderRevision, scope, {
@@ -156,11 +161,6 @@
     return this.crashMonitor.counts;
   }
 
-  /** Kinds of work that are known to slow each other down. */
-  get interferingPairs(): readonly InterferingPair[] {
-    return this.interference.believedPairs();
-  }
-
   get openJobCount(): number {
     return this.registry.open.size;
   }
@@ -287,7 +287,7 @@
   // Runs.
 
   private runStarted(run: Run): void {
-    this.interference.runStarted(run, this.usualMs(run), this.now());
+    this.interference.runStarted(run, this.now());
     const {job} = run.unit;
     if (job.state === 'queued') job.state = 'running';
     if (run.step.longRunning === true && !run.isStartRecorded) {
@@ -331,8 +331,12 @@
     const {job} = unit;
     const wasEnded = job.isEnded;
     const now = this.now();
-    this.learnInterference(run, ending, worker, now);
     const limit = this.maximumAttempts(job);
+    const completed = completedRun(run, ending, now);
+    this.interference.runEnded(run, now, completed, worker);
+    if (worker !== undefined) {
+      this.workerSpeeds?.recordEnd(run, worker, completed, now);
+    }
     const failed = job.runEnded(run, ending, checkpoint, limit, now);
     this.crashMonitor.recordEnd(run, now);
     this.dependencies.log.runEnded(run, ending, unit.failures);
@@ -427,27 +431,6 @@
     return this.admissions.ticketFor(run.unit, worker, steadyNow());
   }
 
-  private learnInterference(
-    run: Run,
-    ending: RunEnding,
-    worker: WorkerState | undefined,
-    now: Instant,
-  ): void {
-    const {step} = run;
-    const completed = completedRun(run, ending, now);
-    const isAway =
-      step.dataRack !== undefined && worker?.entry.rackId !== step.dataRack;
-    if (completed === undefined || isAway) {
-      this.interference.runEnded(run, now);
-    } else {
-      this.interference.runCompleted(completed, this.usualMs(run));
-    }
-  }
-
-  private usualMs({unit}: Run): number {
-    return this.runTimes.expectedMs(unit.job, unit.step);
-  }
-
   private maximumAttempts(job: Job): number {
     // A new leader may have no configuration yet, or the queue may be dropped.
     const queue = this.configuration()?.queue(job.queueId);
@@ -459,6 +442,7 @@
 
   private tick(): void {
     this.workerTable.tick(steadyNow());
+    this.workerSpeeds?.observe(this.workerTable.workers.values(), this.now());
     this.resolveFates();
     if (this.registry.open.size > 0) this.scheduleRound();
   }
@@ -478,6 +462,7 @@
       workers: this.workerTable.workers,
       configuration,
       runTimes: this.runTimes,
+      speeds: this.workerSpeeds,
       now,
       steady,
       isCalm: this.outages.isCalm(now),
@@ -511,7 +496,10 @@
     const runs = workers.map((worker, offset) =>
       plannedRun(unit, offset, runNumber, worker, now),
     );
-    for (const run of runs) run.isIsolated = isIsolated;
+    for (const run of runs) {
+      run.isIsolated = isIsolated;
+      run.members = runs;
+    }
     this.dependencies.log.placed(unit, runNumber, workers, now);
     this.commitQueue.write(unit.job, () => this.sendStarts(runs));
   }
--- a/src/leader/workers/interference.ts
+++ b/src/leader/workers/interference.ts
@@ -6,10 +6,12 @@
 
 import type {Instant, WorkKind} from '../../model/ids.js';
 import type {CompletedRun} from '../jobs/completed_runs.js';
+import type {RunTimeTable} from '../jobs/run_times.js';
 import type {Run} from '../jobs/runs.js';
 import {estimateEffects} from './neighbour_effects.js';
 import type {NeighbourEffect, RunCluster} from './neighbour_effects.js';
 import {NeighbourTable, kindOf} from './neighbours.js';
+import type {WorkerState} from './worker_state.js';
 
 /** Slowdown from which a pair may be believed. */
 const MINIMUM_SLOWDOWN = 1.1;
@@ -58,8 +60,8 @@
 }
 
 export interface InterferenceEvents {
-  pairBelieved(pair: InterferingPair): void;
-  pairDropped(pair: InterferingPair): void;
+  interferenceFound(pair: InterferingPair): void;
+  interferenceGone(pair: InterferingPair): void;
 }
 
 /** What placement asks. */
@@ -78,7 +80,10 @@
   private conflicts = new Map<WorkKind, Set<WorkKind>>();
   private estimatedAt = 0;
 
-  constructor(private readonly events: InterferenceEvents) {}
+  constructor(
+    private readonly runTimes: RunTimeTable,
+    private readonly events: InterferenceEvents,
+  ) {}
 
   conflictsOf(kind: WorkKind): ReadonlySet<WorkKind> {
     return this.conflicts.get(kind) ?? NO_KINDS;
@@ -91,25 +96,27 @@
       .sort((a, b) => b.slowdown - a.slowdown);
   }
 
-  /** `expectedMs`: how long the run usually takes on its worker. */
-  runStarted(run: Run, expectedMs: number, now: Instant): void {
-    this.neighbours.runStarted(run, expectedMs, now);
+  runStarted(run: Run, now: Instant): void {
+    this.neighbours.runStarted(run, this.usualMs(run), now);
   }
 
-  /** The run is no longer on its worker, for whatever reason. */
-  runEnded(run: Run, now: Instant): ReadonlySet<WorkKind> | undefined {
+  /** Learns from the end of a run if it is `completed` on its worker. */
+  runEnded(
+    run: Run,
+    now: Instant,
+    completed?: CompletedRun,
+    worker?: WorkerState,
+  ): void {
     if (now - this.estimatedAt >= ESTIMATE_INTERVAL_MS) this.estimateAll(now);
-    return this.neighbours.runEnded(run, now);
-  }
-
-  /** Learns from a run that usually takes `expectedMs` on its worker. */
-  runCompleted(completed: CompletedRun, expectedMs: number): void {
-    const {run, ranMs, endedAt: now} = completed;
-    const besides = this.runEnded(run, now);
+    const besides = this.neighbours.runEnded(run, now);
+    const {dataRack} = run.step;
+    const isAway = dataRack !== undefined && worker?.entry.rackId !== dataRack;
+    if (besides === undefined || completed === undefined || isAway) return;
     // Which worker held up a gang is not known.
-    if (besides === undefined || run.unit.taskCount > 1) return;
+    if (run.unit.taskCount > 1) return;
     const history = this.historyOf(kindOf(run.unit));
-    const deviation = Math.log(ranMs / Math.max(1, expectedMs));
+    const usualMs = Math.max(1, this.usualMs(run));
+    const deviation = Math.log(completed.ranMs / usualMs);
     const before = history.size;
     history.add(run, besides, deviation, now);
     this.clusterCount += history.size - before;
@@ -117,6 +124,10 @@
     if (history.newRuns >= RUNS_PER_ESTIMATE) this.estimate(history, now);
   }
 
+  private usualMs({unit}: Run): number {
+    return this.runTimes.expectedMs(unit.job, unit.step);
+  }
+
   private historyOf(kind: WorkKind): KindHistory {
     const history = this.kinds.get(kind) ?? new KindHistory(kind);
     this.kinds.delete(kind);
@@ -133,7 +144,7 @@
     this.clusterCount -= history.size;
     const dropped = history.believedPairs();
     if (dropped.length > 0) this.updateConflicts();
-    for (const pair of dropped) this.events.pairDropped(pair);
+    for (const pair of dropped) this.events.interferenceGone(pair);
   }
 
   private estimateAll(now: Instant): void {
@@ -153,8 +164,8 @@
     this.clusterCount += history.size - before;
     if (believed.length + dropped.length === 0) return;
     this.updateConflicts();
-    for (const pair of believed) this.events.pairBelieved(pair);
-    for (const pair of dropped) this.events.pairDropped(pair);
+    for (const pair of believed) this.events.interferenceFound(pair);
+    for (const pair of dropped) this.events.interferenceGone(pair);
   }
 
   private get believedPairCount(): number {
--- a/src/leader/workers/neighbour_effects.ts
+++ b/src/leader/workers/neighbour_effects.ts
@@ -54,35 +54,16 @@
 export function estimateEffects(
   clusters: readonly RunCluster[],
 ): readonly NeighbourEffect[] {
-  const isLone = findLone(clusters);
-  const weights = Float64Array.from(clusters, ({runs}, i) => {
-    const shared = isLone[i] === true ? LONE_STEP_VARIANCE : SHARED_VARIANCE;
-    return 1 / (1 / runs + shared);
-  });
-  const {steps, workers} = groupsOf(clusters, isLone, weights);
   const kinds = frequentKinds(clusters);
-  const constants = steps.count + workers.count - 1;
-  const freedom = clusters.length - constants - kinds.length;
+  const projection = new Projection(clusters);
+  const freedom = clusters.length - projection.constants - kinds.length;
   if (kinds.length === 0 || freedom < MINIMUM_FREEDOM) return [];
-  const project = (valueOf: (cluster: RunCluster) => number) => {
-    const values = Float64Array.from(clusters, valueOf);
-    for (let round = 0; round < PROJECTIONS; round += 1) {
-      steps.removeMeans(values);
-      workers.removeMeans(values);
-    }
-    return values;
-  };
-  const product = (a: Float64Array, b: Float64Array) => {
-    let sum = 0;
-    for (let i = 0; i < a.length; i += 1) {
-      sum += (weights[i] ?? 0) * (a[i] ?? 0) * (b[i] ?? 0);
-    }
-    return sum;
-  };
-  const target = project(({deviations, runs}) => deviations / runs);
+  const target = projection.project(({deviations, runs}) => deviations / runs);
   const columns = kinds.map((kind) =>
-    project(({besides, runs}) => (besides.get(kind) ?? 0) / runs),
+    projection.project(({besides, runs}) => (besides.get(kind) ?? 0) / runs),
   );
+  const product = (a: Float64Array, b: Float64Array) =>
+    projection.product(a, b);
   const inverse = invert(columns.map((a) => columns.map((b) => product(a, b))));
   const moments = columns.map((column) => product(column, target));
   const effects = inverse.map((row) => innerProduct(row, moments));
@@ -99,47 +80,69 @@
   return kinds.flatMap((beside, j) => {
     const variance = inverse[j]?.[j] ?? 0;
     if (variance <= 0) return [];
-    const seen = clusters.filter(({besides}) => besides.has(beside));
-    return [
-      {
-        beside,
-        estimate: effects[j] ?? 0,
-        error: scatter * Math.sqrt(variance),
-        runs: seen.reduce(
-          (sum, {besides}) => sum + (besides.get(beside) ?? 0),
-          0,
-        ),
-        workers: new Set(seen.map(({workerId}) => workerId)).size,
-      },
-    ];
+    const error = scatter * Math.sqrt(variance);
+    const estimate = effects[j] ?? 0;
+    return [{beside, estimate, error, ...countSeen(clusters, beside)}];
   });
 }
 
-/** Groups by step and by worker. */
-function groupsOf(
+/** Counts the runs beside the kind, and their workers. */
+function countSeen(
   clusters: readonly RunCluster[],
-  isLone: readonly boolean[],
-  weights: Float64Array,
-): {readonly steps: Groups; readonly workers: Groups} {
-  const steps = new Map<string, number>();
-  const workers = new Map<string, number>();
-  const ofSteps = new Int32Array(clusters.length);
-  const ofWorkers = new Int32Array(clusters.length);
-  clusters.forEach(({stepName, workerId}, i) => {
-    // Steps without siblings elsewhere share one constant.
-    ofSteps[i] = numberOf(steps, isLone[i] === true ? '' : stepName);
-    ofWorkers[i] = numberOf(workers, workerId);
-  });
-  return {
-    steps: new Groups(ofSteps, steps.size, weights),
-    workers: new Groups(ofWorkers, workers.size, weights),
-  };
+  beside: WorkKind,
+): {readonly runs: number; readonly workers: number} {
+  const workers = new Set<WorkerId>();
+  let runs = 0;
+  for (const {besides, workerId} of clusters) {
+    const count = besides.get(beside) ?? 0;
+    if (count > 0) workers.add(workerId);
+    runs += count;
+  }
+  return {runs, workers: workers.size};
 }
 
-function numberOf(numbers: Map<string, number>, name: string): number {
-  const number = numbers.get(name) ?? numbers.size;
-  numbers.set(name, number);
-  return number;
+/** Removes the constants of steps and of workers from values of clusters. */
+class Projection {
+  private readonly weights: Float64Array;
+  private readonly steps: Groups;
+  private readonly workers: Groups;
+
+  constructor(private readonly clusters: readonly RunCluster[]) {
+    const isLone = findLone(clusters);
+    this.weights = Float64Array.from(clusters, ({runs}, i) => {
+      const shared = isLone[i] === true ? LONE_STEP_VARIANCE : SHARED_VARIANCE;
+      return 1 / (1 / runs + shared);
+    });
+    // Steps without siblings elsewhere share one constant.
+    const stepNames = clusters.map(({stepName}, i) =>
+      isLone[i] === true ? '' : stepName,
+    );
+    const workerIds = clusters.map(({workerId}) => workerId);
+    this.steps = new Groups(stepNames, this.weights);
+    this.workers = new Groups(workerIds, this.weights);
+  }
+
+  /** Number of constants that are fitted. */
+  get constants(): number {
+    return this.steps.count + this.workers.count - 1;
+  }
+
+  project(valueOf: (cluster: RunCluster) => number): Float64Array {
+    const values = Float64Array.from(this.clusters, valueOf);
+    for (let round = 0; round < PROJECTIONS; round += 1) {
+      this.steps.removeMeans(values);
+      this.workers.removeMeans(values);
+    }
+    return values;
+  }
+
+  product(a: Float64Array, b: Float64Array): number {
+    let sum = 0;
+    for (let i = 0; i < a.length; i += 1) {
+      sum += (this.weights[i] ?? 0) * (a[i] ?? 0) * (b[i] ?? 0);
+    }
+    return sum;
+  }
 }
 
 /** True for each cluster that is the only one of its step. */
@@ -166,15 +169,24 @@
 
 /** Clusters by the step or the worker that they belong to. */
 class Groups {
+  readonly count: number;
+  /** Number of each cluster's group. */
+  private readonly numbers: Int32Array;
   private readonly weights: Float64Array;
   private readonly sums: Float64Array;
 
   constructor(
-    /** Number of each cluster's group. */
-    private readonly numbers: Int32Array,
-    readonly count: number,
+    names: readonly string[],
     private readonly clusterWeights: Float64Array,
   ) {
+    const numbers = new Map<string, number>();
+    this.numbers = Int32Array.from(names, (name) => {
+      const number = numbers.get(name) ?? numbers.size;
+      numbers.set(name, number);
+      return number;
+    });
+    this.count = numbers.size;
+    const {count} = this;
     this.weights = new Float64Array(count);
     this.sums = new Float64Array(count);
     this.accumulate(this.weights);
@@ -212,8 +224,8 @@
 function invert(matrix: readonly number[][]): readonly number[][] {
   const size = matrix.length;
   const left = matrix.map((row) => [...row]);
-  const right = matrix.map((_, i) =>
-    Array.from({length: size}, (__, j) => Number(i === j)),
+  const right = matrix.map((_row, i) =>
+    matrix.map((_row, j) => Number(i === j)),
   );
   const isUsable = matrix.map(() => true);
   for (let i = 0; i < size; i += 1) {
--- a/src/model/ids.ts
+++ b/src/model/ids.ts
@@ -40,7 +40,6 @@
 export const workerIdSchema = hostedName.brand<'WorkerId'>();
 export const hostedCustomerIdSchema = hostedName.brand<'CustomerId'>();
 export const hostedVmIdSchema = hostedName.brand<'VmId'>();
-const workKindSchema = hostedName.brand<'WorkKind'>();
 
 /** Milliseconds since the Unix epoch. */
 export const instantSchema = z.number().nonnegative().brand<'Instant'>();
@@ -67,7 +66,7 @@
 /** A queue of a hosted site, to which callers submit jobs. */
 export type QueueId = z.infer<typeof queueIdSchema>;
 /** Work whose tasks behave alike, see `kindOf`. */
-export type WorkKind = z.infer<typeof workKindSchema>;
+export type WorkKind = string & z.BRAND<'WorkKind'>;
 /** A group of workers that run the jobs of certain queues. */
 export type ServiceId = z.infer<typeof serviceIdSchema>;
 /** A worker of a hosted site; all its incarnations share the id. */
--- a/test/interference_load.ts
+++ b/test/interference_load.ts
@@ -12,7 +12,10 @@
 import {planRound} from '../src/leader/planning/placement.js';
 import type {Placement} from '../src/leader/planning/placement.js';
 import {InterferenceTable} from '../src/leader/workers/interference.js';
-import type {InterferingPair} from '../src/leader/workers/interference.js';
+import type {
+  InterferingPair,
+  KnownInterference,
+} from '../src/leader/workers/interference.js';
 import {WorkerState} from '../src/leader/workers/worker_state.js';
 import {steadyTime} from '../src/lifecycle/clock.js';
 import {SeededRandom} from '../src/lifecycle/random.js';
@@ -70,9 +73,77 @@
   return new Replay(load).play();
 }
 
+/** 5 racks of 8 workers with 8 accelerators each. */
+export class InterferenceSite {
+  readonly workers = new Map<WorkerId, WorkerState>();
+
+  constructor() {
+    const count = RACKS * WORKERS_PER_RACK;
+    for (let index = 0; index < count; index += 1) {
+      const workerId = trustedId<WorkerId>(`w${index}`);
+      const rackId = trustedId<RackId>(`rack-${index % RACKS}`);
+      const half = index * 2 < count ? 'first' : 'second';
+      const state = new WorkerState({
+        workerId,
+        incarnation: 1,
+        address: 'host:1',
+        serviceId: trustedId('service'),
+        zone: trustedId('zone'),
+        rackId,
+        labels: new Set([rackId, half]),
+        capacity: {
+          processorMillicores: 64_000,
+          memoryMegabytes: 65_536,
+          accelerators: ACCELERATORS,
+        },
+        isDraining: false,
+        remainingMs: undefined,
+      });
+      this.workers.set(workerId, state);
+    }
+  }
+
+  plan(
+    jobs: Iterable<Job>,
+    interference?: KnownInterference,
+    runTimes = new RunTimeTable(),
+    now = 0,
+  ): readonly Placement[] {
+    return planRound({
+      jobs,
+      workers: this.workers,
+      configuration: configuration(),
+      runTimes,
+      now: instant(now),
+      steady: steadyTime(now),
+      isCalm: true,
+      interference,
+      admits: () => true,
+    }).placements;
+  }
+
+  /** Starts the unit's tasks at once. */
+  start(placement: Placement | undefined, now = 0): readonly Run[] {
+    if (placement === undefined) return [];
+    const {unit, workers} = placement;
+    unit.lastRun = 1;
+    return workers.map((worker, offset) => {
+      const index = unit.firstIndex + offset;
+      const {workerId} = worker;
+      const run = new Run(unit, index, 1, workerId, 1, instant(now));
+      run.phase = 'running';
+      run.firstSentAt = instant(now);
+      run.confirmedAt = instant(now);
+      unit.runs.push(run);
+      worker.add(run);
+      return run;
+    });
+  }
+}
+
 class Replay {
+  private readonly site = new InterferenceSite();
   private readonly random: SeededRandom;
-  private readonly workers = new Map<WorkerId, WorkerState>();
   private readonly factors = new Map<WorkerId, number>();
   private readonly open = new Set<Job>();
   private readonly workOf = new Map<Unit, number>();
@@ -85,16 +156,17 @@
   private readonly vacantShares: number[] = [];
   private learningMs = 0;
   private roundMs = 0;
-  private readonly table = new InterferenceTable({
-    pairBelieved: (pair) => this.everBelieved.add(nameOf(pair)),
-    pairDropped: (pair) => this.dropped.push(nameOf(pair)),
+  private readonly table = new InterferenceTable(this.runTimes, {
+    interferenceFound: (pair) => this.everBelieved.add(nameOf(pair)),
+    interferenceGone: (pair) => this.dropped.push(nameOf(pair)),
   });
 
   constructor(private readonly load: InterferenceLoad) {
     this.random = new SeededRandom(load.seed);
-    for (let index = 0; index < RACKS * WORKERS_PER_RACK; index += 1) {
-      this.addWorker(index);
-    }
+    [...this.site.workers.keys()].forEach((workerId, index) => {
+      this.factors.set(workerId, load.workerFactor(index));
+      this.active.set(workerId, []);
+    });
   }
 
   play(): InterferenceOutcome {
@@ -126,31 +198,6 @@
     };
   }
 
-  private addWorker(index: number): void {
-    const workerId = trustedId<WorkerId>(`w${index}`);
-    const rackId = trustedId<RackId>(`rack-${index % RACKS}`);
-    const half = index * 2 < RACKS * WORKERS_PER_RACK ? 'first' : 'second';
-    const state = new WorkerState({
-      workerId,
-      incarnation: 1,
-      address: 'host:1',
-      serviceId: trustedId('service'),
-      zone: trustedId('zone'),
-      rackId,
-      labels: new Set([rackId, half]),
-      capacity: {
-        processorMillicores: 64_000,
-        memoryMegabytes: 65_536,
-        accelerators: ACCELERATORS,
-      },
-      isDraining: false,
-      remainingMs: undefined,
-    });
-    this.workers.set(workerId, state);
-    this.factors.set(workerId, this.load.workerFactor(index));
-    this.active.set(workerId, []);
-  }
-
   private createJob(now: number): Job {
     const {random, load} = this;
     const {spread} = load;
@@ -206,17 +253,15 @@
 
   private end(workerId: WorkerId, ended: Active, now: number): void {
     const {run, unit, image, workMs} = ended;
-    const {job, step: ofRun} = unit;
+    const {job} = unit;
     const others = (this.active.get(workerId) ?? []).filter(
       (other) => other !== ended,
     );
     this.active.set(workerId, others);
-    this.workers.get(workerId)?.remove(run);
+    this.site.workers.get(workerId)?.remove(run);
     const completed = completedRun(run, 'done', instant(now));
     const startedAt = performance.now();
-    if (completed !== undefined) {
-      this.table.runCompleted(completed, this.runTimes.expectedMs(job, ofRun));
-    }
+    this.table.runEnded(run, instant(now), completed);
     this.learningMs += performance.now() - startedAt;
     job.runEnded(run, 'done', '', 3, instant(now));
     this.runTimes.recordDone(run, instant(now));
@@ -228,42 +273,25 @@
 
   private runRound(now: number): void {
     const startedAt = performance.now();
-    const {placements} = planRound({
-      jobs: this.open,
-      workers: this.workers,
-      configuration: configuration(),
-      runTimes: this.runTimes,
-      now: instant(now),
-      steady: steadyTime(now),
-      isCalm: true,
-      interference: this.load.keepsApart === true ? this.table : undefined,
-      admits: () => true,
-    });
+    const placements = this.site.plan(
+      this.open,
+      this.load.keepsApart === true ? this.table : undefined,
+      this.runTimes,
+      now,
+    );
     this.roundMs += performance.now() - startedAt;
     for (const placement of placements) this.place(placement, now);
   }
 
-  private place({unit, workers}: Placement, now: number): void {
+  private place(placement: Placement, now: number): void {
+    const {unit} = placement;
     this.waits.push(now - unit.job.acceptedAt);
-    for (const worker of workers) {
-      const {workerId} = worker;
-      const at = instant(now);
-      const run = new Run(unit, unit.firstIndex, 1, workerId, 1, at);
-      run.phase = 'running';
-      run.firstSentAt = at;
-      run.confirmedAt = at;
-      unit.lastRun = 1;
-      unit.runs.push(run);
-      worker.add(run);
+    for (const run of this.site.start(placement, now)) {
       const startedAt = performance.now();
-      this.table.runStarted(
-        run,
-        this.runTimes.expectedMs(unit.job, unit.step),
-        at,
-      );
+      this.table.runStarted(run, instant(now));
       this.learningMs += performance.now() - startedAt;
       const workMs = this.workOf.get(unit) ?? 0;
-      this.active.get(workerId)?.push({
+      this.active.get(run.workerId)?.push({
         run,
         unit,
         image: unit.step.image ?? '',
