--- a/src/entry/entry_daemon.ts
+++ b/src/entry/entry_daemon.ts
@@ -304,6 +304,7 @@
     holdMaximumMs: settings.workerLeaseMs,
     usesWorkerSpeeds: usesWorkerSpeeds(settings),
     preemption: settings.preemption,
+    keepsApart: settings.keepApart,
     stateRetentionMs: settings.stateRetentionS * 1_000,
   };
 }
--- a/src/entry/entry_metrics.ts
+++ b/src/entry/entry_metrics.ts
@@ -84,6 +84,16 @@
     labelNames: ['speed'],
     registers: [this.registry],
   });
+  private readonly interferingPairs = new Gauge({
+    name: `${NAME_PREFIX}interfering_pairs`,
+    help: 'Pairs of kinds of work that slow each other down, on the leader',
+    registers: [this.registry],
+  });
+  private readonly largestSlowdown = new Gauge({
+    name: `${NAME_PREFIX}interference_largest_slowdown`,
+    help: 'Largest factor of a run time in such a pair, 1 without pairs',
+    registers: [this.registry],
+  });
 
   recordAnswer(method: string, kind: string, tookMs: number): void {
     this.answers.inc({method, kind});
@@ -101,7 +111,8 @@
     this.withheldStarts.set(evacuation?.withheldStarts ?? 0);
     this.lostRuns.reset();
     this.lostCoreSeconds.reset();
-    for (const [cause, {runs, coreSeconds}] of session?.lossCounts ?? []) {
+    for (const [cause, {runs, coreSeconds}] of session?.statistics.lostWork
+      .counts ?? []) {
       this.lostRuns.set({cause}, runs);
       this.lostCoreSeconds.set({cause}, coreSeconds);
     }
@@ -109,6 +120,9 @@
     for (const [speed, count] of Object.entries(session?.speedCounts ?? {})) {
       this.workersBySpeed.set({speed}, Number(count));
     }
+    const pairs = session?.statistics.interference.believedPairs() ?? [];
+    this.interferingPairs.set(pairs.length);
+    this.largestSlowdown.set(pairs[0]?.slowdown ?? 1);
     return this.registry.metrics();
   }
 }
--- a/src/entry/settings.ts
+++ b/src/entry/settings.ts
@@ -100,6 +100,12 @@
       'No run starts in a zone later than this after its evacuation; ' +
         'without it, zones are not evacuated.',
     ),
+  keepApart: z
+    .boolean()
+    .optional()
+    .describe(
+      'Whether kinds of work that slow each other down are placed on different workers, where there is room.',
+    ),
   cores: z
     .number()
     .positive()
--- a/src/leader/planning/placement.ts
+++ b/src/leader/planning/placement.ts
@@ -123,7 +123,7 @@
       this.waiting.push(...batch.units);
       return;
     }
-    const choice = new WorkerChoice(batch, this.view.speeds, now);
+    const choice = new WorkerChoice(batch, table, this.view);
     const candidates = candidateGroups(batch, table, now);
     const {crossRack} = candidates;
     const racks = choice.orderGroups(candidates.racks);
--- a/src/leader/planning/planning_view.ts
+++ b/src/leader/planning/planning_view.ts
@@ -5,6 +5,7 @@
 import type {HostedConfiguration} from '../../model/queues.js';
 import type {Job, Unit} from '../jobs/jobs.js';
 import type {RunTimeTable} from '../jobs/run_times.js';
+import type {KnownInterference} from '../workers/interference.js';
 import type {WorkerSpeeds} from '../workers/worker_speeds.js';
 import type {PreemptionPolicy} from './preemption_policy.js';
 import type {WorkerState} from '../workers/worker_state.js';
@@ -21,6 +22,8 @@
   readonly steady: SteadyTime;
   /** False while many workers become silent or end. */
   readonly isCalm: boolean;
+  /** Absent unless kinds of work that slow each other down are kept apart. */
+  readonly interference?: KnownInterference | undefined;
   /** True if the worker may run the unit by its queue's policy. */
   admits(unit: Unit, worker: WorkerState): boolean;
 }
--- a/src/leader/planning/preemption_policy.ts
+++ b/src/leader/planning/preemption_policy.ts
@@ -19,7 +19,7 @@
  * Time for the records of a placement, its orders and its starts, within the
  * start bound of guaranteed work.
  */
-const START_MS = 600;
+const START_MS = 1_000;
 
 export abstract class PreemptionPolicy {
   /**
--- a/src/leader/planning/worker_choice.ts
+++ b/src/leader/planning/worker_choice.ts
@@ -3,13 +3,15 @@
  * one after the other, and the first one that prefers a worker decides.
  */
 
-import type {Instant} from '../../model/ids.js';
+import type {Instant, WorkKind} from '../../model/ids.js';
 import {instant} from '../../model/ids.js';
 import type {CrashHistory} from '../losses/crash_history.js';
 import type {Unit} from '../jobs/jobs.js';
+import type {KnownInterference} from '../workers/interference.js';
+import {kindOf} from '../workers/neighbours.js';
 import {stepsOf} from '../workers/worker_speeds.js';
 import type {WorkerSpeeds} from '../workers/worker_speeds.js';
-import type {FreeCapacity} from './free_capacity.js';
+import type {FreeCapacity, FreeCapacityTable} from './free_capacity.js';
 
 /**
  * Share of the slack that a slow worker may use up; the rest is for run times
@@ -17,6 +19,9 @@
  */
 const SPEED_SLACK_SHARE = 0.5;
 
+/** Share of the workers that is not opened to keep kinds of work apart. */
+const UNTOUCHED_VACANT_SHARE = 0.25;
+
 /** What a choice of workers is for. */
 export interface PlacedWork {
   readonly unit: Unit;
@@ -25,6 +30,13 @@
   readonly deadlines: {readonly inTime: Instant};
 }
 
+/** What is known about the workers; parts that aren't used are absent. */
+export interface WorkerKnowledge {
+  readonly speeds?: WorkerSpeeds | undefined;
+  readonly interference?: KnownInterference | undefined;
+  readonly now: Instant;
+}
+
 /** A reason to prefer one worker over another. */
 export abstract class WorkerPreference {
   /** The preferred worker compares as less; 0 leaves it to the next term. */
@@ -127,29 +139,94 @@
   }
 }
 
+class FewerFreeAccelerators extends WorkerPreference {
+  compare(a: FreeCapacity, b: FreeCapacity): number {
+    return a.freeAccelerators - b.freeAccelerators;
+  }
+}
+
+/** Work goes where it neither slows other work nor is slowed by it. */
+class UndisturbedWorker extends WorkerPreference {
+  /** The others stay whole for large gangs. */
+  private readonly openable: ReadonlySet<FreeCapacity>;
+
+  constructor(
+    private readonly conflicts: ReadonlySet<WorkKind>,
+    {capacities}: FreeCapacityTable,
+  ) {
+    super();
+    const vacant = capacities.filter(({isVacant}) => isVacant);
+    const untouched = Math.ceil(capacities.length * UNTOUCHED_VACANT_SHARE);
+    this.openable = new Set(vacant.slice(untouched));
+  }
+
+  /** False if few workers are vacant; then full workers are filled first. */
+  get hasRoom(): boolean {
+    return this.openable.size > 0;
+  }
+
+  compare(a: FreeCapacity, b: FreeCapacity): number {
+    return Number(this.isDisturbed(a)) - Number(this.isDisturbed(b));
+  }
+
+  isDisturbed(capacity: FreeCapacity): boolean {
+    if (capacity.isVacant) return !this.openable.has(capacity);
+    return capacity.hasAnyOf(this.conflicts);
+  }
+}
+
+/** Tasks of a unit that a worker has room for; at least one. */
+interface Candidate {
+  readonly capacity: FreeCapacity;
+  readonly slots: number;
+}
+
 /** Chooses among the workers that a unit, or a batch of alike ones, may use. */
 export class WorkerChoice {
   private readonly terms: readonly WorkerPreference[];
+  private readonly now: Instant;
   private readonly sufficientSpeed: SufficientSpeed | undefined;
+  private readonly undisturbed: UndisturbedWorker | undefined;
+  /** The unit's tasks slow each other down. */
+  private readonly isSlowedByItself: boolean;
 
   constructor(
     private readonly work: PlacedWork,
-    speeds: WorkerSpeeds | undefined,
-    private readonly now: Instant,
+    table: FreeCapacityTable,
+    {speeds, interference, now}: WorkerKnowledge,
   ) {
     const {unit} = work;
+    this.now = now;
+    const kind = kindOf(unit);
+    const conflicts = interference?.conflictsOf(kind);
+    this.isSlowedByItself = conflicts?.has(kind) === true;
+    if (conflicts !== undefined && conflicts.size > 0) {
+      this.undisturbed = new UndisturbedWorker(conflicts, table);
+    }
     if (unit.step.usesSpareProcessor === true) {
       this.terms = [new WarmWorker(), new MostSpareProcessor()];
     } else if (unit.crashes.isSuspect) {
       this.terms = [new WarmWorker(), new UnsuspectedWorker(unit.crashes)];
     } else if (speeds === undefined || unit.step.longRunning === true) {
-      this.terms = [new WarmWorker(), new FullerWorker()];
+      this.terms = [new WarmWorker(), ...this.packingTerms()];
     } else {
       this.sufficientSpeed = new SufficientSpeed(work, speeds, now);
-      this.terms = [new WarmWorker(), this.sufficientSpeed, new FullerWorker()];
+      this.terms = [
+        new WarmWorker(),
+        this.sufficientSpeed,
+        ...this.packingTerms(),
+      ];
     }
   }
 
+  private packingTerms(): readonly WorkerPreference[] {
+    const {undisturbed} = this;
+    if (undisturbed === undefined) return [new FullerWorker()];
+    return undisturbed.hasRoom
+      ? [undisturbed, new FullerWorker()]
+      : [new FewerFreeAccelerators(), undisturbed, new FullerWorker()];
+  }
+
   get unit(): Unit {
     return this.work.unit;
   }
@@ -171,7 +248,7 @@
       .filter(({slots}) => slots > 0)
       .sort((a, b) => this.compare(a.capacity, b.capacity));
     const chosen: FreeCapacity[] = [];
-    for (const {capacity, slots} of sorted) {
+    for (const {capacity, slots} of this.spread(sorted)) {
       const tasks = Math.min(slots, count - chosen.length);
       for (let i = 0; i < tasks; i += 1) chosen.push(capacity);
       if (chosen.length === count) break;
@@ -179,6 +256,24 @@
     return chosen;
   }
 
+  /** Tasks that slow each other down first take a worker each. */
+  private spread(sorted: readonly Candidate[]): readonly Candidate[] {
+    const {undisturbed, sufficientSpeed, isSlowedByItself} = this;
+    if (!isSlowedByItself || undisturbed?.hasRoom !== true) return sorted;
+    const single = sorted.filter(
+      ({capacity}) =>
+        !undisturbed.isDisturbed(capacity) &&
+        sufficientSpeed?.isSufficient(capacity) !== false,
+    );
+    const singles = new Set(single);
+    return [
+      ...single.map(({capacity}) => ({capacity, slots: 1})),
+      ...sorted.map((each) =>
+        singles.has(each) ? {...each, slots: each.slots - 1} : each,
+      ),
+    ];
+  }
+
   /** When the unit is expected to end on these workers. */
   endOn(capacities: readonly FreeCapacity[]): Instant {
     const factor = this.sufficientSpeed?.factorOf(capacities) ?? 1;
--- a/src/leader/session.ts
+++ b/src/leader/session.ts
@@ -16,20 +16,14 @@
 import type {Authority} from './authority.js';
 import {AdmissionTickets} from './planning/admissions.js';
 import {CommitQueue} from './jobs/commit_queue.js';
-import {completedRun} from './jobs/completed_runs.js';
 import type {WorkerFate} from './losses/crash_history.js';
 import {CrashMonitor} from './losses/crash_monitor.js';
 import type {CrashCounts} from './losses/crash_monitor.js';
 import {JobRegistry} from './jobs/job_registry.js';
 import type {InboxSource} from './jobs/job_registry.js';
-import {LostWork} from './jobs/lost_work.js';
-import type {LossCause, LossCount} from './jobs/lost_work.js';
 import {Run} from './jobs/runs.js';
 import type {Unit, Job} from './jobs/jobs.js';
-import {
-  checkpointIntervalMs,
-  createPreemptionPolicy,
-} from './planning/preemption_policy.js';
+import {createPreemptionPolicy} from './planning/preemption_policy.js';
 import type {PreemptionPolicy} from './planning/preemption_policy.js';
 import {planRound} from './planning/placement.js';
 import type {Placement} from './planning/placement.js';
@@ -49,14 +43,13 @@
   WorkerCounts,
 } from './jobs/reports.js';
 import {RoundTimer} from './round_timer.js';
-import {RunTimeTable} from './jobs/run_times.js';
+import {RunStatistics} from './jobs/run_statistics.js';
 import {EvacuationTable} from './vms/evacuations.js';
 import type {SessionDependencies, SessionSettings} from './session_options.js';
 import {startVmManagement} from './vms/vm_management.js';
 import {WorkerOutages} from './losses/worker_outages.js';
 import type {WorkerLinkEvents} from './workers/worker_events.js';
 import type {WorkerState} from './workers/worker_state.js';
-import {WorkerSpeeds} from './workers/worker_speeds.js';
 import {sendPlannedStops} from './workers/planned_stops.js';
 import type {SpeedCounts} from './workers/worker_speeds.js';
 import {WorkerTable} from './workers/worker_table.js';
@@ -74,11 +67,8 @@
   private readonly commitQueue: CommitQueue;
   private readonly admissions: AdmissionTickets;
   private readonly roundTimer: RoundTimer;
-  private readonly runTimes: RunTimeTable;
-  /** Absent if workers are chosen without regard to their speeds. */
-  private readonly workerSpeeds: WorkerSpeeds | undefined;
   private readonly preemption: PreemptionPolicy;
-  private readonly lostWork: LostWork;
+  readonly statistics: RunStatistics;
   private readonly paceController = new PaceController();
   private readonly outages: WorkerOutages;
   private readonly crashMonitor: CrashMonitor;
@@ -89,7 +79,7 @@
 
   constructor(
     private readonly dependencies: SessionDependencies,
-    settings: SessionSettings,
+    private readonly settings: SessionSettings,
     private readonly authority: Authority,
     private readonly configuration: () => HostedConfiguration | undefined,
     private readonly scope: CleanupScope,
@@ -97,13 +87,9 @@
     const {store, log, evacuations} = dependencies;
     this.clock = new SteadyClock(dependencies.clock);
     this.preemption = createPreemptionPolicy(settings.preemption);
-    this.lostWork = new LostWork(checkpointIntervalMs(settings.preemption));
+    this.statistics = new RunStatistics(settings, log);
     this.roundTimer = new RoundTimer(scope, () => this.runRound());
     this.registry = new JobRegistry(log);
-    if (settings.usesWorkerSpeeds === true) {
-      this.workerSpeeds = new WorkerSpeeds();
-    }
-    this.runTimes = new RunTimeTable(this.workerSpeeds);
     this.outages = new WorkerOutages(() => this.workerTable.listedCount);
     this.crashMonitor = new CrashMonitor(log, this.outages);
     this.commitQueue = new CommitQueue(store, authority.leaderRevision, scope, {
@@ -163,10 +149,6 @@
     return this.crashMonitor.counts;
   }
 
-  get lossCounts(): ReadonlyMap<LossCause, LossCount> {
-    return this.lostWork.counts;
-  }
-
   get openJobCount(): number {
     return this.registry.open.size;
   }
@@ -262,14 +244,14 @@
       configuration: this.configuration(),
       now: this.now(),
       steady,
-      speeds: this.workerSpeeds,
+      speeds: this.statistics.speeds,
       admits: (unit, worker) => this.admissions.admits(unit, worker, steady),
     });
   }
 
   /** Undefined if workers are chosen without regard to their speeds. */
   get speedCounts(): SpeedCounts | undefined {
-    return this.workerSpeeds?.counts(this.workerTable.workers.values());
+    return this.statistics.speeds?.counts(this.workerTable.workers.values());
   }
 
   workerCounts(now: SteadyTime): WorkerCounts {
@@ -306,6 +288,7 @@
   // Runs.
 
   private runStarted(run: Run): void {
+    this.statistics.runStarted(run, this.now());
     const {job} = run.unit;
     if (job.state === 'queued') job.state = 'running';
     if (run.step.longRunning === true && !run.isStartRecorded) {
@@ -350,13 +333,9 @@
     const wasEnded = job.isEnded;
     const now = this.now();
     const limit = this.maximumAttempts(job);
-    if (worker !== undefined) {
-      const completed = completedRun(run, ending, now);
-      this.workerSpeeds?.recordEnd(run, worker, completed, now);
-    }
+    const loss = this.statistics.runEnded(run, ending, worker, now);
     const failed = job.runEnded(run, ending, checkpoint, limit, now);
     this.crashMonitor.recordEnd(run, now);
-    const loss = this.lostWork.record(run, ending, now);
     this.dependencies.log.runEnded(run, ending, unit.failures, loss);
     if (failed) {
       if (worker?.countFailure(job.id, steadyNow()) === true) {
@@ -367,7 +346,7 @@
       }
     } else if (ending === 'done') {
       worker?.countSuccess();
-      this.runTimes.recordDone(run, now);
+      this.statistics.runDone(run, now);
     }
     this.handleRunEnd(run, wasEnded);
   }
@@ -377,7 +356,7 @@
     const wasEnded = job.isEnded;
     this.dependencies.log.runLost(run, reason);
     const now = this.now();
-    this.lostWork.record(run, 'lost', now);
+    this.statistics.runLost(run, now);
     job.runEnded(run, 'lost', run.checkpoint, Infinity, now);
     this.crashMonitor.recordEnd(run, now);
     this.handleRunEnd(run, wasEnded);
@@ -392,7 +371,7 @@
       runs.map(({unit}) => unit.job).filter(({isEnded}) => isEnded),
     );
     const now = this.now();
-    for (const run of runs) this.lostWork.record(run, 'lost', now);
+    for (const run of runs) this.statistics.runLost(run, now);
     this.crashMonitor.recordLosses(worker, runs, fate, now);
     for (const run of runs) {
       const {job} = run.unit;
@@ -460,7 +439,7 @@
 
   private tick(): void {
     this.workerTable.tick(steadyNow());
-    this.workerSpeeds?.observe(this.workerTable.workers.values(), this.now());
+    this.statistics.observe(this.workerTable.workers.values(), this.now());
     this.resolveFates();
     if (this.registry.open.size > 0) this.scheduleRound();
   }
@@ -480,12 +459,16 @@
       jobs: this.registry.open,
       workers: this.workerTable.workers,
       configuration,
-      runTimes: this.runTimes,
-      speeds: this.workerSpeeds,
+      runTimes: this.statistics.runTimes,
+      speeds: this.statistics.speeds,
       preemption: this.preemption,
       now,
       steady,
       isCalm: this.outages.isCalm(now),
+      interference:
+        this.settings.keepsApart === true
+          ? this.statistics.interference
+          : undefined,
       admits: (unit, worker) => this.admissions.admits(unit, worker, steady),
     });
     this.waitingUnits = plan.waiting;
--- a/src/leader/session_options.ts
+++ b/src/leader/session_options.ts
@@ -15,6 +15,8 @@
   readonly holdMaximumMs: number;
   /** How runs are chosen that are stopped for guaranteed work. */
   readonly preemption?: PreemptionSettings | undefined;
+  /** Kinds of work that slow each other down are placed apart. */
+  readonly keepsApart?: boolean | undefined;
   /** Workers are chosen by their speeds; false if absent. */
   readonly usesWorkerSpeeds?: boolean | undefined;
 }
