--- a/src/entry/settings.ts
+++ b/src/entry/settings.ts
@@ -35,7 +35,8 @@
     .enum(['auto', 'immediate', 'economical'])
     .describe(
       'How runs are chosen that are stopped for guaranteed work; auto is ' +
-        'economical if tasks write checkpoints more often than every second.',
+        'economical if tasks write checkpoints more often than every second ' +
+        'and a stop and a restoring take less than that interval.',
     ),
   reclaimMs: z
     .number()
--- a/src/leader/planning/preemption_policy.ts
+++ b/src/leader/planning/preemption_policy.ts
@@ -98,14 +98,19 @@
   if (settings === undefined) return new ImmediatePreemption();
   const {policy} = settings;
   const isEconomical =
-    policy === 'economical' ||
-    (policy === 'auto' &&
-      checkpointIntervalMs(settings) < MAXIMUM_CHECKPOINT_LOSS_MS);
+    policy === 'economical' || (policy === 'auto' && hasCheapStops(settings));
   return isEconomical
     ? new EconomicalPreemption(settings)
     : new ImmediatePreemption();
 }
 
+/** A stop has to be short beside the work that it saves. */
+function hasCheapStops(settings: PreemptionSettings): boolean {
+  const intervalMs = checkpointIntervalMs(settings);
+  const idleMs = settings.stopMs + settings.restoreMs;
+  return intervalMs < MAXIMUM_CHECKPOINT_LOSS_MS && idleMs < intervalMs;
+}
+
 export function checkpointIntervalMs(
   settings: PreemptionSettings | undefined,
 ): number {
--- a/test/preemption.test.ts
+++ b/test/preemption.test.ts
@@ -254,6 +254,7 @@
     const cases = [
       [settings, EconomicalPreemption],
       [{...settings, checkpointIntervalS: 1}, ImmediatePreemption],
+      [{...settings, stopMs: 900, restoreMs: 600}, ImmediatePreemption],
       [{...settings, policy: 'immediate'}, ImmediatePreemption],
       [
         {...settings, policy: 'economical', checkpointIntervalS: 2},
