Play crowds of clients against a daemon on a small VM

Clients outside the limits end a daemon. Ten tests play such crowds against one daemon with 64 MB of heap on a VM of 160 MB and 300 descriptors, 200 of them for files: requests ahead and unread, unfinished bodies in large and in small chunks, at each address, and submissions with new keys. Each then checks that the process lives, its memory and its sockets stay within the VM, and an ordinary request is answered.

The settings clientLimits are read and have no effect yet.

--- a/soak/daemon_process.ts
+++ b/soak/daemon_process.ts
@@ -9,7 +9,7 @@
 import {join} from 'node:path';
 import {fileURLToPath} from 'node:url';
 import type {HttpPlatform, StoreListener} from '../emulator/http_platform.js';
-import type {EntrySettings} from '../src/entry/settings.js';
+import type {EntrySettingsFile} from '../src/entry/settings.js';
 import type {CleanupScope} from '../src/lifecycle/cleanup_scope.js';
 import {FaultLink} from '../src/standins/fault_link.js';
 import {ManagedProcess} from '../src/standins/managed_process.js';
@@ -39,6 +39,7 @@
 export interface DaemonTimings {
   readonly workerLeaseMs: number;
   readonly stopGraceS: number;
+  readonly clientLimits?: EntrySettingsFile['clientLimits'];
 }
 
 export class DaemonProcess {
@@ -55,6 +56,7 @@
     readonly callerLink: FaultLink,
     readonly storeLink: FaultLink,
     readonly store: StoreListener,
+    readonly settings: EntrySettingsFile,
     private readonly settingsPath: string,
     private readonly scope: CleanupScope,
   ) {}
@@ -70,7 +72,7 @@
     const storeLink = new FaultLink(store.address);
     const callerAddress = `${HOST}:${await findFreePort()}`;
     const callerLink = new FaultLink(callerAddress);
-    const settings: EntrySettings = {
+    const settings: EntrySettingsFile = {
       vmId: name,
       availabilityZone: 'zone-1',
       callerAddress,
@@ -101,6 +103,7 @@
       callerLink,
       storeLink,
       store,
+      settings,
       settingsPath,
       scope,
     );
@@ -110,6 +113,10 @@
     return this.process?.isRunning === true;
   }
 
+  get pid(): number | undefined {
+    return this.process?.pid;
+  }
+
   /** `environment` is added to the variables of the process. */
   async start(environment: Record<string, string> = {}): Promise<void> {
     const {process} = await ManagedProcess.start(
--- a/src/entry/settings.ts
+++ b/src/entry/settings.ts
@@ -30,6 +30,54 @@
     .describe('A new leader gives no order about VMs for this time.'),
 });
 
+const clientLimitsSchema = z.strictObject({
+  memoryMb: z
+    .number()
+    .positive()
+    .default(210)
+    .describe('Memory of the VM; other defaults follow from it.'),
+  maximumDescriptors: z
+    .number()
+    .positive()
+    .default(2_212)
+    .describe('Descriptors that the VM allows; 200 are left for files.'),
+  connections: z
+    .int()
+    .positive()
+    .optional()
+    .describe(
+      "Connections at the callers' address, half of the sockets if unset; " +
+        'beyond, the oldest unfinished or longest idle one is closed.',
+    ),
+  unfinishedRequests: z
+    .int()
+    .positive()
+    .optional()
+    .describe(
+      "Requests at the callers' address that are not whole, and answers that " +
+        'are unread; one for each 64 KB of `heldMb` if unset; beyond, the ' +
+        'connection of the oldest is closed.',
+    ),
+  heldMb: z
+    .number()
+    .positive()
+    .optional()
+    .describe(
+      "Memory for what connections at the callers' address hold, bodies " +
+        'included; half of the memory above 128 MB if unset, 8 to 64; ' +
+        'beyond, the connection of the oldest unfinished request is closed.',
+    ),
+  requestsInProgress: z
+    .int()
+    .positive()
+    .default(256)
+    .describe(
+      "Requests in progress at the callers' address; beyond, one is refused " +
+        'with 503 and Retry-After, and never runs.',
+    ),
+});
+export type ClientLimits = Readonly<z.infer<typeof clientLimitsSchema>>;
+
 export const entrySettingsSchema = z.strictObject({
   vmId: z.string().min(1).describe('Name of this entry VM.'),
   availabilityZone: z.string().min(1).describe('Zone of this entry VM.'),
@@ -70,9 +118,13 @@
     .number()
     .positive()
     .describe('Time from a request to stop until the kill, seconds.'),
+  clientLimits: clientLimitsSchema.prefault({}),
 });
 export type EntrySettings = Readonly<z.infer<typeof entrySettingsSchema>>;
 
+/** Settings as written in the file, where defaults may be left out. */
+export type EntrySettingsFile = Readonly<z.input<typeof entrySettingsSchema>>;
+
 /** Reads and validates the settings file; an error names the invalid field. */
 export async function readEntrySettings(
   path: string,
--- /dev/null
+++ b/test/crowds/clients.test.ts
@@ -0,0 +1,108 @@
+/**
+ * Tests that clients outside all limits neither end a daemon nor take more than
+ * the memory and descriptors of its VM, and that others are answered meanwhile.
+ */
+
+import {afterEach, beforeEach, describe} from 'node:test';
+import type {DaemonProcess} from '../../soak/daemon_process.js';
+import {CleanupScope} from '../../src/lifecycle/cleanup_scope.js';
+import {checkTarget} from '../known_red.js';
+import {
+  QUEUE_HOST,
+  QUEUE_PATH,
+  checkOrdinaryRequest,
+  checkProcess,
+  checkReadiness,
+  playCrowd,
+  startDaemonOnSmallVm,
+} from './crowd.js';
+
+const MEGABYTE = 1_048_576;
+
+/** What bodies stop at; the limit of a body is 262,144 bytes. */
+const UNFINISHED_BODY_BYTES = 262_000;
+const LARGE_CHUNK_BYTES = 65_500;
+
+const ADDRESSES = {
+  callers: ({settings}: DaemonProcess) => settings.callerAddress,
+  readiness: ({settings}: DaemonProcess) => settings.readinessAddress,
+  peers: ({peerAddress}: DaemonProcess) => peerAddress,
+} as const;
+
+describe('a crowd', () => {
+  let scope: CleanupScope;
+  let daemon: DaemonProcess;
+
+  beforeEach(async () => {
+    scope = new CleanupScope();
+    daemon = await startDaemonOnSmallVm(scope);
+  });
+
+  afterEach(() => scope.close());
+
+  const check = async () => {
+    await checkProcess(daemon);
+    await checkOrdinaryRequest(daemon);
+    await checkReadiness(daemon);
+    await checkProcess(daemon);
+  };
+
+  for (const [name, addressOf] of Object.entries(ADDRESSES)) {
+    checkTarget(`at the address of ${name}: requests ahead`, async () => {
+      await playCrowd(scope, addressOf(daemon), 100, () => readinessAhead());
+      await check();
+    });
+
+    checkTarget(`at the address of ${name}: large chunks`, async () => {
+      const body = () => unfinishedBody(LARGE_CHUNK_BYTES);
+      await playCrowd(scope, addressOf(daemon), 300, body);
+      await check();
+    });
+
+    checkTarget(`at the address of ${name}: small chunks`, async () => {
+      await playCrowd(scope, addressOf(daemon), 60, () => unfinishedBody(1));
+      await check();
+    });
+  }
+
+  checkTarget('of submissions ahead, each with a new key', async () => {
+    await playCrowd(scope, daemon.settings.callerAddress, 60, submissionsAhead);
+    await check();
+  });
+});
+
+function* readinessAhead(): Iterable<string> {
+  const text = 'GET /v1/readyz HTTP/1.1\r\nHost: crowd\r\n\r\n';
+  const block = text.repeat(1_000);
+  for (let sent = 0; sent < 4 * MEGABYTE; sent += block.length) yield block;
+}
+
+/** A body in chunks of `chunkBytes` that stops short of its end. */
+function* unfinishedBody(chunkBytes: number): Iterable<string> {
+  yield (
+    `POST ${QUEUE_PATH}00000000000000aa HTTP/1.1\r\n` +
+    `Host: ${QUEUE_HOST}\r\nTransfer-Encoding: chunked\r\n\r\n`
+  );
+  const content = 'a'.repeat(chunkBytes);
+  const chunk = `${chunkBytes.toString(16)}\r\n${content}\r\n`;
+  const chunks = Math.ceil(LARGE_CHUNK_BYTES / chunkBytes);
+  const block = chunk.repeat(chunks);
+  const blockBytes = chunks * chunkBytes;
+  for (let sent = 0; sent + blockBytes <= UNFINISHED_BODY_BYTES;) {
+    yield block;
+    sent += blockBytes;
+  }
+}
+
+function* submissionsAhead(member: number): Iterable<string> {
+  const body = '{"spec":"text","steps":[{"count":1,"cpu":1000}]}';
+  for (let index = 0; index < 5_000; index += 1) {
+    const name = (member * 5_000 + index).toString(16).padStart(16, '0');
+    yield (
+      `POST ${QUEUE_PATH}${name} HTTP/1.1\r\nHost: ${QUEUE_HOST}\r\n` +
+      `Bramleystep-Credential: key-${name}\r\n` +
+      `Content-Type: application/json\r\n` +
+      `Content-Length: ${body.length}\r\n\r\n${body}`
+    );
+  }
+}
--- a/test/entry_process.ts
+++ b/test/entry_process.ts
@@ -2,6 +2,7 @@
 
 import {HttpPlatform} from '../emulator/http_platform.js';
 import {DaemonProcess} from '../soak/daemon_process.js';
+import type {EntrySettingsFile} from '../src/entry/settings.js';
 import type {CleanupScope} from '../src/lifecycle/cleanup_scope.js';
 import {SeededRandom} from '../src/lifecycle/random.js';
 
@@ -38,12 +39,13 @@
 export async function createDaemonOf(
   platform: HttpPlatform,
   scope: CleanupScope,
+  clientLimits: EntrySettingsFile['clientLimits'] = {},
 ): Promise<DaemonProcess> {
   return DaemonProcess.create(
     'entry-1',
     platform,
     await platform.openVmService(),
-    {workerLeaseMs: WORKER_LEASE_MS, stopGraceS: STOP_GRACE_S},
+    {workerLeaseMs: WORKER_LEASE_MS, stopGraceS: STOP_GRACE_S, clientLimits},
     scope,
   );
 }
