Bound what clients outside the limits cost a daemon

Node parses all that one read of a socket returned: thousands of requests sent ahead began at once, a body in chunks of one byte took a hundred times its size, and callers' calls filled the queue of the store's connections, so that the configuration went out of date and everybody was refused.

A connection now passes on one request at a time and takes turns with others. Limits on connections, unfinished requests, held bytes, requests in progress and time without progress close the oldest unfinished connection or refuse with 503; none in progress is closed. Bodies are copied into one buffer. Callers' calls have connections to the store of their own. A body that does not fit the memory limit is refused with 503 and not with 400, as it may come again.

--- a/src/daemon/request_body.ts
+++ b/src/daemon/request_body.ts
@@ -31,20 +31,24 @@
   ): Promise<Result<string, BodyError>> {
     const declared = Number(request.headers['content-length'] ?? 0);
     if (declared > maximumBytes) return Result.err(tooLarge(maximumBytes));
-    const chunks: Buffer[] = [];
+    // Kept as one buffer: the object of a small chunk is larger than its bytes.
+    let content: Buffer = Buffer.alloc(0);
     let bytes = 0;
     try {
       // Destroying the stream would close the connection before the response.
       const stream = request.iterator({destroyOnReturn: false});
       for await (const chunk of stream) {
         const buffer = chunk as Buffer;
-        bytes += buffer.length;
+        const end = bytes + buffer.length;
         this.bytesInFlight += buffer.length;
+        const start = bytes;
+        bytes = end;
         if (bytes > maximumBytes) return Result.err(tooLarge(maximumBytes));
         if (this.bytesInFlight > this.maximumInFlight) {
           return Result.err(tooBusy());
         }
-        chunks.push(buffer);
+        if (end > content.length) content = grown(content, end, maximumBytes);
+        buffer.copy(content, start);
       }
     } catch {
       return Result.err(
@@ -53,10 +57,18 @@
     } finally {
       this.bytesInFlight -= bytes;
     }
-    return decode(Buffer.concat(chunks));
+    return decode(content.subarray(0, bytes));
   }
 }
 
+/** Returns a copy with room for `bytes`, doubled to bound the copying. */
+function grown(content: Buffer, bytes: number, maximumBytes: number): Buffer {
+  const size = Math.min(Math.max(bytes, 2 * content.length), maximumBytes);
+  const larger = Buffer.alloc(size);
+  content.copy(larger);
+  return larger;
+}
+
 function decode(bytes: Buffer): Result<string, BodyError> {
   try {
     return Result.ok(new TextDecoder('utf-8', {fatal: true}).decode(bytes));
--- a/src/entry/entry_daemon.ts
+++ b/src/entry/entry_daemon.ts
@@ -35,9 +35,15 @@
 import {LeaderQueryHandler} from './calls.js';
 import {ConfigurationFeed} from './configuration_feed.js';
 import {EntryMetrics} from './entry_metrics.js';
+import {connectionBounds} from './connection_limits.js';
+import type {ListenerName} from './connection_limits.js';
 import type {HttpHandler} from './http_listener.js';
 import {HttpListener} from './http_listener.js';
-import {HttpSitePeers, peerHandler} from './http_peers.js';
+import {
+  HttpSitePeers,
+  MAXIMUM_MESSAGE_BYTES,
+  peerHandler,
+} from './http_peers.js';
 import {PeerStoreProxy, runRelayedStoreCall} from './relayed_store_calls.js';
 import type {EntrySettings} from './settings.js';
 import {SiteOperatorApi} from './site_operators.js';
@@ -50,8 +56,13 @@
 
 const MEMBER_RETRY_MS = 1_000;
 
+/** Applies until the first configuration has been read. */
+const LARGEST_USUAL_BODY_BYTES = 262_144;
+
 export interface EntryDependencies {
   readonly store: CoordinationStore;
+  /** For callers' calls only, whose queue must not delay the daemon's own. */
+  readonly callerStore: CoordinationStore;
   readonly workers: TaskWorkerClient;
   readonly directory: WorkerDirectory;
   readonly configuration: ConfigurationSource;
@@ -134,7 +145,7 @@
     const queryHandler = new SessionQueryHandler(this.leadership);
     this.gateway = new CallerGateway(
       {
-        store: dependencies.store,
+        store: dependencies.callerStore,
         feed: this.feed,
         site: this.site,
         queryHandler,
@@ -154,12 +165,35 @@
   private createListeners(
     queryHandler: LeaderQueryHandler,
   ): [HttpListener, HttpListener, HttpListener] {
-    const {handlerFactories, log} = this.options;
+    const {handlerFactories, log, settings} = this.options;
     const entryLog = log.component('entry');
+    const bounds = connectionBounds(settings.clientLimits);
+    const observer = this.metrics;
+    const createListener = (
+      name: ListenerName,
+      handler: HttpHandler,
+      maximumBodyBytes: () => number,
+      componentLog = entryLog,
+    ) =>
+      new HttpListener({
+        name,
+        bounds: bounds[name],
+        handler,
+        maximumBodyBytes,
+        log: componentLog,
+        observer,
+      });
     return [
-      new HttpListener(handlerFactories.callers(this), entryLog),
-      new HttpListener(handlerFactories.readiness(this), entryLog),
-      new HttpListener(
+      createListener(
+        'callers',
+        handlerFactories.callers(this),
+        () =>
+          this.configuration?.limits.maximumBodyBytes ??
+          LARGEST_USUAL_BODY_BYTES,
+      ),
+      createListener('readiness', handlerFactories.readiness(this), () => 0),
+      createListener(
+        'peers',
         peerHandler({
           queryHandler,
           operatorApi: this.createOperatorApi(),
@@ -168,6 +202,7 @@
             runRelayedStoreCall(this.options.dependencies.store, call),
           metrics: () => this.metrics.render(this.leadership.session),
         }),
+        () => MAXIMUM_MESSAGE_BYTES,
         log.component('peers'),
       ),
     ];
--- a/src/entry/entry_metrics.ts
+++ b/src/entry/entry_metrics.ts
@@ -5,6 +5,8 @@
 
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 import type {LeaderSession} from '../leader/session.js';
+import type {CloseReason, ListenerName} from './connection_limits.js';
+import type {ListenerObserver} from './http_listener.js';
 
 const NAME_PREFIX = 'bramleystep_entry_';
 const MILLISECONDS_PER_SECOND = 1_000;
@@ -14,7 +16,7 @@
   0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2,
 ];
 
-export class EntryMetrics {
+export class EntryMetrics implements ListenerObserver {
   private readonly registry = new Registry();
   private readonly answers = new Counter({
     name: `${NAME_PREFIX}answers_total`,
@@ -51,11 +53,42 @@
     registers: [this.registry],
   });
 
+  private readonly connections = new Gauge({
+    name: `${NAME_PREFIX}connections`,
+    help: 'Open connections by address',
+    labelNames: ['listener'],
+    registers: [this.registry],
+  });
+  private readonly closedConnections = new Counter({
+    name: `${NAME_PREFIX}closed_connections_total`,
+    help: 'Connections closed at a limit, by address and limit',
+    labelNames: ['listener', 'reason'],
+    registers: [this.registry],
+  });
+  private readonly refusedRequests = new Counter({
+    name: `${NAME_PREFIX}refused_requests_total`,
+    help: 'Requests refused as too many were in progress, by address',
+    labelNames: ['listener'],
+    registers: [this.registry],
+  });
+
   recordAnswer(method: string, kind: string, tookMs: number): void {
     this.answers.inc({method, kind});
     this.answerSeconds.observe({method}, tookMs / MILLISECONDS_PER_SECOND);
   }
 
+  recordClosed(listener: ListenerName, reason: CloseReason): void {
+    this.closedConnections.inc({listener, reason});
+  }
+
+  recordRefused(listener: ListenerName): void {
+    this.refusedRequests.inc({listener});
+  }
+
+  recordConnections(listener: ListenerName, count: number): void {
+    this.connections.set({listener}, count);
+  }
+
   render(session: LeaderSession | undefined): Promise<string> {
     this.leads.set(session === undefined ? 0 : 1);
     this.openJobs.set(session?.openJobCount ?? 0);
--- a/src/entry/http_peers.ts
+++ b/src/entry/http_peers.ts
@@ -44,7 +44,9 @@
 const FORWARD_TIMEOUT_MS = 800;
 
 const CONNECTIONS_PER_PEER = 8;
-const MAXIMUM_MESSAGE_BYTES = 1_048_576;
+
+/** Largest message between daemons. */
+export const MAXIMUM_MESSAGE_BYTES = 1_048_576;
 
 export class HttpSitePeers extends SitePeers {
   constructor(private readonly connections: ConnectionsByAddress) {
@@ -135,6 +137,8 @@
       return;
     }
     const body = await bodies.read(request, MAXIMUM_MESSAGE_BYTES);
+    // An unread rest would keep the connection from further requests.
+    if (body.isErr) request.resume();
     const message = body.isOk ? parseJson(Buffer.from(body.value)) : undefined;
     if (request.url === ASK_PATH) {
       const query = leaderQuerySchema.safeParse(message);
--- a/test/crowds/clients.test.ts
+++ b/test/crowds/clients.test.ts
@@ -3,7 +3,9 @@
  * the memory and descriptors of its VM, and that others are answered meanwhile.
  */
 
+import assert from 'node:assert/strict';
 import {afterEach, beforeEach, describe} from 'node:test';
+import {setTimeout as delay} from 'node:timers/promises';
 import type {DaemonProcess} from '../../soak/daemon_process.js';
 import {CleanupScope} from '../../src/lifecycle/cleanup_scope.js';
 import {checkTarget} from '../known_red.js';
@@ -15,6 +17,7 @@
   checkReadiness,
   playCrowd,
   startDaemonOnSmallVm,
+  submitJob,
 } from './crowd.js';
 
 const MEGABYTE = 1_048_576;
@@ -69,6 +72,15 @@
     await playCrowd(scope, daemon.settings.callerAddress, 60, submissionsAhead);
     await check();
   });
+
+  checkTarget('at a stop: a request in progress is answered', async () => {
+    await playCrowd(scope, daemon.settings.callerAddress, 100, readinessAhead);
+    daemon.store.faults.slowMs = 150;
+    const status = submitJob(daemon);
+    await delay(50);
+    await daemon.stop();
+    assert.equal(await status, 200);
+  });
 });
 
 function* readinessAhead(): Iterable<string> {
--- a/test/crowds/crowd.ts
+++ b/test/crowds/crowd.ts
@@ -26,7 +26,11 @@
 
 export const QUEUE_HOST = 'crowd.example';
 export const QUEUE_PATH = '/jobs/';
-export const KNOWN_KEY = 'known-key';
+const KNOWN_KEY = 'known-key';
+const QUEUE_HEADERS = {
+  host: QUEUE_HOST,
+  'bramleystep-credential': KNOWN_KEY,
+};
 
 /** A crowd has done its work when nothing moves for this long. */
 const QUIET_MS = 2_000;
@@ -116,7 +120,7 @@
 ): Promise<void> {
   const answer = await answerTo(`http://${daemon.settings.callerAddress}`, {
     path: QUEUE_PATH,
-    headers: {host: QUEUE_HOST, 'bramleystep-credential': KNOWN_KEY},
+    headers: QUEUE_HEADERS,
   });
   assert.deepEqual(JSON.parse(answer), {pending: 0});
 }
@@ -130,10 +134,25 @@
   assert.deepEqual(JSON.parse(answer), {ready: true});
 }
 
-async function answerTo(
-  origin: string,
-  call: {path: string; headers: Readonly<Record<string, string>>},
-): Promise<string> {
+/** Submits a job and returns the status of the answer, 0 without one. */
+export async function submitJob(daemon: DaemonProcess): Promise<number> {
+  const answer = await ask(`http://${daemon.settings.callerAddress}`, {
+    method: 'POST',
+    path: `${QUEUE_PATH}00000000000000aa`,
+    headers: QUEUE_HEADERS,
+    body: JSON.stringify({spec: 'text', steps: [{count: 1}]}),
+  });
+  return answer.status;
+}
+
+interface Call {
+  readonly method?: string;
+  readonly path: string;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body?: string;
+}
+
+async function answerTo(origin: string, call: Call): Promise<string> {
   const endsAt = Date.now() + ORDINARY_GUARD_MS;
   let seen = 'nothing';
   while (Date.now() < endsAt) {
@@ -147,11 +166,11 @@
 
 function ask(
   origin: string,
-  {path, headers}: {path: string; headers: Readonly<Record<string, string>>},
+  {body, ...call}: Call,
 ): Promise<{status: number; text: string}> {
   return new Promise((resolve) => {
     const fail = (error: Error) => resolve({status: 0, text: error.message});
-    const sent = request(origin, {path, headers, agent: false}, (response) => {
+    const sent = request(origin, {...call, agent: false}, (response) => {
       let text = '';
       response.setEncoding('utf8');
       response.on('data', (part: string) => (text += part));
@@ -164,7 +183,7 @@
       sent.destroy(new Error('no answer')),
     );
     sent.on('error', fail);
-    sent.end();
+    sent.end(body);
   });
 }
 
