Keep the count of a request's bytes apart from the next one's

A client that sends submissions ahead and reads its answers was closed after 4 MB, since two requests overlapped all the time. The path in the line of a refusal is cut at 200 characters.

--- a/src/entry/caller_gateway.ts
+++ b/src/entry/caller_gateway.ts
@@ -63,6 +63,9 @@
  */
 const RETRY_AFTER_MS = 1_000;
 
+/** Characters of a path in a log line; callers may send thousands. */
+const MAXIMUM_LOGGED_PATH = 200;
+
 const JOB_ID_PATTERN = /^[0-9a-f]{16}$/;
 
 export interface GatewayDependencies {
@@ -440,7 +443,8 @@
         }
       }
     }
-    log.warn(`refused ${call.method} of ${call.path}: ${reason}`);
+    const path = call.path.slice(0, MAXIMUM_LOGGED_PATH);
+    log.warn(`refused ${call.method} of ${path}: ${reason}`);
     return {kind: 'notAccepted', reason, retryAfterMs: RETRY_AFTER_MS};
   }
 
--- a/src/entry/client_connection.ts
+++ b/src/entry/client_connection.ts
@@ -36,6 +36,8 @@
 interface Exchange {
   readonly request: IncomingMessage;
   readonly response: ServerResponse;
+  /** Bytes that had been passed on when its head was complete. */
+  readonly startByte: number;
   isAnswered: boolean;
 }
 
@@ -83,7 +85,9 @@
    * next, so there are at times two.
    */
   private readonly exchanges: Exchange[] = [];
-  private requestBytes = 0;
+  private passedBytes = 0;
+  /** Value of `passedBytes` at the start of the oldest request. */
+  private startByte = 0;
   private unsentBytes = 0;
   private closesWhenIdle = false;
   private readonly limited: LimitedConnection;
@@ -121,7 +125,12 @@
 
   /** Called by the HTTP server once the head of a request is complete. */
   begin(request: IncomingMessage, response: ServerResponse): void {
-    const exchange: Exchange = {request, response, isAnswered: false};
+    const exchange: Exchange = {
+      request,
+      response,
+      startByte: this.passedBytes,
+      isAnswered: false,
+    };
     this.exchanges.push(exchange);
     response.once('prefinish', () => this.updatePhase());
     response.once('close', () => {
@@ -196,6 +205,10 @@
     done(error);
   }
 
+  private get requestBytes(): number {
+    return this.passedBytes - this.startByte;
+  }
+
   private get phase(): ConnectionPhase {
     const [oldest] = this.exchanges;
     if (oldest === undefined) return this.requestBytes > 0 ? 'head' : 'idle';
@@ -227,7 +240,7 @@
   passOn(): number {
     if (this.destroyed || !this.isReadable || !this.needsInput) return 0;
     const slice = this.takeSlice();
-    this.requestBytes += slice.length;
+    this.passedBytes += slice.length;
     this.isReadable = false;
     if (this.requestBytes > this.maximumRequestBytes()) {
       this.limits.close(this.limited, 'request-size');
@@ -256,7 +269,8 @@
       const [oldest] = this.exchanges;
       if (oldest?.isAnswered !== true || !oldest.request.complete) break;
       this.exchanges.shift();
-      if (this.exchanges.length === 0) this.requestBytes = 0;
+      const [next] = this.exchanges;
+      this.startByte = next?.startByte ?? this.passedBytes;
     }
     const now = steadyNow();
     const {phase} = this;
@@ -277,7 +291,7 @@
   }
 }
 
-/** Resets the connection, which frees what the kernel holds for it. */
+/** Resets a connection that is closed at a limit, which frees what the kernel holds for it. */
 class ResettableSocket extends LimitedConnection {
   constructor(private readonly socket: Socket) {
     super();
--- a/src/entry/http_listener.ts
+++ b/src/entry/http_listener.ts
@@ -7,7 +7,7 @@
 import {createServer as createHttpServer, maxHeaderSize} from 'node:http';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {createServer as createTcpServer} from 'node:net';
-import type {Server} from 'node:net';
+import type {AddressInfo, Server} from 'node:net';
 import polka from 'polka';
 import type {ComponentLog} from '../daemon/log.js';
 import {steadyNow} from '../lifecycle/clock.js';
@@ -112,8 +112,8 @@
     this.httpServer.keepAliveTimeout = idleTimeoutMs;
   }
 
-  /** `address` is `host:port`. */
-  async listen(address: string): Promise<void> {
+  /** `address` is `host:port`; returns the port, a free one for port 0. */
+  async listen(address: string): Promise<number> {
     const separator = address.lastIndexOf(':');
     const host = address.slice(0, separator);
     const port = Number(address.slice(separator + 1));
@@ -125,6 +125,7 @@
       });
     });
     this.timer = setInterval(() => this.check(), CHECK_INTERVAL_MS);
+    return (this.tcpServer.address() as AddressInfo).port;
   }
 
   /** Closes each connection after its next answer from now on. */
