Collect bodies in blocks instead of one growing buffer

Doubling left copies behind until the next collection: 600 unfinished bodies in large chunks took a daemon with the limits of a VM of 210 MB to 201 MB, of which 41 MB were counted as held.

--- a/src/daemon/request_body.ts
+++ b/src/daemon/request_body.ts
@@ -16,6 +16,8 @@
  */
 const MAXIMUM_BYTES_IN_FLIGHT = 67_108_864;
 
+const BLOCK_BYTES = 16_384;
+
 /** `RefusedError`: the body is too large. */
 export type BodyError = InvalidInputError | RefusedError | UnavailableError;
 
@@ -31,24 +33,20 @@
   ): Promise<Result<string, BodyError>> {
     const declared = Number(request.headers['content-length'] ?? 0);
     if (declared > maximumBytes) return Result.err(tooLarge(maximumBytes));
-    // Kept as one buffer: the object of a small chunk is larger than its bytes.
-    let content: Buffer = Buffer.alloc(0);
+    const content = new BodyContent();
     let bytes = 0;
     try {
       // Destroying the stream would close the connection before the response.
       const stream = request.iterator({destroyOnReturn: false});
       for await (const chunk of stream) {
         const buffer = chunk as Buffer;
-        const end = bytes + buffer.length;
+        bytes += buffer.length;
         this.bytesInFlight += buffer.length;
-        const start = bytes;
-        bytes = end;
         if (bytes > maximumBytes) return Result.err(tooLarge(maximumBytes));
         if (this.bytesInFlight > this.maximumInFlight) {
           return Result.err(tooBusy());
         }
-        if (end > content.length) content = grown(content, end, maximumBytes);
-        buffer.copy(content, start);
+        content.append(buffer);
       }
     } catch {
       return Result.err(
@@ -57,16 +55,36 @@
     } finally {
       this.bytesInFlight -= bytes;
     }
-    return decode(content.subarray(0, bytes));
+    return decode(content.join());
   }
 }
 
-/** Returns a copy with room for `bytes`, doubled to bound the copying. */
-function grown(content: Buffer, bytes: number, maximumBytes: number): Buffer {
-  const size = Math.min(Math.max(bytes, 2 * content.length), maximumBytes);
-  const larger = Buffer.alloc(size);
-  content.copy(larger);
-  return larger;
+/**
+ * Bytes of a body, copied into blocks as they arrive: the object of a small
+ * chunk is larger than its content.
+ */
+class BodyContent {
+  private readonly blocks: Buffer[] = [];
+  /** Bytes in use of the last block. */
+  private usedBytes = 0;
+
+  append(chunk: Buffer): void {
+    const last = this.blocks.at(-1);
+    const copied = last === undefined ? 0 : chunk.copy(last, this.usedBytes);
+    this.usedBytes += copied;
+    if (copied === chunk.length) return;
+    // Most bodies are one chunk, which needs no room for more.
+    const size = last === undefined ? 0 : BLOCK_BYTES;
+    const block = Buffer.alloc(Math.max(chunk.length - copied, size));
+    this.usedBytes = chunk.copy(block, 0, copied);
+    this.blocks.push(block);
+  }
+
+  join(): Buffer {
+    const last = this.blocks.pop();
+    if (last !== undefined) this.blocks.push(last.subarray(0, this.usedBytes));
+    return Buffer.concat(this.blocks);
+  }
 }
 
 function decode(bytes: Buffer): Result<string, BodyError> {
