--- a/src/daemon/request_body.ts
+++ b/src/daemon/request_body.ts
@@ -16,6 +16,8 @@
  */
 const MAXIMUM_BYTES_IN_FLIGHT = 67_108_864;
 
+const BLOCK_BYTES = 16_384;
+
 /** `RefusedError`: the body is too large. */
 export type BodyError = InvalidInputError | RefusedError | UnavailableError;
 
@@ -31,7 +33,7 @@
   ): Promise<Result<string, BodyError>> {
     const declared = Number(request.headers['content-length'] ?? 0);
     if (declared > maximumBytes) return Result.err(tooLarge(maximumBytes));
-    const chunks: Buffer[] = [];
+    const content = new BodyContent();
     let bytes = 0;
     try {
       // Destroying the stream would close the connection before the response.
@@ -44,7 +46,7 @@
         if (this.bytesInFlight > this.maximumInFlight) {
           return Result.err(tooBusy());
         }
-        chunks.push(buffer);
+        content.append(buffer);
       }
     } catch {
       return Result.err(
@@ -53,7 +55,35 @@
     } finally {
       this.bytesInFlight -= bytes;
     }
-    return decode(Buffer.concat(chunks));
+    return decode(content.join());
+  }
+}
+
+/**
+ * Bytes of a body, copied into blocks as they arrive: the object of a small
+ * chunk is larger than its content.
+ */
+class BodyContent {
+  private readonly blocks: Buffer[] = [];
+  /** Bytes in use of the last block. */
+  private usedBytes = 0;
+
+  append(chunk: Buffer): void {
+    const last = this.blocks.at(-1);
+    const copied = last === undefined ? 0 : chunk.copy(last, this.usedBytes);
+    this.usedBytes += copied;
+    if (copied === chunk.length) return;
+    // Most bodies are one chunk, which needs no room for more.
+    const size = last === undefined ? 0 : BLOCK_BYTES;
+    const block = Buffer.alloc(Math.max(chunk.length - copied, size));
+    this.usedBytes = chunk.copy(block, 0, copied);
+    this.blocks.push(block);
+  }
+
+  join(): Buffer {
+    const last = this.blocks.pop();
+    if (last !== undefined) this.blocks.push(last.subarray(0, this.usedBytes));
+    return Buffer.concat(this.blocks);
   }
 }
 
