--- a/emulator/http_platform.ts
+++ b/emulator/http_platform.ts
@@ -352,7 +352,7 @@
             specification: order.spec,
             checkpoint: order.checkpoint,
             leaseUntilMs: order.deadlineMs,
-            term: order.fence,
+            fence: order.fence,
           },
           Date.now(),
         ),
@@ -365,7 +365,7 @@
     'POST /v1/pace': forExpectedWorker((worker, body) => {
       const {task, runId, percent, fence} = paceSchema.parse(body);
       return encodeOutcome(
-        worker.pace({task, run: runId, percent, term: fence}, Date.now()),
+        worker.pace({task, run: runId, percent, fence}, Date.now()),
       );
     }),
     'POST /v1/hold': forExpectedWorker(handleLeaseRenewal),
@@ -385,7 +385,7 @@
     if (worker.entry.incarnation !== initial || !worker.isUp) return undefined;
     const outcome = worker.renewLease(
       {
-        term: fence,
+        fence,
         acknowledgedSequence: observed,
         leaseUntilMs: deadlineMs,
         waitMs,
--- a/emulator/site.ts
+++ b/emulator/site.ts
@@ -220,9 +220,9 @@
   override stop(
     worker: WorkerEntry,
     run: RunName,
-    term: number,
+    fence: number,
   ): Promise<OrderOutcome> {
-    return this.order(worker, (target) => target.stop(run, term, Date.now()));
+    return this.order(worker, (target) => target.stop(run, fence, Date.now()));
   }
 
   override pace(worker: WorkerEntry, order: PaceOrder): Promise<OrderOutcome> {
--- a/emulator/worker_state.ts
+++ b/emulator/worker_state.ts
@@ -117,7 +117,7 @@
   /** Ends up to this sequence number were recorded before the last lapse. */
   private lapsedSequence = 0;
   private nextSequence = 1;
-  private term = 0;
+  private fence = 0;
   private leaseUntilMs = 0;
   private advancedAt: number;
   private startedAt: number;
@@ -173,7 +173,7 @@
     this.ends = [];
     this.lapsedSequence = 0;
     this.nextSequence = 1;
-    this.term = 0;
+    this.fence = 0;
     this.leaseUntilMs = 0;
     this.startedAt = now;
     this.advancedAt = now;
@@ -229,8 +229,8 @@
   start(order: StartOrder, now: number): OrderOutcome {
     this.advance(now);
     const clockMs = this.clockMs(now);
-    if (order.term < this.term) return {kind: 'superseded'};
-    this.term = order.term;
+    if (order.fence < this.fence) return {kind: 'superseded'};
+    this.fence = order.fence;
     const current = this.runs.get(order.task);
     const highestRun = Math.max(
       current?.run ?? 0,
@@ -262,10 +262,10 @@
     return {kind: 'started', clockMs};
   }
 
-  stop({task, run}: RunName, term: number, now: number): OrderOutcome {
+  stop({task, run}: RunName, fence: number, now: number): OrderOutcome {
     this.advance(now);
-    if (term < this.term) return {kind: 'superseded'};
-    this.term = term;
+    if (fence < this.fence) return {kind: 'superseded'};
+    this.fence = fence;
     this.voidRun(task, run);
     const current = this.runs.get(task);
     if (current !== undefined && current.run <= run) {
@@ -275,10 +275,10 @@
     return {kind: 'stopped', clockMs: this.clockMs(now)};
   }
 
-  pace({task, run, percent, term}: PaceOrder, now: number): OrderOutcome {
+  pace({task, run, percent, fence}: PaceOrder, now: number): OrderOutcome {
     this.advance(now);
-    if (term < this.term) return {kind: 'superseded'};
-    this.term = term;
+    if (fence < this.fence) return {kind: 'superseded'};
+    this.fence = fence;
     const clockMs = this.clockMs(now);
     const current = this.runs.get(task);
     if (current?.run !== run) return {kind: 'outdated', clockMs};
@@ -288,8 +288,8 @@
 
   renewLease(request: LeaseRenewalRequest, now: number): LeaseRenewalOutcome {
     this.advance(now);
-    if (request.term < this.term) return {kind: 'superseded'};
-    this.term = request.term;
+    if (request.fence < this.fence) return {kind: 'superseded'};
+    this.fence = request.fence;
     const clockMs = this.clockMs(now);
     if (request.leaseUntilMs !== undefined) {
       this.extendLease(request.leaseUntilMs, clockMs);
--- a/src/interfaces/task_worker.ts
+++ b/src/interfaces/task_worker.ts
@@ -47,7 +47,8 @@
   readonly checkpoint: string;
   /** End of the worker's lease, on the worker's clock. */
   readonly leaseUntilMs: number;
-  readonly term: number;
+  /** Fencing token; the worker rejects calls with a lower one. */
+  readonly fence: number;
   /** Proof that the worker may run the step, if the queue requires one. */
   readonly ticket?: string | undefined;
 }
@@ -55,7 +56,7 @@
 export interface PaceOrder extends RunName {
   /** Percentage of full speed, 0 to 100. */
   readonly percent: number;
-  readonly term: number;
+  readonly fence: number;
 }
 
 /**
@@ -64,7 +65,7 @@
  * - `leasePassed`: the lease in the order has expired;
  * - `noRoom`: the worker lacks free capacity and did nothing;
  * - `unhealthy`, `notAdmitted`: the worker did nothing;
- * - `superseded`: the worker has seen a higher term;
+ * - `superseded`: the worker has seen a higher fencing token;
  * - `otherLife`: another incarnation of the worker answered;
  * - `rejected`: refused for a reason not listed here;
  * - `unknown`: no answer; the order may take effect, possibly seconds later.
@@ -103,7 +104,7 @@
 }
 
 export interface LeaseRenewalRequest {
-  readonly term: number;
+  readonly fence: number;
   /** Ends up to this sequence number are durable; the worker discards them. */
   readonly acknowledgedSequence: number;
   readonly leaseUntilMs: number | undefined;
@@ -113,7 +114,7 @@
 
 /**
  * - `seen`: the worker processed the call;
- * - `superseded`: the worker has seen a higher term;
+ * - `superseded`: the worker has seen a higher fencing token;
  * - `otherLife`: another incarnation of the worker answered;
  * - `gone`: no process listens at the worker's address;
  * - `unanswered`: no valid answer.
@@ -137,7 +138,7 @@
   abstract stop(
     worker: WorkerEntry,
     run: RunName,
-    term: number,
+    fence: number,
   ): Promise<OrderOutcome>;
 
   /** Limits a run to a share of its full speed; a start resets it to 100. */
--- a/src/leader/workers/worker_link.ts
+++ b/src/leader/workers/worker_link.ts
@@ -181,7 +181,7 @@
     const outcome = await this.client.renewLease(
       worker.entry,
       {
-        term: fence,
+        fence,
         acknowledgedSequence,
         leaseUntilMs: this.nextLeaseEnd(sentAt),
         waitMs,
@@ -376,7 +376,7 @@
         specification: run.unit.job.submission.specification,
         checkpoint: run.unit.checkpoint,
         leaseUntilMs,
-        term: fence,
+        fence,
         ticket: this.events.ticketFor(run),
       });
       if (this.scope.closed || !this.isAssigned(run)) return;
@@ -522,7 +522,7 @@
       task: run.task,
       run: run.runNumber,
       percent,
-      term: fence,
+      fence,
     });
     if (outcome.kind === 'superseded') this.handleSuperseded(fence);
     // An order without an answer may not have been carried out. Marking the
--- a/test/emulated_site.test.ts
+++ b/test/emulated_site.test.ts
@@ -45,7 +45,7 @@
   const task = taskName(job.jobId, 0, 0, 0);
   for (let run = 1; run <= 2; run += 1) {
     const now = Date.now();
-    const order = {task, run, specification: '', checkpoint: '', term: 1};
+    const order = {task, run, specification: '', checkpoint: '', fence: 1};
     const started = worker.start({...order, leaseUntilMs: 5}, now);
     assert.equal(started.kind, 'started');
     // The event loop is busy, so that no timer ends the run.
@@ -70,7 +70,7 @@
   const startAndCrash = (run: number, order: typeof workers) => {
     workers.forEach((worker, index) => {
       const task = taskName(job.jobId, 0, 0, index);
-      const name = {task, run, specification: '', checkpoint: '', term: 1};
+      const name = {task, run, specification: '', checkpoint: '', fence: 1};
       worker.start({...name, leaseUntilMs: 1_000}, Date.now());
     });
     for (const {entry} of order) site.restart(entry.workerId);
@@ -101,7 +101,7 @@
   const task = taskName(job.jobId, 0, 0, 0);
   ledger.markCrashing(task);
   const start = (run: number) => {
-    const order = {task, run, specification: '', checkpoint: '', term: 1};
+    const order = {task, run, specification: '', checkpoint: '', fence: 1};
     worker.start({...order, leaseUntilMs: 1_000}, Date.now());
   };
   start(1);
--- a/test/platform_codecs.test.ts
+++ b/test/platform_codecs.test.ts
@@ -105,7 +105,7 @@
     specification: 's',
     checkpoint: '',
     leaseUntilMs: 1,
-    term: 1,
+    fence: 1,
   };
 
   it('distinguishes a refused start from one with an unknown outcome', async () => {
@@ -184,7 +184,7 @@
           await client.renewLease(1);
           await workers().start(worker(), order);
           const renewal = {
-            term: 1,
+            fence: 1,
             acknowledgedSequence: 0,
             leaseUntilMs: undefined,
             waitMs: 0,
--- a/test/platform_machines.test.ts
+++ b/test/platform_machines.test.ts
@@ -107,7 +107,7 @@
           await service().list();
           await service().maintain(VM_ID, 1, AUTHORITY);
           await advisor.advise('step', [trustedId('w')], 500);
-          const pace = {task: 't', run: 1, percent: 10, term: 1};
+          const pace = {task: 't', run: 1, percent: 10, fence: 1};
           const outcome = await workers.pace(worker, pace);
           assert.notEqual(outcome.kind, 'started');
         },
@@ -165,7 +165,7 @@
     const renewal = workers.renewLease(
       worker.entry,
       {
-        term: 1,
+        fence: 1,
         acknowledgedSequence: 5,
         leaseUntilMs: undefined,
         waitMs: 1_000,
