--- a/emulator/faults.ts
+++ b/emulator/faults.ts
@@ -59,3 +59,28 @@
     renewalTransitMs: 0,
   };
 }
+
+/** Faults of the store's address for one daemon process. */
+export interface StoreListenerFaults {
+  /** If set, every call is answered with this status. */
+  status: 429 | 503 | undefined;
+  /** Calls get no answer. */
+  isUnresponsive: boolean;
+  slowMs: number;
+  /** Share of writes, 0 to 1, without an answer; carried out `lateMs` later. */
+  lostAnswers: number;
+  lateMs: number;
+  /** Transactions wait here until a test releases each. */
+  heldTransactions: Array<() => void> | undefined;
+}
+
+export function noStoreListenerFaults(): StoreListenerFaults {
+  return {
+    status: undefined,
+    isUnresponsive: false,
+    slowMs: 0,
+    lostAnswers: 0,
+    lateMs: 0,
+    heldTransactions: undefined,
+  };
+}
--- a/emulator/http_platform.ts
+++ b/emulator/http_platform.ts
@@ -24,6 +24,8 @@
 } from '../src/interfaces/task_worker.js';
 import {listenUntilClosed} from '../src/standins/listen_until_closed.js';
 import {parseJson} from '../src/transport/http_call.js';
+import {noStoreListenerFaults} from './faults.js';
+import type {StoreListenerFaults} from './faults.js';
 import type {EmulatedSiteOptions} from './site.js';
 import {EmulatedSite, pause} from './site.js';
 import type {EmulatedWorker} from './worker_state.js';
@@ -39,17 +41,7 @@
 /** An unresponsive store closes a connection after this time. */
 const UNRESPONSIVE_MS = 60_000;
 
-/** Faults that are injected into one daemon's calls to the store. */
-export interface StoreListenerFaults {
-  /** If set, every call is answered with this status. */
-  status: 429 | 503 | undefined;
-  /** Calls get no answer. */
-  isUnresponsive: boolean;
-  slowMs: number;
-  /** Share of writes, 0 to 1, without an answer; carried out `lateMs` later. */
-  lostAnswers: number;
-  lateMs: number;
-}
+const TRANSACTION_ROUTE = 'POST /v1/kv-txn';
 
 export interface StoreListener {
   readonly address: string;
@@ -160,13 +152,7 @@
 
   /** Opens a store address for one daemon. */
   async openStore(): Promise<StoreListener> {
-    const faults: StoreListenerFaults = {
-      status: undefined,
-      isUnresponsive: false,
-      slowMs: 0,
-      lostAnswers: 0,
-      lateMs: 0,
-    };
+    const faults = noStoreListenerFaults();
     const address = await listen(this.scope, this.storeRoutes(faults));
     return {address, faults};
   }
@@ -232,7 +218,7 @@
         };
       },
       'GET /v1/kv-watch': (_body, {query}) => this.watch(query),
-      'POST /v1/kv-txn': (body) => this.transact(body),
+      [TRANSACTION_ROUTE]: (body) => this.transact(body),
       'POST /v1/kv-lease': (body) => {
         const {ttlMs} = leaseSchema.parse(body);
         const lease = store.grantLease(ttlMs, Date.now());
@@ -250,17 +236,22 @@
     return Object.fromEntries(
       Object.entries(routes).map(([route, handler]) => [
         route,
-        this.withFaults(faults, !route.startsWith('GET'), handler),
+        this.withFaults(faults, route, handler),
       ]),
     );
   }
 
   private withFaults(
     faults: StoreListenerFaults,
-    isWrite: boolean,
+    route: string,
     handler: Handler,
   ): Handler {
+    const isWrite = !route.startsWith('GET');
     return async (body, request) => {
+      const {heldTransactions} = faults;
+      if (heldTransactions !== undefined && route === TRANSACTION_ROUTE) {
+        await new Promise<void>((release) => heldTransactions.push(release));
+      }
       if (faults.slowMs > 0) await pause(faults.slowMs);
       if (faults.isUnresponsive) {
         await pause(UNRESPONSIVE_MS);
--- a/test/crowds/clients.test.ts
+++ b/test/crowds/clients.test.ts
@@ -75,10 +75,15 @@
 
   checkTarget('at a stop: a request in progress is answered', async () => {
     await playCrowd(scope, daemon.settings.callerAddress, 100, readinessAhead);
-    daemon.store.faults.slowMs = 150;
+    const held: Array<() => void> = [];
+    daemon.store.faults.heldTransactions = held;
     const status = submitJob(daemon);
-    await delay(50);
-    await daemon.stop();
+    while (held.length === 0) await delay(10);
+    const stopped = daemon.stop();
+    await delay(150);
+    daemon.store.faults.heldTransactions = undefined;
+    for (const release of held) release();
+    await stopped;
     assert.equal(await status, 200);
   });
 });
