--- a/src/leader/planning/placement.ts
+++ b/src/leader/planning/placement.ts
@@ -154,7 +154,7 @@
     units = this.tryPlace(units, choice, crossRack, table);
     const groups = wantsRack(unit) ? crossRack : [...racks, ...crossRack];
     units = units.filter((each) => !this.preempt(each, request, groups));
-    if (request.preemptible === 'lowerPriority' && this.hasWaited(unit)) {
+    if (request.preemptible === 'lowerPriority') {
       const wider = {...request, preemptible: 'unguaranteed'} as const;
       units = units.filter((each) => !this.preempt(each, wider, groups));
     }
@@ -282,15 +282,6 @@
     return reservation.startsAt + RESERVATION_MARGIN_MS <= latestAt;
   }
 
-  /**
-   * Urgent runs are short, and most of them end before guaranteed work has to
-   * stop them.
-   */
-  private hasWaited({readySince}: Unit): boolean {
-    const {now, preemption} = this.view;
-    return now - (readySince ?? now) >= preemption.maximumGuaranteedWaitMs;
-  }
-
   private reserve(unit: Unit, reservation: Reservation | undefined): void {
     if (reservation === undefined) return;
     const {runTimes, now} = this.view;
