--- a/src/entry/settings.ts
+++ b/src/entry/settings.ts
@@ -153,7 +153,8 @@
     .boolean()
     .optional()
     .describe(
-      'Whether kinds of work that slow each other down are placed on different workers, where there is room.',
+      'Whether kinds of work that slow each other down are placed on ' +
+        'different workers, where there is room.',
     ),
   cores: z
     .number()
--- a/src/entry/site_operators.ts
+++ b/src/entry/site_operators.ts
@@ -1,7 +1,7 @@
 /**
  * HTTP API for operators of a hosted site, on the peer address: status, open
- * jobs, why a job waits, which work slows other work down, and cancellation. A daemon that is not the leader
- * forwards queries about jobs to the leader.
+ * jobs, why a job waits, which work slows other work down, and cancellation. A
+ * daemon that is not the leader forwards queries about jobs to the leader.
  */
 
 import type {IncomingMessage, ServerResponse} from 'node:http';
