Call the time until a worker is warm by a name of the product

Cause: src/interfaces and src/leader used the platform's own name of the field, which only platform/ is to know. The wire keeps its name; names only, no behaviour changes. Ruled out: a second field, as nothing else needs it. The tests of evacuation and of the codecs pass.

--- a/emulator/http_platform.ts
+++ b/emulator/http_platform.ts
@@ -460,7 +460,7 @@
     ...(entry.remainingMs === undefined
       ? {}
       : {remainingMs: entry.remainingMs}),
-    coldRemainingMs: entry.coldRemainingMs ?? 0,
+    coldRemainingMs: entry.warmInMs ?? 0,
   };
 }
 
--- a/emulator/worker_state.ts
+++ b/emulator/worker_state.ts
@@ -196,8 +196,8 @@
     this.currentEntry = {...this.currentEntry, isDraining: true, remainingMs};
   }
 
-  becomeCold(coldRemainingMs: number): void {
-    this.currentEntry = {...this.currentEntry, coldRemainingMs};
+  becomeCold(warmInMs: number): void {
+    this.currentEntry = {...this.currentEntry, warmInMs};
   }
 
   /** Starts may rely on the former capacity until a later time. */
--- a/src/interfaces/task_worker.ts
+++ b/src/interfaces/task_worker.ts
@@ -29,8 +29,8 @@
   readonly isDraining: boolean;
   /** Minimum time until a draining worker leaves, if it announces one. */
   readonly remainingMs: number | undefined;
-  /** How much longer the worker is slow after its start, if it is. */
-  readonly coldRemainingMs?: number | undefined;
+  /** How much longer the worker is slow after its start, in milliseconds. */
+  readonly warmInMs?: number | undefined;
   /** The VM that hosts the worker; it outlives the worker. */
   readonly vmId?: VmId | undefined;
 }
--- a/src/leader/workers/worker_state.ts
+++ b/src/leader/workers/worker_state.ts
@@ -127,7 +127,7 @@
 
   /** Notes how much longer the worker is slow, by its newest entry. */
   recordColdness(now: SteadyTime): void {
-    this.warmAt = steadyTime(now + (this.currentEntry.coldRemainingMs ?? 0));
+    this.warmAt = steadyTime(now + (this.currentEntry.warmInMs ?? 0));
   }
 
   isCold(now: SteadyTime): boolean {
