Give what a stop costs one place in the settings

Cause: stopMs and restoreMs stood in two sections, workerRuns and preemption, so that they could differ. workerRuns holds them and the interval of checkpoints now; preemption holds the policy and its bound. The defaults of the client limits named figures of one deployment's sheet; they are 192 MB and 2,048 descriptors now, and the platform renders its own. Ruled out: keeping both sections, as nothing wants the times to differ.

--- a/src/entry/entry_daemon.ts
+++ b/src/entry/entry_daemon.ts
@@ -49,7 +49,7 @@
 } from './http_peers.js';
 import {PeerStoreProxy, runRelayedStoreCall} from './relayed_store_calls.js';
 import type {EntrySettings} from './settings.js';
-import {usesWorkerSpeeds} from './settings.js';
+import {preemptionSettings, usesWorkerSpeeds} from './settings.js';
 import {SiteOperatorApi} from './site_operators.js';
 
 /**
@@ -338,7 +338,7 @@
     linkMbps: settings.linkMbps,
     holdMaximumMs: settings.workerLeaseMs,
     usesWorkerSpeeds: usesWorkerSpeeds(settings),
-    preemption: settings.preemption,
+    preemption: preemptionSettings(settings),
     keepsApart: settings.keepApart,
     stateRetentionMs: settings.stateRetentionS * 1_000,
   };
--- a/src/entry/settings.ts
+++ b/src/entry/settings.ts
@@ -6,6 +6,7 @@
 import {readFile} from 'node:fs/promises';
 import {Result} from 'true-myth';
 import {z} from 'zod';
+import type {PreemptionSettings} from '../leader/planning/preemption_policy.js';
 import {InvalidInputError} from '../model/errors.js';
 
 const addressSchema = z.string().regex(/^[^:]+:\d+$/, {
@@ -39,6 +40,10 @@
     .number()
     .nonnegative()
     .describe('Time that a run takes to resume from a checkpoint.'),
+  checkpointIntervalS: z
+    .number()
+    .positive()
+    .describe('Work of a task between two of its checkpoints, seconds.'),
 });
 
 /**
@@ -59,27 +64,18 @@
     .number()
     .positive()
     .describe('Guaranteed work starts within this time after its acceptance.'),
-  stopMs: z.number().nonnegative().describe('Longest time that a stop takes.'),
-  restoreMs: z
-    .number()
-    .nonnegative()
-    .describe('Time that a task takes to resume from a checkpoint.'),
-  checkpointIntervalS: z
-    .number()
-    .positive()
-    .describe('Work between two checkpoints of a task, seconds.'),
 });
 
 const clientLimitsSchema = z.strictObject({
   memoryMb: z
     .number()
     .positive()
-    .default(210)
+    .default(192)
     .describe('Memory of the VM; other defaults follow from it.'),
   maximumDescriptors: z
     .number()
     .positive()
-    .default(2_212)
+    .default(2_048)
     .describe('Descriptors that the VM allows; 200 are left for files.'),
   connections: z
     .int()
@@ -167,7 +163,7 @@
     .describe('Longest lease that a worker grants.'),
   workerRuns: workerRunsSchema
     .optional()
-    .describe('What it takes to continue a run on another worker.'),
+    .describe('Stops, checkpoints and restored runs on the workers.'),
   speedPlacement: z
     .enum(['auto', 'on', 'off'])
     .default('auto')
@@ -181,7 +177,7 @@
     .describe('How long the state of an ended job can be asked for, seconds.'),
   preemption: preemptionSchema
     .optional()
-    .describe('Without it, the policy is immediate.'),
+    .describe('Without it or `workerRuns`, the policy is immediate.'),
   stopGraceS: z
     .number()
     .positive()
@@ -203,6 +199,15 @@
 /** Settings as written in the file, where defaults may be left out. */
 export type EntrySettingsFile = Readonly<z.input<typeof entrySettingsSchema>>;
 
+/** Undefined if the site does not say what a stop costs. */
+export function preemptionSettings({
+  preemption,
+  workerRuns,
+}: EntrySettings): PreemptionSettings | undefined {
+  if (preemption === undefined || workerRuns === undefined) return undefined;
+  return {...preemption, ...workerRuns};
+}
+
 /** Reads and validates the settings file; an error names the invalid field. */
 export async function readEntrySettings(
   path: string,
--- a/test/entry_settings.test.ts
+++ b/test/entry_settings.test.ts
@@ -59,9 +59,10 @@
   it('turn the placement by speeds on where moving a run takes long', () => {
     const isOn = (changes: object): boolean =>
       usesWorkerSpeeds(entrySettingsSchema.parse({...VALID, ...changes}));
-    const slow = {workerRuns: {stopMs: 800, restoreMs: 300}};
+    const runs = {stopMs: 400, restoreMs: 250, checkpointIntervalS: 1};
+    const slow = {workerRuns: {...runs, stopMs: 800}};
     assert.ok(!isOn({}));
-    assert.ok(!isOn({workerRuns: {stopMs: 400, restoreMs: 250}}));
+    assert.ok(!isOn({workerRuns: runs}));
     assert.ok(isOn(slow));
     assert.ok(!isOn({...slow, speedPlacement: 'off'}));
     assert.ok(isOn({speedPlacement: 'on'}));
