Wait for the event of a removed task before its events are compared

Cause: events reach the test by the stand-in's standard output, and the answer to the removal by another connection, which may be faster. Ruled out: a fault of the product, as the test is of the stand-in alone. The test waits for the event and then compares all of them, as strictly.

--- a/test/transport_worker.test.ts
+++ b/test/transport_worker.test.ts
@@ -223,6 +223,7 @@
       client.checkpoint(worker, task.taskId, LONG_TIMEOUT_MS),
     );
     await expectOk(client.remove(worker, task.taskId));
+    await waitForTaskEvent(task.taskId, 'removed');
     assert.deepEqual(eventsOf(task.taskId), [
       'held',
       'released',
