Compare workers by coldness only where some are cold

Cause: each comparison of two workers asked a term that decides nothing on sites without evacuations, and each candidate got an expected end of its own although only speeds tell them apart.

--- a/src/leader/planning/free_capacity.ts
+++ b/src/leader/planning/free_capacity.ts
@@ -239,6 +239,7 @@
   private readonly byRack = new Map<RackId | undefined, FreeCapacity[]>();
   /** Share of the accelerators in use when the round began, 0 to 1. */
   readonly acceleratorUtilization: number;
+  readonly hasColdWorkers: boolean;
 
   constructor(
     workers: Iterable<WorkerState>,
@@ -260,6 +261,7 @@
       rack.push(capacity);
       this.byRack.set(rackId, rack);
     }
+    this.hasColdWorkers = this.capacities.some(({isCold}) => isCold);
     let total = 0;
     let free = 0;
     for (const capacity of this.capacities) {
--- a/src/leader/planning/worker_choice.ts
+++ b/src/leader/planning/worker_choice.ts
@@ -203,20 +203,20 @@
     if (conflicts !== undefined && conflicts.size > 0) {
       this.undisturbed = new UndisturbedWorker(conflicts, table);
     }
-    if (unit.step.usesSpareProcessor === true) {
-      this.terms = [new WarmWorker(), new MostSpareProcessor()];
-    } else if (unit.crashes.isSuspect) {
-      this.terms = [new WarmWorker(), new UnsuspectedWorker(unit.crashes)];
-    } else if (speeds === undefined || unit.step.longRunning === true) {
-      this.terms = [new WarmWorker(), ...this.packingTerms()];
-    } else {
+    if (speeds !== undefined && usesSpeeds(unit)) {
       this.sufficientSpeed = new SufficientSpeed(work, speeds, now);
-      this.terms = [
-        new WarmWorker(),
-        this.sufficientSpeed,
-        ...this.packingTerms(),
-      ];
     }
+    const terms = this.termsFor(unit);
+    this.terms = table.hasColdWorkers ? [new WarmWorker(), ...terms] : terms;
+  }
+
+  private termsFor({step, crashes}: Unit): readonly WorkerPreference[] {
+    if (step.usesSpareProcessor === true) return [new MostSpareProcessor()];
+    if (crashes.isSuspect) return [new UnsuspectedWorker(crashes)];
+    const {sufficientSpeed} = this;
+    return sufficientSpeed === undefined
+      ? this.packingTerms()
+      : [sufficientSpeed, ...this.packingTerms()];
   }
 
   private packingTerms(): readonly WorkerPreference[] {
@@ -240,10 +240,13 @@
     capacities: readonly FreeCapacity[],
   ): readonly FreeCapacity[] {
     const {unit} = this.work;
+    const usualEnd = this.endOn([]);
+    const endOn = (capacity: FreeCapacity) =>
+      this.sufficientSpeed === undefined ? usualEnd : this.endOn([capacity]);
     const sorted = capacities
       .map((capacity) => ({
         capacity,
-        slots: capacity.slotsUntil(unit, this.endOn([capacity])),
+        slots: capacity.slotsUntil(unit, endOn(capacity)),
       }))
       .filter(({slots}) => slots > 0)
       .sort((a, b) => this.compare(a.capacity, b.capacity));
@@ -307,3 +310,12 @@
     return 0;
   }
 }
+
+/** Such tasks have no end that a speed could change, or run alone. */
+function usesSpeeds({step, crashes}: Unit): boolean {
+  return (
+    step.usesSpareProcessor !== true &&
+    step.longRunning !== true &&
+    !crashes.isSuspect
+  );
+}
