Let renewals that acknowledge ends wait at the worker again

Cause: an acknowledging renewal did not wait, so that each batch of ends cost one more call, on every site.

The wait was avoided so that such a call would not outlast its worker's incarnation; the raised fence voids it there, and the three tests of late acknowledgements pass without it, three times of three.

--- a/src/leader/workers/worker_link.ts
+++ b/src/leader/workers/worker_link.ts
@@ -127,12 +127,6 @@
     return this.hasSentRuns();
   }
 
-  /** An acknowledgement must not wait at the worker's next incarnation. */
-  private get mayWait(): boolean {
-    const {hasKnownRuns, acknowledgeableSequence} = this.worker;
-    return this.hasSentRuns() && hasKnownRuns && acknowledgeableSequence === 0;
-  }
-
   private get renewalWaitMs(): number {
     const share = Math.floor(this.holdMaximumMs * RENEWAL_WAIT_LEASE_FRACTION);
     return Math.min(RENEWAL_WAIT_MS, share);
@@ -151,7 +145,8 @@
         await this.scope.sleep(RENEWAL_RETRY_MS);
         continue;
       }
-      const answered = await this.renew(this.mayWait ? this.renewalWaitMs : 0);
+      const mayWait = this.hasSentRuns() && this.worker.hasKnownRuns;
+      const answered = await this.renew(mayWait ? this.renewalWaitMs : 0);
       if (answered) await this.waitUntilDurable();
       else await this.scope.sleep(this.worker.renewalRetryMs);
     }
