Try peers in every outage again

Cause: after three refusing peers a daemon refused calls at once for 500 ms, also while its peers recovered from an outage one after the other. Ruled out: the stops of urgent work, see docs/design/preemption.md.

--- a/src/entry/caller_gateway.ts
+++ b/src/entry/caller_gateway.ts
@@ -438,11 +438,7 @@
         ...(minimumVersion === undefined ? {} : {minimumVersion}),
       });
       if (outcome.kind === 'answered') {
-        if (outcome.answer.kind !== 'notAccepted') {
-          this.availability.recordService(address);
-          return outcome.answer;
-        }
-        this.availability.recordRefusal(address, steadyNow());
+        if (outcome.answer.kind !== 'notAccepted') return outcome.answer;
         continue;
       }
       this.availability.recordSilence(address, steadyNow());
