Leave a job that ended in an earlier term alone when it is submitted again

Cause: the new scheduler of a zone keeps only the ids of jobs whose records it read as ended, without entries. `submitJob` looked for an entry alone, so that a submission that arrived after the read (a caller's repetition to another daemon, or a call that a busy daemon sent late) was taken as new work: it overwrote the record of the end and ran the job again.

Before: the new test runs the ended job (it failed by its time limit, as the next job found no worker).

The hosted site's leader is not concerned: it reads submissions from the store.

--- a/src/controllers/zone_session.ts
+++ b/src/controllers/zone_session.ts
@@ -136,9 +136,11 @@
 
   /**
    * Schedules an accepted job. A known job is unaffected, unless it is still
-   * queued and the planner now refuses it, in which case it fails.
+   * queued and the planner now refuses it, in which case it fails. A job that
+   * ended in an earlier term has no entry any more.
    */
   submitJob(record: JobRecord): Result<void, CallError> {
+    if (this.jobs.hasEnded(record.jobId)) return Result.ok(undefined);
     const known = this.jobs.get(record.jobId);
     if (known !== undefined && !known.queued) return Result.ok(undefined);
     const check = this.dependencies.planner.check(record);
--- a/test/zone_controller_start.test.ts
+++ b/test/zone_controller_start.test.ts
@@ -75,6 +75,21 @@
   await waitUntil('the gang runs', () => workers.isRunning(jobId, 2));
 });
 
+// Guards against a second run of a job whose caller, or the daemon that took it,
+// repeats the submission to the successor of the scheduler that ended it.
+test('a submission that arrives after the end of its job is not run', async () => {
+  const ended = {...job, state: 'finished', sequence: 3} as const;
+  store.seed(ended);
+  scheduler.controller.start();
+  await waitUntil('placing begins', () => scheduler.hasEvent('placing'));
+  assert.ok(scheduler.controller.submitJob(job).isOk);
+  const next = jobRecord('job-2', 2);
+  assert.ok(scheduler.controller.submitJob(next).isOk);
+  await waitUntil('the next job runs', () => workers.isRunning(next.jobId, 2));
+  assert.deepEqual(workers.tasksOf(jobId), []);
+  assert.equal(store.record(jobId)?.state, 'finished');
+});
+
 // Guards against a second hold for a member whose hold took effect.
 test('a lost answer to a hold is resolved by reading the list', async () => {
   const holds = failFirst('hold', 'answerLost');
