Start no job anew while a worker of its former gang is unread

Cause: after a takeover a scheduler places work once all workers are read, or after `adoptionBoundMs` (1 s). A gang of which one worker is still unread is not judged then, but its job was queued all the same if its record said 'queued', although a worker that was read showed a task of it. The record says so if the former scheduler started the gang before its write was done, as it does after `recordWriteTimeoutMs` (200 ms) on a busy machine. The job then ran again after it had finished.

Weighed and left: starting only after the write as long as writes succeed at all.

Before: the new test starts the job again and never stores its end. After: it passes, with the 38 others of the two files.

--- a/src/controllers/gang_table.ts
+++ b/src/controllers/gang_table.ts
@@ -71,6 +71,8 @@
   private readonly endedGangs = new Map<GangId, Instant>();
   private readonly firstSeenAt = new Map<GangId, Instant>();
   private readonly tasksBeingRemoved = new Set<TaskId>();
+  /** Jobs of gangs that cannot be judged before all their workers are read. */
+  private readonly undecidedJobs = new Set<JobId>();
 
   constructor(
     private readonly dependencies: GangTableDependencies,
@@ -89,6 +91,11 @@
     return [...this.gangsBeingRemoved.values()].includes(jobId);
   }
 
+  /** True while a gang of the job was seen and a worker of it is unread. */
+  hasUndecidedGang(jobId: JobId): boolean {
+    return this.undecidedJobs.has(jobId);
+  }
+
   /** True if every gang is running, none being started or stopped. */
   get isStable(): boolean {
     return [...this.runners.values()].every(
@@ -119,6 +126,7 @@
       (workerId) => this.workerTable.isUnread(workerId),
       (gangId) => this.runners.has(gangId),
     );
+    this.undecidedJobs.clear();
     for (const gang of found) this.reconcileGang(gang, takeover);
   }
 
@@ -131,7 +139,11 @@
       this.removeGang(gang);
       return;
     }
-    if (gang.decision === 'wait') return;
+    if (gang.decision === 'wait') {
+      this.undecidedJobs.add(gang.jobId);
+      if (entry !== undefined) this.jobs.dequeue(entry);
+      return;
+    }
     const completeDecisions = ['running', 'finishRelease', 'finished'];
     if (completeDecisions.includes(gang.decision)) {
       if (entry?.runner === undefined) this.adopt(gang, now);
--- a/src/controllers/zone_session.ts
+++ b/src/controllers/zone_session.ts
@@ -334,6 +334,7 @@
     if (entry.queued || entry.runner !== undefined) return;
     if (hasEnded(record.state)) return;
     if (this.gangs.hasGangBeingRemoved(record.jobId)) return;
+    if (this.gangs.hasUndecidedGang(record.jobId)) return;
     if (entry.provisional && !this.recordWatcher.hasRead) return;
     // Until the records have been read, even a queued job may be running.
     const mayRun =
--- a/test/zone_controller_faults.test.ts
+++ b/test/zone_controller_faults.test.ts
@@ -96,6 +96,24 @@
   });
 });
 
+// Guards against a second run of a job whose first gang has finished, if a worker
+// of that gang is slow to answer and the start was not recorded in time.
+test('a job is not started while a worker of its former gang is unread', async () => {
+  placeGang('gang-1', ['finished', 'finished']);
+  store.seed(job);
+  let unread = true;
+  workers.fault = (_, worker) =>
+    unread && worker === w0 ? 'requestLost' : undefined;
+  const other = jobRecord('job-2', 1);
+  store.seed(other);
+  const scheduler = addScheduler({adoptionBoundMs: 20});
+  scheduler.controller.start();
+  await waitUntil('other work runs', () => workers.isRunning(other.jobId, 1));
+  unread = false;
+  await waitUntil('the end is stored', () => isStored('finished'));
+  assert.deepEqual(workers.releases, [workers.tasksOf(other.jobId)[0]?.taskId]);
+});
+
 // Guards against a connection that stays open without ever answering.
 test('a worker that does not answer its watch is lost', async () => {
   const scheduler = addScheduler({workerLostAfterMs: 20, watchOverrunMs: 20});
