Let a scheduling round tell why it decides as it does

Cause: an explanation of a decision has to come from the decision itself. Rules that leave out workers and units answered only yes or no.

Change: they answer with the first reason, and the yes or no is whether there is one (WorkerState.unusableReason, FreeCapacityTable.exclusionOf, FreeCapacity.shortageUntil, Job.obstacleTo). A round reports ranks, order, what each batch has to choose from, stops and reservations to an optional observer. With one, it does not note since when units are ready; every rule takes the present time where that is absent.

--- a/src/leader/jobs/jobs.ts
+++ b/src/leader/jobs/jobs.ts
@@ -28,6 +28,17 @@
 /** A long-running task may fail without limit and should always run. */
 const MAXIMUM_RETRY_DELAY_MS = 1_000;
 
+/** Why a unit cannot start at present, by its own state. */
+export type UnitObstacle =
+  | 'jobEnded'
+  | 'done'
+  | 'hasRuns'
+  /** It failed, and the delay before its next run has not passed. */
+  | 'retryDelay'
+  /** Its occurrence is not due yet. */
+  | 'notDue'
+  | 'earlierSteps';
+
 export class Unit {
   isDone = false;
   failures = 0;
@@ -171,12 +182,20 @@
 
   /** True if the preceding steps are done and the unit is due. */
   isReady(unit: Unit, now: Instant): boolean {
-    if (this.isEnded || unit.isDone || unit.runs.length > 0) return false;
-    if (now < unit.retryAt) return false;
-    if (this.isScheduled && now < this.dueAt(unit.occurrence)) return false;
-    return unit.step.after.every(
+    return this.obstacleTo(unit, now) === undefined;
+  }
+
+  /** Returns the first reason for which the unit is not ready. */
+  obstacleTo(unit: Unit, now: Instant): UnitObstacle | undefined {
+    if (this.isEnded) return 'jobEnded';
+    if (unit.isDone) return 'done';
+    if (unit.runs.length > 0) return 'hasRuns';
+    if (now < unit.retryAt) return 'retryDelay';
+    if (this.isScheduled && now < this.dueAt(unit.occurrence)) return 'notDue';
+    const isFirst = unit.step.after.every(
       (step) => this.openUnitCount(unit.occurrence, step) === 0,
     );
+    return isFirst ? undefined : 'earlierSteps';
   }
 
   markDone(unit: Unit, now: Instant): void {
--- a/src/leader/planning/free_capacity.ts
+++ b/src/leader/planning/free_capacity.ts
@@ -26,6 +26,24 @@
   remaining: TaskShape;
 }
 
+/** Why a worker is closed to a unit, whatever room it has. */
+export type WorkerExclusion =
+  /** It runs work apart from all other work. */
+  | 'isolated'
+  /** The unit failed or stalled there a short time ago. */
+  | 'avoided'
+  | 'labelMissing'
+  /** The queue's advisor has given no ticket for it. */
+  | 'notAdmitted';
+
+/** What a worker lacks for one more task of a unit. */
+export type Shortage =
+  | keyof TaskShape
+  /** The step allows no more of its tasks on one worker. */
+  | 'tasksPerWorker'
+  /** The room is reserved for a gang that comes before the unit. */
+  | 'reserved';
+
 export class FreeCapacity {
   private processorMillicores: number;
   private memoryMegabytes: number;
@@ -159,6 +177,19 @@
     return Math.min(slots, fittingTasks(unit, this.reserved.remaining));
   }
 
+  /** Returns what the first task of the unit lacks, or undefined. */
+  shortageUntil(unit: Unit, endsAt: Instant): Shortage | undefined {
+    if (this.slotsUntil(unit, endsAt) > 0) return undefined;
+    if (this.slots(unit) > 0) return 'reserved';
+    const {accelerators, processorMillicores, memoryMegabytes} = this;
+    const free = {accelerators, processorMillicores, memoryMegabytes};
+    return (
+      RESOURCES.find(
+        (name) => fittingTasks(unit, {...PLENTY, [name]: free[name]}) === 0,
+      ) ?? 'tasksPerWorker'
+    );
+  }
+
   /** Returns how many tasks of the unit's step fit if `extra` were free too. */
   slots(unit: Unit, extra: TaskShape = NO_SHAPE): number {
     const {step} = unit;
@@ -231,6 +262,18 @@
   accelerators: 0,
 };
 
+const PLENTY: TaskShape = {
+  processorMillicores: Infinity,
+  memoryMegabytes: Infinity,
+  accelerators: Infinity,
+};
+
+const RESOURCES = [
+  'accelerators',
+  'processorMillicores',
+  'memoryMegabytes',
+] as const;
+
 /** Free capacities of the workers of one service, grouped by rack. */
 export class FreeCapacityTable {
   readonly capacities: FreeCapacity[] = [];
@@ -277,17 +320,24 @@
 
   /** Returns the capacities that the unit may use. */
   eligible(capacities: readonly FreeCapacity[], unit: Unit): FreeCapacity[] {
+    return capacities.filter(
+      (capacity) => this.exclusionOf(capacity, unit) === undefined,
+    );
+  }
+
+  /** Returns the first rule by which the unit may not use the capacity. */
+  exclusionOf(capacity: FreeCapacity, unit: Unit): WorkerExclusion | undefined {
+    const {worker} = capacity;
     const {requiredLabel} = unit.step;
-    return capacities.filter((capacity) => {
-      const {worker} = capacity;
-      const {entry} = worker;
-      if (capacity.isClosedTo(unit)) return false;
-      if (unit.avoidedWorkers.has(worker.workerId, this.now)) return false;
-      if (requiredLabel !== undefined && !entry.labels.has(requiredLabel)) {
-        return false;
-      }
-      return this.admits(unit, worker);
-    });
+    if (capacity.isClosedTo(unit)) return 'isolated';
+    if (unit.avoidedWorkers.has(worker.workerId, this.now)) return 'avoided';
+    if (
+      requiredLabel !== undefined &&
+      !worker.entry.labels.has(requiredLabel)
+    ) {
+      return 'labelMissing';
+    }
+    return this.admits(unit, worker) ? undefined : 'notAdmitted';
   }
 }
 
--- a/src/leader/planning/placement.ts
+++ b/src/leader/planning/placement.ts
@@ -19,6 +19,7 @@
 import type {VictimSelection} from './preemption.js';
 import type {Rank} from './queue_order.js';
 import type {Reservation} from './reservation.js';
+import type {ConsideredBatch} from './round_observer.js';
 import {applyReservation, findReservation} from './reservation.js';
 import type {RankedBatch} from './unit_ranking.js';
 import {rankBatches} from './unit_ranking.js';
@@ -117,14 +118,16 @@
 
   private place(batch: RankedBatch): void {
     const {unit} = batch;
-    const {now} = this.view;
+    const {now, observer} = this.view;
     const table = this.tables.tableFor(unit);
     if (this.exhausted.covers(batch, table)) {
+      observer?.batchPassedOver(this.consider(batch, table));
       this.waiting.push(...batch.units);
       return;
     }
-    const choice = new WorkerChoice(batch, table, this.view);
-    const candidates = candidateGroups(batch, table, now);
+    const considered = this.consider(batch, table);
+    const {choice, candidates} = considered;
+    observer?.batchReached(considered);
     const {crossRack} = candidates;
     const racks = choice.orderGroups(candidates.racks);
     if (unit.crashes.isSuspect) {
@@ -133,6 +136,7 @@
       const isMostlyIdle = isMostlyIdleService(table);
       if (!mayShareWorkers(unit, batch.rank, isMostlyIdle, now)) {
         this.waiting.push(unit);
+        observer?.vacancyAwaited(considered);
         const eligible = groups.map((group) => table.eligible(group, unit));
         holdVacating(unit, eligible, this.view.runTimes, now);
         return;
@@ -167,6 +171,18 @@
     );
   }
 
+  private consider(
+    batch: RankedBatch,
+    table: FreeCapacityTable,
+  ): ConsideredBatch {
+    return {
+      batch,
+      table,
+      choice: new WorkerChoice(batch, table, this.view),
+      candidates: candidateGroups(batch, table, this.view.now),
+    };
+  }
+
   /** Places a suspect on vacant workers, if it fits there. */
   private placeAlone(
     batch: RankedBatch,
@@ -284,8 +300,9 @@
 
   private reserve(unit: Unit, reservation: Reservation | undefined): void {
     if (reservation === undefined) return;
-    const {runTimes, now} = this.view;
+    const {runTimes, now, observer} = this.view;
     this.reservationCount += 1;
+    observer?.capacityReserved(unit, reservation);
     applyReservation(unit, reservation, runTimes, now);
   }
 
@@ -343,8 +360,10 @@
   private applyVictims(
     unit: Unit,
     {batch}: PreemptionRequest,
-    {victims, allocations}: VictimSelection,
+    selection: VictimSelection,
   ): void {
+    const {victims, allocations} = selection;
+    this.view.observer?.stopsPlanned(unit, selection);
     const endsAt = instant(this.view.now + batch.expectedMs);
     this.waiting.push(unit);
     for (const run of victims) this.beneficiaries.set(run, unit);
--- a/src/leader/planning/planning_view.ts
+++ b/src/leader/planning/planning_view.ts
@@ -8,6 +8,7 @@
 import type {KnownInterference} from '../workers/interference.js';
 import type {WorkerSpeeds} from '../workers/worker_speeds.js';
 import type {PreemptionPolicy} from './preemption_policy.js';
+import type {RoundObserver} from './round_observer.js';
 import type {WorkerState} from '../workers/worker_state.js';
 
 export interface PlanningView {
@@ -24,6 +25,8 @@
   readonly isCalm: boolean;
   /** Absent unless kinds of work that slow each other down are kept apart. */
   readonly interference?: KnownInterference | undefined;
+  /** Set for a trial, which leaves jobs and units as they are. */
+  readonly observer?: RoundObserver | undefined;
   /** True if the worker may run the unit by its queue's policy. */
   admits(unit: Unit, worker: WorkerState): boolean;
 }
--- a/src/leader/planning/unit_ranking.ts
+++ b/src/leader/planning/unit_ranking.ts
@@ -59,7 +59,7 @@
   ) {}
 
   rank(): RankedBatch[] {
-    const {jobs, configuration} = this.view;
+    const {jobs, configuration, observer} = this.view;
     const open = [...jobs].filter(({isEnded}) => !isEnded);
     const claiming = [
       ...open.filter((job) => !mayBeGivenUp(job)),
@@ -67,7 +67,9 @@
     ];
     for (const job of claiming) {
       const queue = configuration.queue(job.queueId);
-      this.ranks.set(job, this.rankOf(job, queue));
+      const rank = this.rankOf(job, queue);
+      this.ranks.set(job, rank);
+      this.reportRank(job, rank);
     }
     const ranked: RankedBatch[] = [];
     for (const job of open) {
@@ -77,7 +79,18 @@
         ranked.push(this.rankBatch(units, rank, queue));
       }
     }
-    return ranked.sort(compareRanked);
+    ranked.sort(compareRanked);
+    observer?.batchesRanked(ranked);
+    return ranked;
+  }
+
+  private reportRank(job: Job, rank: Rank): void {
+    const {observer} = this.view;
+    if (observer === undefined) return;
+    const {customerId} = job;
+    const claims = customerId !== undefined && rank !== 'other';
+    const claimed = claims ? this.requested.get(customerId) : undefined;
+    observer.jobRanked(job, rank, claimed);
   }
 
   /**
@@ -119,6 +132,7 @@
 
   /** Suspects and units with workers to avoid are placed one by one. */
   private readyBatches(job: Job): Array<NonEmpty<Unit>> {
+    const {observer} = this.view;
     const batches: Array<NonEmpty<Unit>> = [];
     const singles = new Map<string, [Unit, ...Unit[]]>();
     const allowances = new Map<string, number>();
@@ -126,10 +140,14 @@
     for (const unit of job.openUnits) {
       if (!this.isReady(job, unit)) continue;
       if (unit.lastRun === 0) {
-        if (unit.taskCount > startable) continue;
+        if (unit.taskCount > startable) {
+          observer?.unitNotReady(unit, 'startedTasks');
+          continue;
+        }
         startable -= unit.taskCount;
       }
       if (job.hasSuspects && !this.useAllowance(job, unit, allowances)) {
+        observer?.unitNotReady(unit, 'crashAllowance');
         continue;
       }
       if (
@@ -162,12 +180,18 @@
   }
 
   private isReady(job: Job, unit: Unit): boolean {
-    const {now, isCalm} = this.view;
-    if (unit.crashes.hasFewStartsLeft && !isCalm) return false;
-    if (job.isReady(unit, now)) {
-      unit.readySince ??= now;
+    const {now, isCalm, observer} = this.view;
+    if (unit.crashes.hasFewStartsLeft && !isCalm) {
+      observer?.unitNotReady(unit, 'siteNotCalm');
+      return false;
+    }
+    const obstacle = job.obstacleTo(unit, now);
+    if (obstacle === undefined) {
+      // Where it is not set, all rules take the present time.
+      if (observer === undefined) unit.readySince ??= now;
       return true;
     }
+    observer?.unitNotReady(unit, obstacle);
     const eligibleAt = Math.max(
       unit.retryAt,
       job.isScheduled ? job.dueAt(unit.occurrence) : 0,
--- a/src/leader/workers/worker_state.ts
+++ b/src/leader/workers/worker_state.ts
@@ -42,6 +42,17 @@
   return leaseMs / (1 - MAXIMUM_CLOCK_SLOWNESS) + LEASE_DELIVERY_MARGIN_MS;
 }
 
+/** See the fields of `WorkerState` of these names. */
+export type UnusableReason =
+  | 'notListed'
+  | 'replaced'
+  | 'runsUnknown'
+  | 'closed'
+  | 'evacuated'
+  | 'draining'
+  /** The last lease renewal had no answer. */
+  | 'silent';
+
 export class WorkerState {
   readonly runs = new Map<string, Run>();
   isListed = true;
@@ -265,15 +276,18 @@
 
   /** True if the worker could carry out a start; it may be quarantined. */
   get isUsable(): boolean {
-    return (
-      this.isListed &&
-      !this.isReplaced &&
-      this.hasKnownRuns &&
-      !this.isClosedToNewRuns &&
-      !this.isEvacuated &&
-      !this.currentEntry.isDraining &&
-      this.failedRenewals === 0
-    );
+    return this.unusableReason === undefined;
+  }
+
+  /** The first reason for which the worker could not carry out a start. */
+  get unusableReason(): UnusableReason | undefined {
+    if (!this.isListed) return 'notListed';
+    if (this.isReplaced) return 'replaced';
+    if (!this.hasKnownRuns) return 'runsUnknown';
+    if (this.isClosedToNewRuns) return 'closed';
+    if (this.isEvacuated) return 'evacuated';
+    if (this.currentEntry.isDraining) return 'draining';
+    return this.failedRenewals === 0 ? undefined : 'silent';
   }
 
   isQuarantined(now: SteadyTime): boolean {
