Explain on the leader where a job would go now

Cause: an operator sees why a unit waits in one sentence, but neither what the next round would do with a job nor which workers it leaves out and why, and can't ask about a job that was not sent.

Change: JobExplainer runs a round on the present view, with an observer that notes what concerns the job, and drops its plan. The cached ends of gangs are read from a copy.

Weighed: a deep copy of the state, which copies thousands of units and runs for two fields; the last round's plan, which knows no submission.

--- a/src/leader/jobs/run_times.ts
+++ b/src/leader/jobs/run_times.ts
@@ -46,6 +46,15 @@
   /** With speeds, run times are those on a worker of usual speed. */
   constructor(private readonly speeds?: WorkerSpeeds) {}
 
+  /** Returns a copy for reads, which leave nothing in this table. */
+  copy(): RunTimeTable {
+    const copy = new RunTimeTable(this.speeds);
+    for (const [queueId, model] of this.modelByQueue) {
+      copy.modelByQueue.set(queueId, model);
+    }
+    return copy;
+  }
+
   /** Records the end of a run that did the whole work of its task. */
   recordDone(run: Run, now: Instant): void {
     const {unit, plannedAt} = run;
--- a/src/leader/session.ts
+++ b/src/leader/session.ts
@@ -14,6 +14,7 @@
 import type {StoredItem} from '../interfaces/coordination_store.js';
 import type {RunEnding} from '../interfaces/task_worker.js';
 import type {Authority} from './authority.js';
+import {JobExplainer} from './explainer.js';
 import {AdmissionTickets} from './planning/admissions.js';
 import {CommitQueue} from './jobs/commit_queue.js';
 import type {WorkerFate} from './losses/crash_history.js';
@@ -21,12 +22,14 @@
 import type {CrashCounts} from './losses/crash_monitor.js';
 import {JobRegistry} from './jobs/job_registry.js';
 import type {InboxSource} from './jobs/job_registry.js';
-import {Run} from './jobs/runs.js';
+import type {Run} from './jobs/runs.js';
+import {planRuns} from './jobs/planned_runs.js';
 import type {Unit, Job} from './jobs/jobs.js';
 import {createPreemptionPolicy} from './planning/preemption_policy.js';
 import type {PreemptionPolicy} from './planning/preemption_policy.js';
 import {planRound} from './planning/placement.js';
 import type {Placement} from './planning/placement.js';
+import type {PlanningView} from './planning/planning_view.js';
 import {PaceController} from './workers/pacing.js';
 import type {PaceChange} from './workers/pacing.js';
 import {PrefixFollower} from './prefix_follower.js';
@@ -73,6 +76,7 @@
   private readonly outages: WorkerOutages;
   private readonly crashMonitor: CrashMonitor;
   private readonly evacuations: EvacuationTable;
+  readonly explainer: JobExplainer;
   /** Units for which the last round found no free capacity. */
   private waitingUnits: readonly Unit[] = [];
   private isAdopted = false;
@@ -90,6 +94,7 @@
     this.statistics = new RunStatistics(settings, log);
     this.roundTimer = new RoundTimer(scope, () => this.runRound());
     this.registry = new JobRegistry(log);
+    this.explainer = new JobExplainer(this.registry, () => this.planningView());
     this.outages = new WorkerOutages(() => this.workerTable.listedCount);
     this.crashMonitor = new CrashMonitor(log, this.outages);
     this.commitQueue = new CommitQueue(store, authority.leaderRevision, scope, {
@@ -449,13 +454,35 @@
   }
 
   private runRound(): void {
+    const view = this.planningView();
+    if (view === undefined) return;
+    const {now, steady} = view;
+    const plan = planRound(view);
+    this.waitingUnits = plan.waiting;
+    for (const unit of plan.waiting) {
+      this.admissions.requestTickets(
+        unit,
+        this.workerTable.workers.values(),
+        steady,
+      );
+    }
+    sendPlannedStops(plan, this.workerTable, this.dependencies.log);
+    for (const placement of plan.placements) this.place(placement, now);
+    const {nextDueAt} = plan;
+    this.roundTimer.requestAfter(
+      nextDueAt === undefined ? undefined : nextDueAt - now,
+    );
+  }
+
+  /** Returns undefined while nothing may be placed. */
+  private planningView(): PlanningView | undefined {
     const configuration = this.configuration();
     const steady = steadyNow();
-    if (!this.isAdopted || configuration === undefined) return;
-    if (!this.authority.mayAct(steady)) return;
-    if (!this.evacuations.isCurrent(steady)) return;
+    if (!this.isAdopted || configuration === undefined) return undefined;
+    if (!this.authority.mayAct(steady)) return undefined;
+    if (!this.evacuations.isCurrent(steady)) return undefined;
     const now = this.now();
-    const plan = planRound({
+    return {
       jobs: this.registry.open,
       workers: this.workerTable.workers,
       configuration,
@@ -470,34 +497,14 @@
           ? this.statistics.interference
           : undefined,
       admits: (unit, worker) => this.admissions.admits(unit, worker, steady),
-    });
-    this.waitingUnits = plan.waiting;
-    for (const unit of plan.waiting) {
-      this.admissions.requestTickets(
-        unit,
-        this.workerTable.workers.values(),
-        steady,
-      );
-    }
-    sendPlannedStops(plan, this.workerTable, this.dependencies.log);
-    for (const placement of plan.placements) this.place(placement, now);
-    const {nextDueAt} = plan;
-    this.roundTimer.requestAfter(
-      nextDueAt === undefined ? undefined : nextDueAt - now,
-    );
+    };
   }
 
   /** Records the placement. Starts are sent once the record is durable. */
-  private place({unit, workers, isIsolated}: Placement, now: Instant): void {
+  private place(placement: Placement, now: Instant): void {
+    const {unit, workers} = placement;
     const runNumber = unit.nextRunNumber(this.authority.term);
-    unit.lastRun = runNumber;
-    const runs = workers.map((worker, offset) =>
-      plannedRun(unit, offset, runNumber, worker, now),
-    );
-    for (const run of runs) {
-      run.isIsolated = isIsolated;
-      run.members = runs;
-    }
+    const runs = planRuns(placement, runNumber, now);
     this.dependencies.log.placed(unit, runNumber, workers, now);
     this.commitQueue.write(unit.job, () => this.sendStarts(runs));
   }
@@ -515,26 +522,3 @@
     return this.clock.now();
   }
 }
-
-function plannedRun(
-  unit: Unit,
-  offset: number,
-  runNumber: number,
-  worker: WorkerState,
-  now: Instant,
-): Run {
-  const {workerId, incarnation, entry} = worker;
-  const index = unit.firstIndex + offset;
-  const run = new Run(
-    unit,
-    index,
-    runNumber,
-    workerId,
-    incarnation,
-    now,
-    entry.vmId,
-  );
-  unit.runs.push(run);
-  worker.add(run);
-  return run;
-}
