Add bramleystep explain for hosted sites

Operators ask where a job that waits, or a submission that is not sent, would go now, and why.

Change: the tool's command explain, by the id of a job, a file with the body of a call, or flags, as text or JSON. The operators' API has a path for each on the peers' address; a daemon that doesn't lead passes the query on, with the limits of the other queries. Queue, key, size rules and record of a submission come from functions that the callers' gateway uses too, and the body from the platform's decoder. Unknown jobs, queues, keys and customers, ended jobs, invalid submissions and a leader that may not place are typed errors with a remedy and exit code 1.

Left out: short requests, as entry daemons of hosted sites take jobs only.

--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -11,6 +11,7 @@
   QuestionnaireApplyCommand,
   QuestionnaireCheckCommand,
 } from './configuration_commands.js';
+import {ExplainCommand} from './explain_command.js';
 import {
   JobsCancelCommand,
   JobsExplainCommand,
@@ -58,6 +59,7 @@
   SiteJobsCommand,
   SiteJobCommand,
   SiteCancelCommand,
+  ExplainCommand,
 ]) {
   cli.register(command);
 }
--- a/src/cli/operator_client.ts
+++ b/src/cli/operator_client.ts
@@ -25,6 +25,8 @@
 } from '../daemon/operator_messages.js';
 import {
   SITE_PATH,
+  SUBMISSION_PATH,
+  explanationPath,
   siteInterferenceSchema,
   siteJobSchema,
   siteJobsSchema,
@@ -36,6 +38,9 @@
   SiteJobs,
   SiteStatus,
 } from '../entry/site_operators.js';
+import type {SubmissionQuery} from '../entry/explanations.js';
+import {explanationSchema} from '../leader/planning/explanation.js';
+import type {Explanation} from '../leader/planning/explanation.js';
 import type {Configuration} from '../model/configuration.js';
 import {jobReportSchema} from '../interfaces/peer_client.js';
 import type {JobReport} from '../interfaces/peer_client.js';
@@ -125,6 +130,14 @@
     return this.call('GET', path, siteJobSchema);
   }
 
+  explainJob(jobId: string): CallResult<Explanation> {
+    return this.call('GET', explanationPath(jobId), explanationSchema);
+  }
+
+  explainSubmission(query: SubmissionQuery): CallResult<Explanation> {
+    return this.call('POST', SUBMISSION_PATH, explanationSchema, query);
+  }
+
   siteInterference(): CallResult<SiteInterference> {
     return this.call(
       'GET',
--- a/src/entry/caller_gateway.ts
+++ b/src/entry/caller_gateway.ts
@@ -11,14 +11,8 @@
 import type {RandomSource} from '../lifecycle/random.js';
 import type {Instant, JobId} from '../model/ids.js';
 import type {HostedCustomer, Queue} from '../model/queues.js';
-import type {JobStateName, Submission} from '../model/submissions.js';
-import {
-  MAXIMUM_JOB_TASKS,
-  MAXIMUM_STARTED_TASKS,
-  isEnded,
-  isTooLarge,
-  submissionSchema,
-} from '../model/submissions.js';
+import type {JobStateName} from '../model/submissions.js';
+import {isEnded, submissionSchema} from '../model/submissions.js';
 import type {CoordinationStore} from '../interfaces/coordination_store.js';
 import {NO_REVISION} from '../interfaces/coordination_store.js';
 import {
@@ -41,6 +35,7 @@
 import type {ConfigurationFeed} from './configuration_feed.js';
 import {PeerAvailability} from './peer_availability.js';
 import {StoreHealth} from './store_health.js';
+import {admitCaller, createSubmission, sizeProblem} from './submissions.js';
 
 /**
  * An older configuration may lack a change that is in force. A watch returns
@@ -166,11 +161,9 @@
     if (configuration === undefined || queue === undefined) {
       return {kind: 'noSuchQueue'};
     }
-    const customer =
-      call.key === undefined
-        ? undefined
-        : configuration.customerWithKey(call.key);
-    if (customer === undefined && !queue.isPublic) return {kind: 'unknownKey'};
+    const admitted = admitCaller(configuration, queue, call.key);
+    if (admitted.isErr) return {kind: 'unknownKey'};
+    const customer = admitted.value;
     const rest = call.path.slice(queue.pathPrefix.length);
     if (rest === '') {
       return call.method === 'read'
@@ -196,14 +189,8 @@
     if (request === undefined || jobId === undefined) {
       return {kind: 'invalid', problem: 'the body describes no job'};
     }
-    if (isTooLarge(request)) {
-      return {
-        kind: 'invalid',
-        problem:
-          `a job has at most ${MAXIMUM_JOB_TASKS} tasks and a gang at most ` +
-          `${MAXIMUM_STARTED_TASKS}, split it up`,
-      };
-    }
+    const problem = sizeProblem(request);
+    if (problem !== undefined) return {kind: 'invalid', problem};
     if (this.health.isUnavailable) {
       return this.forwardOrRefuse(
         call,
@@ -211,15 +198,7 @@
         'the store does not answer',
       );
     }
-    const submission: Submission = {
-      ...request,
-      jobId,
-      queueId: queue.queueId,
-      serviceId: queue.serviceId,
-      ...(customer === undefined ? {} : {customerId: customer.customerId}),
-      submittedAt: now,
-      maximumAttempts: queue.maximumAttempts,
-    };
+    const submission = createSubmission(request, jobId, queue, customer, now);
     const key = submittedKey(jobId);
     const outcome = await this.dependencies.store.transact({
       conditions: [
--- a/src/entry/entry_daemon.ts
+++ b/src/entry/entry_daemon.ts
@@ -40,6 +40,7 @@
 import {EntryMetrics} from './entry_metrics.js';
 import {connectionBounds} from './connection_limits.js';
 import type {ListenerName} from './connection_limits.js';
+import type {JobDecoder} from './explanations.js';
 import type {HttpHandler} from './http_listener.js';
 import {HttpListener} from './http_listener.js';
 import {
@@ -87,6 +88,8 @@
   readonly settings: EntrySettings;
   readonly dependencies: EntryDependencies;
   readonly handlerFactories: EntryHandlerFactories;
+  /** For submissions in the platform's format. */
+  readonly decodeJob: JobDecoder;
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly log: DaemonLog;
@@ -207,7 +210,7 @@
   }
 
   private createOperatorApi(): SiteOperatorApi {
-    const {settings, dependencies, clock, log} = this.options;
+    const {settings, dependencies, clock, log, decodeJob} = this.options;
     return new SiteOperatorApi({
       vmId: settings.vmId,
       availabilityZone: settings.availabilityZone,
@@ -218,6 +221,7 @@
       connections: new ConnectionsByAddress(this.scope),
       clock,
       log: log.component('operators'),
+      decodeJob,
       isReady: () => this.isReady,
       session: () => this.leadership.session,
     });
--- a/src/entry/site_operators.ts
+++ b/src/entry/site_operators.ts
@@ -1,12 +1,15 @@
 /**
  * HTTP API for operators of a hosted site, on the peer address: status, open
- * jobs, why a job waits, which work slows other work down, and cancellation. A
- * daemon that is not the leader forwards queries about jobs to the leader.
+ * jobs, why a job waits, where a job would go, which work slows other work
+ * down, and cancellation. A daemon that is not the leader forwards queries
+ * about jobs to the leader.
  */
 
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Result} from 'true-myth';
 import {z} from 'zod';
 import type {ComponentLog} from '../daemon/log.js';
+import {BodyReader} from '../daemon/request_body.js';
 import {
   evacuationStatusSchema,
   jobReportSchema,
@@ -18,21 +21,34 @@
 import type {SiteView} from '../leader/site_view.js';
 import type {Clock} from '../lifecycle/clock.js';
 import {steadyNow} from '../lifecycle/clock.js';
+import type {ErrorKind, SystemError} from '../model/errors.js';
 import type {JobId} from '../model/ids.js';
 import type {CoordinationStore} from '../interfaces/coordination_store.js';
 import {NO_REVISION} from '../interfaces/coordination_store.js';
+import {parseJson} from '../transport/http_call.js';
 import type {ConnectionsByAddress} from '../transport/http_connections.js';
 import type {ConfigurationFeed} from './configuration_feed.js';
+import {explainSubmission, submissionQuerySchema} from './explanations.js';
+import type {JobDecoder} from './explanations.js';
 
 export const SITE_PATH = '/operator/site';
 const JOBS_PATH = `${SITE_PATH}/jobs`;
 const INTERFERENCE_PATH = `${SITE_PATH}/interference`;
+/** Under the path of a job, or of the site for a submission. */
+const EXPLANATION = '/explanation';
+export const SUBMISSION_PATH = `${SITE_PATH}${EXPLANATION}`;
+
+export function explanationPath(jobId: string): string {
+  return `${JOBS_PATH}/${encodeURIComponent(jobId)}${EXPLANATION}`;
+}
 
 /** Marks a query that another daemon forwarded. */
 const FORWARDED_HEADER = 'bramleystep-passed';
 
 const FORWARD_TIMEOUT_MS = 1_000;
 const MAXIMUM_REPLY_BYTES = 4 * 1_048_576;
+/** The peer address reads no larger bodies. */
+const MAXIMUM_QUERY_BYTES = 1_048_576;
 const CONNECTIONS_TO_LEADER = 2;
 
 export const siteStatusSchema = z.object({
@@ -94,11 +110,14 @@
   readonly connections: ConnectionsByAddress;
   readonly clock: Clock;
   readonly log: ComponentLog;
+  readonly decodeJob: JobDecoder;
   isReady(): boolean;
   session(): LeaderSession | undefined;
 }
 
 export class SiteOperatorApi {
+  private readonly bodies = new BodyReader();
+
   constructor(private readonly dependencies: SiteOperatorApiDependencies) {}
 
   /** Handles a request under `SITE_PATH`. */
@@ -107,6 +126,10 @@
     response: ServerResponse,
   ): Promise<void> {
     const [path = ''] = (request.url ?? '').split('?');
+    if (path === SUBMISSION_PATH && request.method === 'POST') {
+      await this.explainSubmission(request, response);
+      return;
+    }
     request.resume();
     if (path === `${SITE_PATH}/status` && request.method === 'GET') {
       send(response, 200, this.status());
@@ -127,7 +150,10 @@
     }
     const session = this.dependencies.session();
     if (session === undefined) await this.forward(request, path, response);
-    else if (path === INTERFERENCE_PATH) {
+    else if (jobId?.endsWith(EXPLANATION) === true) {
+      const explained = jobId.slice(0, -EXPLANATION.length) as JobId;
+      sendResult(response, session.explainer.explainJob(explained));
+    } else if (path === INTERFERENCE_PATH) {
       send(response, 200, {
         pairs: session.statistics.interference.believedPairs(),
       });
@@ -189,10 +215,47 @@
     else send(response, 200, report);
   }
 
+  private async explainSubmission(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const body = await this.bodies.read(request, MAXIMUM_QUERY_BYTES);
+    // An unread rest would keep the connection from further requests.
+    request.resume();
+    if (body.isErr) {
+      sendError(response, body.error);
+      return;
+    }
+    const {feed, clock, decodeJob} = this.dependencies;
+    const session = this.dependencies.session();
+    if (session === undefined) {
+      await this.forward(request, SUBMISSION_PATH, response, body.value);
+      return;
+    }
+    const query = submissionQuerySchema.safeParse(
+      parseJson(Buffer.from(body.value)),
+    );
+    if (!query.success) {
+      sendProblem(response, INVALID_QUERY);
+      return;
+    }
+    sendResult(
+      response,
+      explainSubmission(
+        query.data,
+        session.explainer,
+        feed.configuration,
+        decodeJob,
+        clock.now(),
+      ),
+    );
+  }
+
   private async forward(
     request: IncomingMessage,
     path: string,
     response: ServerResponse,
+    body?: string,
   ): Promise<void> {
     const {site, ownAddress, connections} = this.dependencies;
     const address = site.leader?.address;
@@ -204,9 +267,10 @@
     const answer = await connections
       .get(address, CONNECTIONS_TO_LEADER)
       .exchange({
-        method: 'GET',
+        method: body === undefined ? 'GET' : 'POST',
         path,
         headers: {[FORWARDED_HEADER]: '1'},
+        ...(body === undefined ? {} : {body}),
         timeoutMs: FORWARD_TIMEOUT_MS,
         maximumAnswerBytes: MAXIMUM_REPLY_BYTES,
       });
@@ -250,6 +314,13 @@
   remedy: 'see docs/OPERATIONS.md',
 };
 
+const INVALID_QUERY: Problem = {
+  status: 400,
+  kind: 'invalid-input',
+  message: 'the query has an unknown format',
+  remedy: 'use the tool of the same release as the daemon',
+};
+
 const NO_SUCH_JOB: Problem = {
   status: 404,
   kind: 'not-found',
@@ -278,6 +349,31 @@
   response.end(JSON.stringify(body));
 }
 
+const ERROR_STATUS: Readonly<Partial<Record<ErrorKind, number>>> = {
+  'invalid-input': 400,
+  'not-found': 404,
+  conflict: 409,
+  refused: 413,
+};
+
+const STATUS_UNAVAILABLE = 503;
+
+function sendResult(
+  response: ServerResponse,
+  result: Result<object, SystemError>,
+): void {
+  if (result.isOk) send(response, 200, result.value);
+  else sendError(response, result.error);
+}
+
+function sendError(
+  response: ServerResponse,
+  {kind, problem: message, remedy}: SystemError,
+): void {
+  const status = ERROR_STATUS[kind] ?? STATUS_UNAVAILABLE;
+  sendProblem(response, {status, kind, message, remedy});
+}
+
 function sendProblem(
   response: ServerResponse,
   {status, kind, message, remedy}: Problem,
--- a/test/site_operators.test.ts
+++ b/test/site_operators.test.ts
@@ -5,6 +5,9 @@
 
 import assert from 'node:assert/strict';
 import {execFile} from 'node:child_process';
+import {mkdtemp, rm, writeFile} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
 import {after, before, describe, it} from 'node:test';
 import {fileURLToPath} from 'node:url';
 import {promisify} from 'node:util';
@@ -28,12 +31,15 @@
   const scope = new CleanupScope();
   let daemons: DaemonProcess[];
 
-  const tool = async (
+  const tool = (daemon: string, ...parameters: string[]) =>
+    command(daemon, 'site', ...parameters);
+
+  const command = async (
     daemon: string,
     ...parameters: string[]
   ): Promise<ToolResult> => {
     try {
-      const commandLine = [TOOL, 'site', ...parameters, '--daemon', daemon];
+      const commandLine = [TOOL, ...parameters, '--daemon', daemon];
       const {stdout} = await run(process.execPath, commandLine);
       return {code: 0, output: stdout};
     } catch (error) {
@@ -141,6 +147,37 @@
     }
   });
 
+  it('explains through any daemon where a job would go', async () => {
+    const directory = await mkdtemp(join(tmpdir(), 'explain-'));
+    scope.add(() => rm(directory, {recursive: true}));
+    const file = join(directory, 'job.json');
+    await writeFile(file, JSON.stringify({spec: '', steps: [{count: 1}]}));
+    for (const index of [0, 1]) {
+      const waiting = await command(address(index), 'explain', WIDE_JOB);
+      assert.equal(waiting.code, 0, waiting.output);
+      assert.match(waiting.output, /2 with room for 2 tasks/);
+      assert.match(waiting.output, /waits +1 unit: there is not enough room/);
+      const small = await command(
+        address(index),
+        ...['explain', '--queue', 'queue', '--key', KEY, '--file', file],
+        '--json',
+      );
+      assert.equal(small.code, 0, small.output);
+      const {jobId, customer, groups} = JSON.parse(small.output);
+      assert.equal(jobId, undefined);
+      assert.equal(customer.customerId, 'customer');
+      assert.equal(groups[0].placedUnits, 1);
+    }
+    const flags = ['--tasks', '2', '--gang', '--accelerators', '8'];
+    const gang = await command(
+      address(1),
+      ...['explain', '--queue', 'queue', '--customer', 'customer', ...flags],
+    );
+    assert.match(gang.output, /places +1 unit\n +0\.0\.0 on /);
+    const {output} = await tool(address(0), 'jobs', '--json');
+    assert.equal(JSON.parse(output).jobs.length, 1, 'nothing was submitted');
+  });
+
   it('cancels a job, and the leader ends it', async () => {
     const {code} = await tool(address(1), 'cancel', WIDE_JOB);
     assert.equal(code, 0);
@@ -153,6 +190,18 @@
     const unknown = await tool(address(0), 'job', '00000000000000ff');
     assert.equal(unknown.code, 1);
     assert.match(unknown.output, /knows no such job.*check the id/);
+    const queue = ['--queue', 'none', '--key', KEY];
+    const failures: ReadonlyArray<[string[], RegExp]> = [
+      [['00000000000000ff'], /knows no such job.*check the id/],
+      [queue, /no such queue.*name a route/],
+      [['--queue', 'queue', '--key', 'x'], /no customer has this key/],
+      [['--queue', 'queue', '--file', '/none'], /cannot read the submission/],
+    ];
+    for (const [parameters, message] of failures) {
+      const failed = await command(address(1), 'explain', ...parameters);
+      assert.equal(failed.code, 1);
+      assert.match(failed.output, message);
+    }
     const unreachable = await tool('127.0.0.1:1', 'status');
     assert.equal(unreachable.code, 3);
     assert.match(unreachable.output, /check --daemon/);
