--- a/src/requests/check_filter.ts
+++ b/src/requests/check_filter.ts
@@ -5,7 +5,7 @@
 
 import type {RequestClass} from '../model/configuration.js';
 import {after} from '../model/ids.js';
-import type {Outcome, ServiceRequest} from '../model/requests.js';
+import type {NotRun, Outcome, ServiceRequest} from '../model/requests.js';
 import type {RequestDirectory} from './directory.js';
 import {notRun, RequestFilter} from './exchange.js';
 import type {Exchange, Next} from './exchange.js';
@@ -16,6 +16,11 @@
   }
 
   override async handle(exchange: Exchange, next: Next): Promise<Outcome> {
+    return this.refusal(exchange) ?? next();
+  }
+
+  /** Accepts the request in `exchange` or returns why it is invalid. */
+  refusal(exchange: Exchange): NotRun | undefined {
     const {customerId, workClassId} = exchange.submission;
     const configuration = this.directory.configuration();
     const customer = configuration.customers.find((c) => c.id === customerId);
@@ -38,7 +43,7 @@
       );
     }
     exchange.accept(toServiceRequest(exchange, workClass));
-    return next();
+    return undefined;
   }
 }
 
@@ -63,6 +68,6 @@
   };
 }
 
-function invalid(exchange: Exchange, message: string): Outcome {
+function invalid(exchange: Exchange, message: string): NotRun {
   return notRun(exchange.requestId, 'invalid', message);
 }
--- a/src/requests/home_dispatcher.ts
+++ b/src/requests/home_dispatcher.ts
@@ -7,13 +7,15 @@
 import type {Clock} from '../lifecycle/clock.js';
 import {after} from '../model/ids.js';
 import type {Instant, VmId} from '../model/ids.js';
-import type {Outcome} from '../model/requests.js';
+import type {Outcome, ServiceRequest} from '../model/requests.js';
 import type {MinionClient} from '../interfaces/minion_client.js';
 import type {Dispatch, QueueLength} from '../interfaces/peer_client.js';
 import {AttemptRegistry, MAXIMUM_CLOCK_SKEW_MS} from './attempt_registry.js';
+import type {MinionVm} from '../interfaces/vm_list.js';
 import type {RequestDirectory} from './directory.js';
 import {notRun, unknown} from './exchange.js';
 import {MinionQueue, queueLimit} from './minion_queue.js';
+import type {QueuePreview} from './minion_queue.js';
 
 /** Interval of the removal of expired attempts and unused queues. */
 const MAINTENANCE_INTERVAL_MS = 1_000;
@@ -92,6 +94,14 @@
     return this.queues.get(minionId)?.closed ?? false;
   }
 
+  /**
+   * What the minion's queue would do with the request now. Undefined if it has
+   * no queue yet, so that the request would be sent at once.
+   */
+  preview(minion: MinionVm, request: ServiceRequest): QueuePreview | undefined {
+    return this.currentQueue(minion)?.preview(request, request.deadline);
+  }
+
   /** Refuses expired requests and removes old attempts and unused queues. */
   maintain(now: Instant): void {
     this.expire(now);
@@ -155,11 +165,10 @@
   private queueFor(minionId: VmId): MinionQueue | undefined {
     const minion = this.directory.minion(minionId);
     if (!minion || minion.state === 'gone') return undefined;
-    let queue = this.queues.get(minionId);
-    // Another address means a new incarnation of the minion. It is not leaving
-    // even if the previous one was.
-    if (!queue || queue.minion.address !== minion.address) {
-      if (queue) this.retire(queue);
+    let queue = this.currentQueue(minion);
+    if (!queue) {
+      const previous = this.queues.get(minionId);
+      if (previous) this.retire(previous);
       queue = new MinionQueue(minion, this.client, this.clock);
       this.queues.set(minionId, queue);
     }
@@ -170,6 +179,15 @@
     return queue;
   }
 
+  /**
+   * Another address means a new incarnation of the minion. It is not leaving
+   * even if the previous one was.
+   */
+  private currentQueue(minion: MinionVm): MinionQueue | undefined {
+    const queue = this.queues.get(minion.vmId);
+    return queue?.minion.address === minion.address ? queue : undefined;
+  }
+
   private retire(queue: MinionQueue): void {
     queue.close('minion-refused', 'the minion has another address now');
     this.retiredQueues.add(queue);
--- a/src/requests/minion_queue.ts
+++ b/src/requests/minion_queue.ts
@@ -37,6 +37,22 @@
   readonly answer: (outcome: Outcome) => void;
 }
 
+/** Whether a request is refused, or which waiting one makes room for it. */
+interface Admission {
+  readonly refusal?: NotRun;
+  readonly evicted?: WaitingRequest;
+}
+
+export interface QueuePreview {
+  readonly refusal: NotRun | undefined;
+  /** Customer whose newest waiting request would be refused instead. */
+  readonly displaced: CustomerId | undefined;
+  /** Waiting requests that would be sent first. */
+  readonly ahead: number;
+  /** 0 if a slot is free or no service time has been measured. */
+  readonly expectedWaitMs: number;
+}
+
 export class MinionQueue {
   private readonly queue: PQueue<FairQueue, FairQueueOptions>;
   /** Requests that were not sent to the minion yet, oldest first. */
@@ -91,8 +107,9 @@
     deadline: Instant,
     signal?: AbortSignal,
   ): Promise<Outcome> {
-    const refusal = this.refusal(request, deadline, signal);
-    if (refusal) return Promise.resolve(refusal);
+    const admission = this.admission(request, deadline, signal);
+    if (admission.refusal) return Promise.resolve(admission.refusal);
+    if (admission.evicted) this.evict(admission.evicted);
     return new Promise((resolve) => {
       const removal = new AbortController();
       const entry: WaitingRequest = {
@@ -110,6 +127,17 @@
     });
   }
 
+  /** What `run` would do with the request now; changes nothing. */
+  preview(request: ServiceRequest, deadline: Instant): QueuePreview {
+    const {refusal, evicted} = this.admission(request, deadline, undefined);
+    return {
+      refusal,
+      displaced: evicted?.request.customerId,
+      ahead: this.waitingAhead(request.customerId),
+      expectedWaitMs: this.predictedWaitMs(request.customerId),
+    };
+  }
+
   /** Refuses waiting requests whose deadline is not after `now`. */
   expire(now: Instant): void {
     for (const entry of this.waiting) {
@@ -188,34 +216,30 @@
     this.meanServiceMs = mean + (elapsedMs - mean) * SERVICE_TIME_WEIGHT;
   }
 
-  private refusal(
+  private admission(
     request: ServiceRequest,
     deadline: Instant,
     signal: AbortSignal | undefined,
-  ): NotRun | undefined {
+  ): Admission {
     const {requestId, customerId} = request;
-    if (signal?.aborted) return cancelled(request);
+    if (signal?.aborted) return {refusal: cancelled(request)};
     if (this.closeReason) {
-      return notRun(
-        requestId,
-        this.closeReason.reason,
-        this.closeReason.message,
-      );
+      const {reason, message} = this.closeReason;
+      return {refusal: notRun(requestId, reason, message)};
     }
     const remainingMs = deadline - this.clock.now();
-    if (remainingMs <= 0) return deadlinePassed({request});
+    if (remainingMs <= 0) return {refusal: deadlinePassed({request})};
     const waitMs = this.predictedWaitMs(customerId);
     if (waitMs > 0 && waitMs + (this.meanServiceMs ?? 0) > remainingMs) {
-      return this.overloaded(request, 'the queue is too long for the deadline');
+      const message = 'the queue is too long for the deadline';
+      return {refusal: this.overloaded(request, message)};
     }
     const maximumWaiting = this.currentMinion.slots * MAXIMUM_WAITING_PER_SLOT;
-    if (
-      this.waiting.size < maximumWaiting ||
-      this.evictRequestFor(customerId)
-    ) {
-      return undefined;
-    }
-    return this.overloaded(request, 'the queue of the minion is full');
+    if (this.waiting.size < maximumWaiting) return {};
+    const evicted = this.requestToEvictFor(customerId);
+    if (evicted) return {evicted};
+    const message = 'the queue of the minion is full';
+    return {refusal: this.overloaded(request, message)};
   }
 
   private overloaded(request: ServiceRequest, message: string): NotRun {
@@ -241,34 +265,43 @@
   private predictedWaitMs(customerId: CustomerId): number {
     const slots = this.currentMinion.slots;
     if (this.length < slots || this.meanServiceMs === undefined) return 0;
+    const ahead = this.waitingAhead(customerId);
+    return ((ahead + 1) / slots) * this.meanServiceMs;
+  }
+
+  /** Waiting requests that are sent before the customer's next one. */
+  private waitingAhead(customerId: CustomerId): number {
     const counts = this.waitingPerCustomer();
     const own = counts.get(customerId) ?? 0;
     counts.delete(customerId);
     // Round robin sends at most own + 1 requests of each other customer first.
     let ahead = own;
     for (const count of counts.values()) ahead += Math.min(count, own + 1);
-    return ((ahead + 1) / slots) * this.meanServiceMs;
+    return ahead;
   }
 
   /**
-   * Evicts the newest request of the customer with the most waiting requests,
-   * so that one customer cannot occupy the whole queue. Returns false if that
-   * customer has at most one more than `customerId`.
+   * The newest request of the customer with the most waiting requests, so that
+   * one customer cannot occupy the whole queue. Undefined if that customer has
+   * at most one more than `customerId`.
    */
-  private evictRequestFor(customerId: CustomerId): boolean {
+  private requestToEvictFor(
+    customerId: CustomerId,
+  ): WaitingRequest | undefined {
     const counts = this.waitingPerCustomer();
     const own = counts.get(customerId) ?? 0;
     const [largest, most] = [...counts].reduce((a, b) => (b[1] > a[1] ? b : a));
-    if (most <= own + 1) return false;
-    const newest = [...this.waiting]
+    if (most <= own + 1) return undefined;
+    return [...this.waiting]
       .filter((entry) => entry.request.customerId === largest)
       .at(-1);
-    if (!newest) return false;
+  }
+
+  private evict(entry: WaitingRequest): void {
     this.remove(
-      newest,
-      this.overloaded(newest.request, 'other customers need the queue'),
+      entry,
+      this.overloaded(entry.request, 'other customers need the queue'),
     );
-    return true;
   }
 
   private waitingPerCustomer(): Map<CustomerId, number> {
--- a/src/requests/routing.ts
+++ b/src/requests/routing.ts
@@ -4,9 +4,10 @@
  * daemon's own zone has no suitable minion below its queue limit.
  */
 
+import {z} from 'zod';
 import type {RandomSource} from '../lifecycle/random.js';
-import type {AvailabilityZone, Instant, VmId} from '../model/ids.js';
-import type {Outcome} from '../model/requests.js';
+import type {AvailabilityZone, Instant, RequestId, VmId} from '../model/ids.js';
+import type {NotRun, Outcome} from '../model/requests.js';
 import type {MinionCandidate, RequestDirectory} from './directory.js';
 import {notRun, RequestFilter} from './exchange.js';
 import type {Exchange, Next} from './exchange.js';
@@ -21,7 +22,7 @@
 const OVERLOAD_RETRY_MS = 500;
 
 /** A candidate with its estimated queue length. */
-interface RatedCandidate {
+export interface RatedCandidate {
   readonly candidate: MinionCandidate;
   readonly length: number;
 }
@@ -31,6 +32,50 @@
   | {readonly kind: 'no-minion'}
   | {readonly kind: 'overloaded'};
 
+/** The open candidates; the better of two random ones is chosen. */
+type RouteOptions =
+  | {readonly kind: 'open'; readonly rated: readonly RatedCandidate[]}
+  | Exclude<RouteChoice, {kind: 'chosen'}>;
+
+/** Why a minion is not considered, in the order in which the rules apply. */
+export const minionRuleSchema = z.enum([
+  'notLive',
+  'suspect',
+  'queueClosed',
+  'paused',
+  'full',
+  'probation',
+  'otherZone',
+]);
+export type MinionRule = z.infer<typeof minionRuleSchema>;
+
+/** What an attempt that starts now would choose from. */
+export interface RouteReview {
+  readonly options: RouteOptions;
+  /** All other minions, each with the first rule that rules it out. */
+  readonly ruledOut: ReadonlyArray<{
+    readonly candidate: MinionCandidate;
+    readonly rule: MinionRule;
+  }>;
+}
+
+/** Minions by id, as a directory may create its candidates for each call. */
+class CandidateSet {
+  private readonly minionIds: Set<VmId>;
+
+  constructor(rated: readonly RatedCandidate[] = []) {
+    this.minionIds = new Set(rated.map((r) => r.candidate.minion.vmId));
+  }
+
+  add({minion}: MinionCandidate): void {
+    this.minionIds.add(minion.vmId);
+  }
+
+  has({minion}: MinionCandidate): boolean {
+    return this.minionIds.has(minion.vmId);
+  }
+}
+
 export class MinionRouter {
   /** This daemon's attempts in progress, which reports may not include yet. */
   private readonly inProgress = new Map<VmId, number>();
@@ -43,10 +88,55 @@
   ) {}
 
   choose(tried: ReadonlySet<VmId>, now: Instant): RouteChoice {
+    const mayProbe = () => this.random.next() < PROBATION_SHARE;
+    const options = this.options(tried, now, mayProbe);
+    if (options.kind !== 'open') return options;
+    return {kind: 'chosen', candidate: this.betterOfTwo(options.rated)};
+  }
+
+  /**
+   * What the first attempt of a request would choose from. Draws no random
+   * number: minions on probation count as ruled out, although each is
+   * considered for a share of the attempts.
+   */
+  review(now: Instant): RouteReview {
+    const full = new CandidateSet();
+    const options = this.options(new Set(), now, () => false, full);
+    const considered = new CandidateSet(
+      options.kind === 'open' ? options.rated : [],
+    );
+    const zones = [
+      this.directory.availabilityZone,
+      ...this.directory.otherZones(),
+    ];
+    const ruledOut = zones
+      .flatMap((zone) => this.directory.candidates(zone))
+      .filter((candidate) => !considered.has(candidate))
+      .map((candidate) => {
+        const unusable = this.unusableReason(candidate, now);
+        if (unusable) return {candidate, rule: unusable};
+        if (full.has(candidate)) return {candidate, rule: 'full' as const};
+        const good = this.isPreferred(candidate, now, () => false);
+        const rule = good ? ('otherZone' as const) : ('probation' as const);
+        return {candidate, rule};
+      });
+    return {options, ruledOut};
+  }
+
+  private options(
+    tried: ReadonlySet<VmId>,
+    now: Instant,
+    mayProbe: () => boolean,
+    full?: CandidateSet,
+  ): RouteOptions {
+    const preferred = (candidates: readonly MinionCandidate[]) =>
+      excludeTried(candidates, tried).filter((candidate) =>
+        this.isPreferred(candidate, now, mayProbe),
+      );
     const own = this.usable(this.directory.availabilityZone, now);
     // Other zones are considered only if the own zone has no free capacity.
-    const local = this.betterOfTwo(this.preferred(own, tried, now), now);
-    if (local) return {kind: 'chosen', candidate: local};
+    const local = this.belowLimit(preferred(own), now, full);
+    if (local.length > 0) return {kind: 'open', rated: local};
     const others = this.directory
       .otherZones()
       .map((zone) => this.usable(zone, now));
@@ -55,13 +145,13 @@
       return {kind: 'no-minion'};
     }
     const ranked = [
-      ...others.map((candidates) => this.preferred(candidates, tried, now)),
+      ...others.map(preferred),
       ...usable.map((candidates) => excludeTried(candidates, tried)),
       ...usable,
     ];
     for (const candidates of ranked) {
-      const candidate = this.betterOfTwo(candidates, now);
-      if (candidate) return {kind: 'chosen', candidate};
+      const rated = this.belowLimit(candidates, now, full);
+      if (rated.length > 0) return {kind: 'open', rated};
     }
     return {kind: 'overloaded'};
   }
@@ -93,43 +183,52 @@
   private usable(zone: AvailabilityZone, now: Instant): MinionCandidate[] {
     return this.directory
       .candidates(zone)
-      .filter(
-        ({minion, suspect}) =>
-          minion.state === 'live' &&
-          !suspect &&
-          !this.homeDispatcher.isClosed(minion.vmId) &&
-          this.health.status(minion.vmId, now) !== 'paused',
-      );
+      .filter((candidate) => !this.unusableReason(candidate, now));
   }
 
-  /** Untried minions; includes those on probation with a small probability. */
-  private preferred(
-    candidates: readonly MinionCandidate[],
-    tried: ReadonlySet<VmId>,
+  private unusableReason(
+    {minion, suspect}: MinionCandidate,
     now: Instant,
-  ): MinionCandidate[] {
-    return excludeTried(candidates, tried).filter(
-      ({minion}) =>
-        this.health.status(minion.vmId, now) === 'good' ||
-        this.random.next() < PROBATION_SHARE,
-    );
+  ): MinionRule | undefined {
+    if (minion.state !== 'live') return 'notLive';
+    if (suspect) return 'suspect';
+    if (this.homeDispatcher.isClosed(minion.vmId)) return 'queueClosed';
+    return this.health.status(minion.vmId, now) === 'paused'
+      ? 'paused'
+      : undefined;
   }
 
-  /** Undefined if no candidate is below its queue limit. */
-  private betterOfTwo(
+  /** Includes minions on probation for which `mayProbe` returns true. */
+  private isPreferred(
+    {minion}: MinionCandidate,
+    now: Instant,
+    mayProbe: () => boolean,
+  ): boolean {
+    return this.health.status(minion.vmId, now) === 'good' || mayProbe();
+  }
+
+  /** Rates the candidates and keeps those below their queue limit. */
+  private belowLimit(
     candidates: readonly MinionCandidate[],
     now: Instant,
-  ): MinionCandidate | undefined {
-    const rated = this.rateCandidates(candidates, now).filter(
-      ({candidate, length}) => length < queueLimit(candidate.minion),
+    full?: CandidateSet,
+  ): readonly RatedCandidate[] {
+    return this.rateCandidates(candidates, now).filter(
+      ({candidate, length}) => {
+        if (length < queueLimit(candidate.minion)) return true;
+        full?.add(candidate);
+        return false;
+      },
     );
+  }
+
+  /** `rated` must not be empty. */
+  private betterOfTwo(rated: readonly RatedCandidate[]): MinionCandidate {
     const first = rated[this.random.nextBelow(rated.length)];
-    if (!first) return undefined;
+    if (!first) throw new Error('there is no candidate to choose');
     const others = rated.filter((other) => other !== first);
     const second = others[this.random.nextBelow(others.length)] ?? first;
-    const better =
-      lengthPerSlot(second) < lengthPerSlot(first) ? second : first;
-    return better.candidate;
+    return better(first, second).candidate;
   }
 
   /**
@@ -177,7 +276,28 @@
   return candidates.filter(({minion}) => !tried.has(minion.vmId));
 }
 
-function lengthPerSlot(rated: RatedCandidate): number {
+function better(first: RatedCandidate, second: RatedCandidate): RatedCandidate {
+  return lengthPerSlot(second) < lengthPerSlot(first) ? second : first;
+}
+
+/** Share of the attempts that the router's two draws send to `one`. */
+export function shareOf(
+  one: RatedCandidate,
+  rated: readonly RatedCandidate[],
+): number {
+  const others = rated.filter((other) => other !== one);
+  if (others.length === 0) return 1;
+  const wins = others.reduce(
+    (sum, other) =>
+      sum +
+      (better(one, other) === one ? 1 : 0) +
+      (better(other, one) === one ? 1 : 0),
+    0,
+  );
+  return wins / (rated.length * others.length);
+}
+
+export function lengthPerSlot(rated: RatedCandidate): number {
   return rated.length / rated.candidate.minion.slots;
 }
 
@@ -190,21 +310,8 @@
   override async handle(exchange: Exchange, next: Next): Promise<Outcome> {
     const startedAt = exchange.now();
     const choice = this.router.choose(exchange.triedMinions, startedAt);
-    if (choice.kind === 'no-minion') {
-      return notRun(
-        exchange.requestId,
-        'no-minion',
-        'no zone that this daemon can reach has a usable minion',
-        OVERLOAD_RETRY_MS,
-      );
-    }
-    if (choice.kind === 'overloaded') {
-      return notRun(
-        exchange.requestId,
-        'overloaded',
-        'all minions are at their limit',
-        OVERLOAD_RETRY_MS,
-      );
+    if (choice.kind !== 'chosen') {
+      return routeRefusal(exchange.requestId, choice.kind);
     }
     const {vmId} = choice.candidate.minion;
     exchange.route(choice.candidate);
@@ -219,3 +326,14 @@
     }
   }
 }
+
+export function routeRefusal(
+  requestId: RequestId,
+  kind: Exclude<RouteChoice['kind'], 'chosen'>,
+): NotRun {
+  const message =
+    kind === 'no-minion'
+      ? 'no zone that this daemon can reach has a usable minion'
+      : 'all minions are at their limit';
+  return notRun(requestId, kind, message, OVERLOAD_RETRY_MS);
+}
--- a/test/requests_queue.test.ts
+++ b/test/requests_queue.test.ts
@@ -79,6 +79,11 @@
     const large = Array.from({length: full}, (_, i) => run('large', `a${i}`));
     const late = await run('large', 'late');
     assert.equal(late.outcome === 'notRun' && late.reason, 'overloaded');
+    const preview = (customer: string) =>
+      queue.preview(request(customer, 'asked'), after(clock.now(), MANY));
+    assert.equal(preview('large').refusal?.reason, 'overloaded');
+    assert.equal(preview('small').displaced, 'large');
+    assert.equal(queue.length, full);
     const small = run('small', 'b');
     assert.equal((await large.at(-1))?.outcome, 'notRun');
     openGate();
