Add bramleystep requests explain

Unknown names are a typed error with the remedy, exit code 1.

The router draws two minions at random, so that one name would be a guess: weighed were a copy of the generator (production has no seed that an answer could keep to) and sampling; the share is computed with the router's own comparison instead. The claim of a key, queues of other daemons, the limit of tracked requests and retries are not asked, as that takes a write, a call or the request itself; the answer marks the first two. `guarantee` is not in it: a request has limits, guarantees are of accelerators.

The fake directory returns new candidate objects for each call now, as the real one does; a first version compared objects and would have told nonsense there.

--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -24,6 +24,7 @@
   StatusCommand,
 } from './operation_commands.js';
 
+import {RequestsExplainCommand} from './request_commands.js';
 import {
   SiteCancelCommand,
   SiteJobCommand,
@@ -51,6 +52,7 @@
   JobsShowCommand,
   JobsCancelCommand,
   JobsExplainCommand,
+  RequestsExplainCommand,
   StatusCommand,
   DrainCommand,
   AuditCommand,
--- a/src/cli/operator_client.ts
+++ b/src/cli/operator_client.ts
@@ -44,6 +44,11 @@
 import type {Configuration} from '../model/configuration.js';
 import {jobReportSchema} from '../interfaces/peer_client.js';
 import type {JobReport} from '../interfaces/peer_client.js';
+import {
+  REQUEST_EXPLANATION_PATH,
+  requestExplanationSchema,
+} from '../requests/request_explanation.js';
+import type {RequestExplanation} from '../requests/request_explanation.js';
 
 const CALL_TIMEOUT_MS = 10_000;
 
@@ -95,6 +100,15 @@
     return this.call('POST', '/operator/power', editResultSchema, submission);
   }
 
+  explainRequest(
+    customerId: string,
+    workClassId: string,
+  ): CallResult<RequestExplanation> {
+    const query = new URLSearchParams({customerId, workClassId});
+    const path = `${REQUEST_EXPLANATION_PATH}?${query.toString()}`;
+    return this.call('GET', path, requestExplanationSchema);
+  }
+
   jobs(): CallResult<JobList> {
     return this.call('GET', '/operator/jobs', jobListSchema);
   }
--- a/src/daemon/operator_api.ts
+++ b/src/daemon/operator_api.ts
@@ -11,6 +11,14 @@
 import type {JobId} from '../model/ids.js';
 import {validate, validateJson} from '../model/validation.js';
 import type {JobReport} from '../interfaces/peer_client.js';
+import {
+  REQUEST_EXPLANATION_PATH,
+  requestQuerySchema,
+} from '../requests/request_explanation.js';
+import type {
+  RequestExplanation,
+  RequestQuery,
+} from '../requests/request_explanation.js';
 import {sendError, sendJson} from './caller_answers.js';
 import {JsonServer} from './json_server.js';
 import type {Call} from './json_server.js';
@@ -45,6 +53,10 @@
     submission: QuestionnaireSubmission,
   ): Answer<EditResult>;
   abstract setPower(submission: PowerSubmission): Answer<EditResult>;
+  /** Where a service request would go now; nothing is sent or counted. */
+  abstract explainRequest(
+    query: RequestQuery,
+  ): Result<RequestExplanation, SystemError>;
   abstract jobs(): Promise<JobList>;
   abstract job(jobId: JobId): Answer<JobReport>;
   abstract cancelJob(jobId: JobId): Answer<JobReport>;
@@ -113,6 +125,11 @@
 
   private addDaemonRoutes(): void {
     const {server, service} = this;
+    server.on('GET', REQUEST_EXPLANATION_PATH, async (call) => {
+      const query = validate(requestQuerySchema, call.query, 'query');
+      if (query.isErr) sendError(call.response, query.error);
+      else send(call, service.explainRequest(query.value));
+    });
     server.on('GET', '/operator/status', async (call) => {
       sendJson(call.response, 200, service.status());
     });
--- a/src/daemon/operator_service.ts
+++ b/src/daemon/operator_service.ts
@@ -15,6 +15,10 @@
   questionnaireToEdit,
 } from '../model/questionnaire.js';
 import type {JobReport} from '../interfaces/peer_client.js';
+import type {
+  RequestExplanation,
+  RequestQuery,
+} from '../requests/request_explanation.js';
 import type {Daemon} from './daemon.js';
 import {OperatorService} from './operator_api.js';
 import type {
@@ -83,6 +87,12 @@
     return this.propose(submission, {kind: 'set-power', power}, undefined);
   }
 
+  override explainRequest(
+    query: RequestQuery,
+  ): Result<RequestExplanation, SystemError> {
+    return this.daemon.requests.explain(query);
+  }
+
   override async jobs(): Promise<JobList> {
     return {jobs: await this.daemon.jobs.list(this.zones())};
   }
--- a/src/requests/request_service.ts
+++ b/src/requests/request_service.ts
@@ -4,12 +4,14 @@
  * which it is the home daemon.
  */
 
+import type {Result} from 'true-myth';
 import type {CleanupScope} from '../lifecycle/cleanup_scope.js';
 import type {Clock} from '../lifecycle/clock.js';
 import type {RandomSource} from '../lifecycle/random.js';
+import type {NotFoundError} from '../model/errors.js';
 import {randomId} from '../model/ids.js';
 import type {RequestId} from '../model/ids.js';
-import type {Outcome, RequestSubmission} from '../model/requests.js';
+import type {NotRun, Outcome, RequestSubmission} from '../model/requests.js';
 import type {MinionClient} from '../interfaces/minion_client.js';
 import type {Dispatch, QueueLength} from '../interfaces/peer_client.js';
 import {CheckFilter} from './check_filter.js';
@@ -21,6 +23,8 @@
 import {Exchange, notRun, runFilters, unknown} from './exchange.js';
 import type {RequestFilter} from './exchange.js';
 import {HomeDispatcher} from './home_dispatcher.js';
+import {NOT_SENT, RequestExplainer} from './request_explainer.js';
+import type {RequestExplanation, RequestQuery} from './request_explanation.js';
 import {RequestOutcomes} from './request_outcomes.js';
 import {RetryFilter} from './retry_filter.js';
 import {MinionRouter, RouteFilter} from './routing.js';
@@ -49,6 +53,7 @@
   private readonly homeDispatcher: HomeDispatcher;
   private readonly outcomes: RequestOutcomes;
   private readonly claims: ClaimRegistry;
+  private readonly explainer: RequestExplainer;
   private readonly filters: readonly RequestFilter[];
   private readonly inProgress = new Set<Promise<Outcome>>();
   private draining = false;
@@ -67,14 +72,25 @@
       directory.daemonId,
       claimRetentionMs,
     );
+    const check = new CheckFilter(directory);
+    const limit = new LimitFilter(directory);
+    const router = new MinionRouter(directory, this.homeDispatcher, random);
+    this.explainer = new RequestExplainer({
+      check,
+      limit,
+      router,
+      homeDispatcher: this.homeDispatcher,
+      directory,
+      clock,
+    });
     this.filters = [
-      new CheckFilter(directory),
-      new LimitFilter(directory),
+      check,
+      limit,
       new DeadlineFilter(),
       new ClaimFilter(this.claims, this.outcomes, directory, peers),
       new RetryFilter(),
       new DeadlineFilter(),
-      new RouteFilter(new MinionRouter(directory, this.homeDispatcher, random)),
+      new RouteFilter(router),
       new DispatchFilter(directory, this.homeDispatcher, peers),
     ];
   }
@@ -106,6 +122,15 @@
     return this.outcomes.find(requestId);
   }
 
+  /**
+   * Tells where a request would go now, without sending or counting it. An
+   * unknown customer or class is an error.
+   */
+  explain(query: RequestQuery): Result<RequestExplanation, NotFoundError> {
+    const refusal = this.stopRefusal(NOT_SENT);
+    return this.explainer.explain(query, refusal);
+  }
+
   /** Handles `PeerClient.claimOutcome` of another daemon. */
   claimOutcome(requestId: RequestId): Outcome {
     return (
@@ -144,9 +169,8 @@
     submission: RequestSubmission,
     signal: AbortSignal | undefined,
   ): Promise<Outcome> {
-    if (this.draining) {
-      return notRun(requestId, 'shutting-down', 'the daemon is stopping');
-    }
+    const refusal = this.stopRefusal(requestId);
+    if (refusal) return refusal;
     const {clock} = this.dependencies;
     const now = clock.now();
     const exchange = new Exchange(requestId, submission, now, clock, signal);
@@ -156,6 +180,11 @@
     return outcome;
   }
 
+  private stopRefusal(requestId: RequestId): NotRun | undefined {
+    if (!this.draining) return undefined;
+    return notRun(requestId, 'shutting-down', 'the daemon is stopping');
+  }
+
   private async runChain(exchange: Exchange): Promise<Outcome> {
     try {
       return await runFilters(this.filters, exchange);
--- a/test/process_requests.test.ts
+++ b/test/process_requests.test.ts
@@ -6,7 +6,10 @@
  */
 
 import assert from 'node:assert/strict';
+import {execFile} from 'node:child_process';
 import {after, afterEach, before, describe, it} from 'node:test';
+import {fileURLToPath} from 'node:url';
+import {promisify} from 'node:util';
 import {Caller} from '../src/harness/caller.js';
 import type {RequestRecord} from '../src/harness/caller.js';
 import {
@@ -21,6 +24,8 @@
 import type {SiteFixture} from '../src/harness/site_fixture.js';
 import {CleanupScope} from '../src/lifecycle/cleanup_scope.js';
 
+const TOOL = fileURLToPath(new URL('../src/cli/main.js', import.meta.url));
+const run = promisify(execFile);
 const scope = new CleanupScope();
 let site: SiteFixture;
 
@@ -221,6 +226,30 @@
   });
 });
 
+describe('the explanation of a request', () => {
+  const explain = async (customer: string, workClass: string) => {
+    const address = site.daemons[0]?.operators ?? '';
+    const names = ['--customer', customer, '--class', workClass];
+    const parameters = ['requests', 'explain', ...names, '--daemon', address];
+    return run(process.execPath, [TOOL, ...parameters]).then(
+      ({stdout}) => ({code: 0, output: stdout}),
+      (error: {code: number; stderr: string}) => ({
+        code: error.code,
+        output: error.stderr,
+      }),
+    );
+  };
+
+  it('names the minions, or the problem with exit code 1', async () => {
+    const told = await explain(OWNER, 'check');
+    assert.equal(told.code, 0);
+    assert.match(told.output, /admitted[^]*minions considered: [1-9]/);
+    const unknownClass = await explain(OWNER, 'nothing');
+    assert.equal(unknownClass.code, 1);
+    assert.match(unknownClass.output, /no work class nothing; name a customer/);
+  });
+});
+
 describe('a planned stop under load', () => {
   it('answers every request in progress', async () => {
     const caller = newCaller();
--- a/test/requests_fakes.ts
+++ b/test/requests_fakes.ts
@@ -292,9 +292,9 @@
   }
 
   override candidates(zone: AvailabilityZone): readonly MinionCandidate[] {
-    return this.site.candidates.filter(
-      (c) => c.minion.availabilityZone === zone,
-    );
+    return this.site.candidates
+      .filter((c) => c.minion.availabilityZone === zone)
+      .map((c) => ({...c}));
   }
 
   override otherZones(): readonly AvailabilityZone[] {
