Let the soak share the crowds of the client tests

The soak is to play clients outside the limits. What they send and how they connect stood in the tests of crowds only. Copying it would leave two crowds that drift apart; importing test code into the soak turns the dependency round, as the tests already use the soak's daemon process.

soak/crowd.ts holds the connections, the requests sent ahead, the unfinished bodies and the low heap now; the tests keep their sizes, bounds and checks. The bodies name their host and path, as the queues of both sites differ.

--- /dev/null
+++ b/soak/crowd.ts
@@ -0,0 +1,106 @@
+/**
+ * Crowds of clients that keep inside no limit: they send ahead on many
+ * connections and read no answer.
+ */
+
+import {connect} from 'node:net';
+import type {Socket} from 'node:net';
+
+const MEGABYTE = 1_048_576;
+
+/** What bodies stop at; the limit of a body is 262,144 bytes. */
+const UNFINISHED_BODY_BYTES = 262_000;
+export const LARGE_CHUNK_BYTES = 65_500;
+
+/** Lower than deployed, so that a small crowd shows what a large one does. */
+export const LOW_HEAP = {
+  NODE_OPTIONS: '--max-old-space-size=64 --max-semi-space-size=4',
+};
+
+export class Crowd {
+  private readonly members: readonly CrowdMember[];
+
+  /**
+   * Opens `size` connections at once and sends each the whole of `textsOf` in
+   * turn. They stay open until the crowd leaves or the server closes them.
+   */
+  constructor(
+    address: string,
+    size: number,
+    textsOf: (member: number) => Iterable<string>,
+  ) {
+    this.members = Array.from(
+      {length: size},
+      (_unused, index) => new CrowdMember(address, textsOf(index)),
+    );
+  }
+
+  /** Bytes that the kernel has accepted from all members. */
+  get sentBytes(): number {
+    return this.members.reduce((bytes, member) => bytes + member.sentBytes, 0);
+  }
+
+  leave(): void {
+    for (const member of this.members) member.leave();
+  }
+}
+
+class CrowdMember {
+  private readonly socket: Socket;
+  private readonly texts: Iterator<string>;
+
+  constructor(address: string, texts: Iterable<string>) {
+    this.texts = texts[Symbol.iterator]();
+    const separator = address.lastIndexOf(':');
+    this.socket = connect({
+      host: address.slice(0, separator),
+      port: Number(address.slice(separator + 1)),
+    });
+    this.socket.pause();
+    this.socket.on('error', () => undefined);
+    this.socket.on('connect', () => this.send());
+    this.socket.on('drain', () => this.send());
+  }
+
+  get sentBytes(): number {
+    return this.socket.bytesWritten - this.socket.writableLength;
+  }
+
+  leave(): void {
+    this.socket.destroy();
+  }
+
+  private send(): void {
+    while (this.socket.writable) {
+      const text = this.texts.next();
+      if (text.done === true || !this.socket.write(text.value)) return;
+    }
+  }
+}
+
+export function* readinessAhead(): Iterable<string> {
+  const text = 'GET /v1/readyz HTTP/1.1\r\nHost: crowd\r\n\r\n';
+  const block = text.repeat(1_000);
+  for (let sent = 0; sent < 4 * MEGABYTE; sent += block.length) yield block;
+}
+
+/** A submission in chunks of `chunkBytes` that stops short of its end. */
+export function* unfinishedBody(
+  host: string,
+  path: string,
+  chunkBytes: number,
+): Iterable<string> {
+  yield (
+    `POST ${path} HTTP/1.1\r\n` +
+    `Host: ${host}\r\nTransfer-Encoding: chunked\r\n\r\n`
+  );
+  const content = 'a'.repeat(chunkBytes);
+  const chunk = `${chunkBytes.toString(16)}\r\n${content}\r\n`;
+  const chunks = Math.ceil(LARGE_CHUNK_BYTES / chunkBytes);
+  const block = chunk.repeat(chunks);
+  const blockBytes = chunks * chunkBytes;
+  for (let sent = 0; sent + blockBytes <= UNFINISHED_BODY_BYTES;) {
+    yield block;
+    sent += blockBytes;
+  }
+}
--- a/test/crowds/clients.test.ts
+++ b/test/crowds/clients.test.ts
@@ -6,6 +6,11 @@
 import assert from 'node:assert/strict';
 import {afterEach, beforeEach, describe} from 'node:test';
 import {setTimeout as delay} from 'node:timers/promises';
+import {
+  LARGE_CHUNK_BYTES,
+  readinessAhead,
+  unfinishedBody,
+} from '../../soak/crowd.js';
 import type {DaemonProcess} from '../../soak/daemon_process.js';
 import {CleanupScope} from '../../src/lifecycle/cleanup_scope.js';
 import {checkTarget} from '../known_red.js';
@@ -20,12 +25,6 @@
   submitJob,
 } from './crowd.js';
 
-const MEGABYTE = 1_048_576;
-
-/** What bodies stop at; the limit of a body is 262,144 bytes. */
-const UNFINISHED_BODY_BYTES = 262_000;
-const LARGE_CHUNK_BYTES = 65_500;
-
 const ADDRESSES = {
   callers: ({settings}: DaemonProcess) => settings.callerAddress,
   readiness: ({settings}: DaemonProcess) => settings.readinessAddress,
@@ -57,13 +56,13 @@
     });
 
     checkTarget(`at the address of ${name}: large chunks`, async () => {
-      const body = () => unfinishedBody(LARGE_CHUNK_BYTES);
+      const body = () => chunkedBody(LARGE_CHUNK_BYTES);
       await playCrowd(scope, addressOf(daemon), 300, body);
       await check();
     });
 
     checkTarget(`at the address of ${name}: small chunks`, async () => {
-      await playCrowd(scope, addressOf(daemon), 60, () => unfinishedBody(1));
+      await playCrowd(scope, addressOf(daemon), 60, () => chunkedBody(1));
       await check();
     });
   }
@@ -88,27 +87,12 @@
   });
 });
 
-function* readinessAhead(): Iterable<string> {
-  const text = 'GET /v1/readyz HTTP/1.1\r\nHost: crowd\r\n\r\n';
-  const block = text.repeat(1_000);
-  for (let sent = 0; sent < 4 * MEGABYTE; sent += block.length) yield block;
-}
-
-/** A body in chunks of `chunkBytes` that stops short of its end. */
-function* unfinishedBody(chunkBytes: number): Iterable<string> {
-  yield (
-    `POST ${QUEUE_PATH}00000000000000aa HTTP/1.1\r\n` +
-    `Host: ${QUEUE_HOST}\r\nTransfer-Encoding: chunked\r\n\r\n`
+function chunkedBody(chunkBytes: number): Iterable<string> {
+  return unfinishedBody(
+    QUEUE_HOST,
+    `${QUEUE_PATH}00000000000000aa`,
+    chunkBytes,
   );
-  const content = 'a'.repeat(chunkBytes);
-  const chunk = `${chunkBytes.toString(16)}\r\n${content}\r\n`;
-  const chunks = Math.ceil(LARGE_CHUNK_BYTES / chunkBytes);
-  const block = chunk.repeat(chunks);
-  const blockBytes = chunks * chunkBytes;
-  for (let sent = 0; sent + blockBytes <= UNFINISHED_BODY_BYTES;) {
-    yield block;
-    sent += blockBytes;
-  }
 }
 
 function* submissionsAhead(member: number): Iterable<string> {
--- a/test/crowds/crowd.ts
+++ b/test/crowds/crowd.ts
@@ -6,9 +6,8 @@
 import assert from 'node:assert/strict';
 import {readFile, readdir, readlink} from 'node:fs/promises';
 import {request} from 'node:http';
-import {connect} from 'node:net';
-import type {Socket} from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
+import {Crowd, LOW_HEAP} from '../../soak/crowd.js';
 import type {DaemonProcess} from '../../soak/daemon_process.js';
 import type {CleanupScope} from '../../src/lifecycle/cleanup_scope.js';
 import {createDaemonOf, startSmallPlatform} from '../entry_process.js';
@@ -20,9 +19,6 @@
 /** Descriptors of a VM that are reserved for files. */
 const FILE_DESCRIPTORS = 200;
 
-/** Lower than deployed, so that a small crowd shows what a large one does. */
-const NODE_OPTIONS = '--max-old-space-size=64 --max-semi-space-size=4';
-
 export const QUEUE_HOST = 'crowd.example';
 export const QUEUE_PATH = '/jobs/';
 const KNOWN_KEY = 'known-key';
@@ -60,7 +56,7 @@
     memoryMb: MEMORY_MB,
     maximumDescriptors: MAXIMUM_DESCRIPTORS,
   });
-  await daemon.start({NODE_OPTIONS});
+  await daemon.start(LOW_HEAP);
   // Answered by a leader only.
   await checkOrdinaryRequest(daemon);
   return daemon;
@@ -77,19 +73,16 @@
   size: number,
   textsOf: (member: number) => Iterable<string>,
 ): Promise<void> {
-  const members = Array.from(
-    {length: size},
-    (_unused, index) => new CrowdMember(address, textsOf(index)),
-  );
-  scope.add(() => members.forEach((member) => member.leave()));
+  const crowd = new Crowd(address, size, textsOf);
+  scope.add(() => crowd.leave());
   const endsAt = Date.now() + CROWD_GUARD_MS;
   let movedAt = Date.now();
   let moved = 0;
   while (Date.now() < endsAt && Date.now() - movedAt < QUIET_MS) {
     await delay(100);
-    const sum = members.reduce((bytes, member) => bytes + member.sentBytes, 0);
-    if (sum > moved) movedAt = Date.now();
-    moved = sum;
+    const {sentBytes} = crowd;
+    if (sentBytes > moved) movedAt = Date.now();
+    moved = sentBytes;
   }
 }
 
@@ -183,36 +176,3 @@
     sent.end(body);
   });
 }
-
-class CrowdMember {
-  private readonly socket: Socket;
-  private readonly texts: Iterator<string>;
-
-  constructor(address: string, texts: Iterable<string>) {
-    this.texts = texts[Symbol.iterator]();
-    const separator = address.lastIndexOf(':');
-    this.socket = connect({
-      host: address.slice(0, separator),
-      port: Number(address.slice(separator + 1)),
-    });
-    this.socket.pause();
-    this.socket.on('error', () => undefined);
-    this.socket.on('connect', () => this.send());
-    this.socket.on('drain', () => this.send());
-  }
-
-  get sentBytes(): number {
-    return this.socket.bytesWritten - this.socket.writableLength;
-  }
-
-  leave(): void {
-    this.socket.destroy();
-  }
-
-  private send(): void {
-    while (this.socket.writable) {
-      const text = this.texts.next();
-      if (text.done === true || !this.socket.write(text.value)) return;
-    }
-  }
-}
