Report daemons that end by themselves in the soak

A daemon that ended by itself, for instance at its heap limit, went unnoticed if a later kill or stop of the same daemon started it again: the soak only checked at the end that each daemon answers. Weighed: a check of the processes at the end, which has the same gap, and a search of the logs, which holds nothing of an abort.

DaemonProcess keeps the code or signal of each exit that neither a restart nor a stop asked for, and its last lines of standard error go to its log. The soak reports such an exit as a broken rule, EXIT. The variables of a process are kept for its restarts, which the low heap of crowds needs.

--- a/soak/daemon_process.ts
+++ b/soak/daemon_process.ts
@@ -45,8 +45,12 @@
 
 export class DaemonProcess {
   readonly logLines: string[] = [];
+  /** Codes or signals of exits that nobody asked for. */
+  readonly unexpectedExits: string[] = [];
   private process: ManagedProcess | undefined;
+  private environment: Record<string, string> = {};
   private isRestarting = false;
+  private isStopping = false;
 
   private constructor(
     readonly name: string,
@@ -119,8 +123,9 @@
     return this.process?.pid;
   }
 
-  /** `environment` is added to the variables of the process. */
-  async start(environment: Record<string, string> = {}): Promise<void> {
+  /** `environment` is added to the variables, also when it restarts. */
+  async start(environment = this.environment): Promise<void> {
+    this.environment = environment;
     const {process} = await ManagedProcess.start(
       this.scope,
       this.name,
@@ -130,6 +135,11 @@
       {...environment, BRAMLEYSTEP_SETTINGS: this.settingsPath},
     );
     this.process = process;
+    void process.exited.then(({code, signal}) => {
+      if (this.isRestarting || this.isStopping || this.scope.closed) return;
+      this.unexpectedExits.push(String(code ?? signal));
+      this.keepLogLine(process.recentErrorOutput);
+    });
   }
 
   /** Ends the process with a signal and starts it again after `downMs`. */
@@ -147,6 +157,7 @@
 
   /** Stops the process and waits until it has exited. */
   async stop(): Promise<void> {
+    this.isStopping = true;
     await this.process?.stop();
   }
 
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -137,17 +137,7 @@
     callers.stop();
     await this.waitForOpenJobs(callers);
     await this.checkConfiguration(platform, callers);
-    for (const waveId of platform.site.vms.openWaves) {
-      ledger.violations.push(`MIXED: wave ${waveId} did not complete`);
-    }
-    for (const jobId of callers.openJobs.keys()) {
-      ledger.violations.push(`LOST: ${jobId} did not end`);
-    }
-    for (const jobId of callers.startedDespiteRefusal()) {
-      ledger.violations.push(
-        `REFUSED: ${jobId} was refused but a worker started it`,
-      );
-    }
+    this.checkOutcome(platform, callers);
     return {
       violations: ledger.violations,
       counts: callers.counts,
@@ -159,6 +149,25 @@
     };
   }
 
+  /** Checks what must hold once all faults are over. */
+  private checkOutcome({site}: HttpPlatform, callers: Callers): void {
+    const {violations} = site.ledger;
+    for (const {name, unexpectedExits} of this.daemons) {
+      for (const exit of unexpectedExits) {
+        violations.push(`EXIT: ${name} ended by itself with ${exit}`);
+      }
+    }
+    for (const waveId of site.vms.openWaves) {
+      violations.push(`MIXED: wave ${waveId} did not complete`);
+    }
+    for (const jobId of callers.openJobs.keys()) {
+      violations.push(`LOST: ${jobId} did not end`);
+    }
+    for (const jobId of callers.startedDespiteRefusal()) {
+      violations.push(`REFUSED: ${jobId} was refused but a worker started it`);
+    }
+  }
+
   private async startPlatform(): Promise<HttpPlatform> {
     const {racks, workersPerRack} = this.options;
     const platform = await HttpPlatform.start(
