Play workers of uneven speed in the soak

The daemons of the soak choose workers by speed, but all workers were alike, so that nothing was learned and no decision differed.

With `--uneven` each VM gets a speed between half and twice the usual one. It belongs to the VM, as the product assumes: the successor of a crashed worker is as fast. Weighed: speeds that change during the soak; a worker that hangs is among the faults already.

--- a/emulator/site.ts
+++ b/emulator/site.ts
@@ -319,6 +319,8 @@
   readonly standbyVms?: number;
   /** Address of a VM's worker; any name where calls stay in process. */
   readonly addressOf?: (vmId: VmId) => string;
+  /** Speed of a VM's workers as a share of full speed; 1 if not given. */
+  readonly speedOf?: (vmId: VmId) => number;
   /** Zones, one after the other for each rack and standby VM. */
   readonly zones?: EmulatedZones['names'];
   /** Time after which no start may follow the evacuation of its zone. */
@@ -396,16 +398,15 @@
       remainingMs: undefined,
       vmId,
     };
-    this.workers.set(
-      workerId,
-      new EmulatedWorker(
-        entry,
-        Date.now(),
-        this.options.holdMaximumMs,
-        this.ledger,
-        () => this.vms.crash(vmId),
-      ),
+    const worker = new EmulatedWorker(
+      entry,
+      Date.now(),
+      this.options.holdMaximumMs,
+      this.ledger,
+      () => this.vms.crash(vmId),
     );
+    worker.faults.speed = this.options.speedOf?.(vmId) ?? 1;
+    this.workers.set(workerId, worker);
     this.register(workerId);
     return workerId;
   }
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -50,6 +50,9 @@
   private readonly cuts = Option.Boolean('--cuts', false, {
     description: 'cut workers off repeatedly while they and others crash',
   });
+  private readonly uneven = Option.Boolean('--uneven', false, {
+    description: 'give the workers different speeds',
+  });
 
   override async execute(): Promise<number> {
     const stop = new AbortController();
@@ -66,6 +69,7 @@
         workersPerRack: 4,
         repeatsTakeovers: this.takeovers,
         repeatsCuts: this.cuts,
+        hasUnevenWorkers: this.uneven,
         stop: stop.signal,
       });
       if (stop.signal.aborted) return EXIT_INTERRUPTED;
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -19,6 +19,7 @@
 import type {CallerCounts} from './callers.js';
 import {DaemonProcess} from './daemon_process.js';
 import {EVACUATION_BOUND_MS, FaultInjector} from './faults.js';
+import {UnevenSpeeds} from './uneven_speeds.js';
 
 const HOST = '127.0.0.1';
 const WORKER_LEASE_MS = 3_000;
@@ -56,6 +57,8 @@
   readonly repeatsTakeovers?: boolean;
   /** Cuts with crashes of workers behind them follow one another. */
   readonly repeatsCuts?: boolean;
+  /** Workers differ in speed. */
+  readonly hasUnevenWorkers?: boolean;
   /** Ends the soak early and stops its daemons. */
   readonly stop?: AbortSignal;
 }
@@ -169,7 +172,8 @@
   }
 
   private async startPlatform(): Promise<HttpPlatform> {
-    const {racks, workersPerRack} = this.options;
+    const {racks, workersPerRack, hasUnevenWorkers = false} = this.options;
+    const speeds = new UnevenSpeeds(this.random);
     const platform = await HttpPlatform.start(
       {
         racks,
@@ -179,6 +183,9 @@
         capacityNoticeMs: CAPACITY_NOTICE_MS,
         zones: ZONES,
         evacuationBoundMs: EVACUATION_BOUND_MS,
+        ...(hasUnevenWorkers
+          ? {speedOf: (vmId: VmId) => speeds.speedOf(vmId)}
+          : {}),
       },
       this.random,
       this.scope,
