Play crowds of clients outside lowered limits in the soak

The crowds of the tests meet a daemon in calm. What they do to daemons that are killed, paused, cut off or turned away by a busy store at the same time was not played. A busy store itself needed nothing: the soak's store turns one or all daemons away with 429 or 503 already.

With `--crowds`, a crowd of 60 opens connections at one address of one daemon, callers', readiness or peers', for 2 to 4 s, then the next one comes. A third sends requests ahead and reads no answer, a third each leaves a body in large and in very small chunks unfinished. The daemons have limits that such a crowd exceeds, and 64 MB of heap. Afterwards each daemon has to live (EXIT) and to answer a request with a valid key (CONFIG, as before), and no other rule may be broken; no times and no shares are checked.

--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -97,6 +97,7 @@
 export const MAXIMUM_ATTEMPTS = 4;
 
 export const CALLER_KEY = 'caller-key';
+export const CALLER_HOST = 'queues.example';
 const KEY_HEADER = 'Bramleystep-Credential';
 
 const stateSchema = z.object({state: z.string()});
@@ -331,7 +332,7 @@
         method,
         path,
         headers: {
-          host: 'queues.example',
+          host: CALLER_HOST,
           [KEY_HEADER]: key,
           ...(body === undefined ? {} : {'content-type': 'application/json'}),
         },
--- a/soak/fault_series.ts
+++ b/soak/fault_series.ts
@@ -1,6 +1,6 @@
 /**
- * Faults that come several rounds in a row during a soak. In each round, a
- * random share of the workers is affected, and workers crash.
+ * Faults that come several rounds in a row during a soak. Rounds that affect
+ * workers choose a random share of them and crash some.
  */
 
 import type {HttpPlatform} from '../emulator/http_platform.js';
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -11,6 +11,7 @@
 import type {VmId} from '../src/model/ids.js';
 import {linkFaultsSchema} from '../src/standins/fault_link.js';
 import type {FaultLink, LinkFaults} from '../src/standins/fault_link.js';
+import {CrowdSeries} from './crowd_series.js';
 import {CutSeries} from './cut_series.js';
 import type {DaemonProcess} from './daemon_process.js';
 import type {FaultSeries} from './fault_series.js';
@@ -39,7 +40,7 @@
 }
 
 /** Series of faults that can be repeated throughout a soak. */
-export type SeriesName = 'takeovers' | 'cuts';
+export type SeriesName = 'takeovers' | 'cuts' | 'crowds';
 
 type Fault = (durationMs: number) => Promise<void> | void;
 
@@ -59,6 +60,7 @@
     this.series = {
       takeovers: new TakeoverSeries(platform, daemons, random, scope),
       cuts: new CutSeries(platform, workerLinks, random, scope),
+      crowds: new CrowdSeries(platform, daemons, random, scope),
     };
     this.faults = [
       ['kill', (ms) => this.randomDaemon().restart('SIGKILL', ms / 4)],
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -50,6 +50,9 @@
   private readonly cuts = Option.Boolean('--cuts', false, {
     description: 'cut workers off repeatedly while they and others crash',
   });
+  private readonly crowds = Option.Boolean('--crowds', false, {
+    description: 'play small crowds of clients outside lowered limits',
+  });
   private readonly uneven = Option.Boolean('--uneven', false, {
     description: 'give the workers different speeds',
   });
@@ -69,6 +72,7 @@
         workersPerRack: 4,
         repeatsTakeovers: this.takeovers,
         repeatsCuts: this.cuts,
+        repeatsCrowds: this.crowds,
         hasUnevenWorkers: this.uneven,
         stop: stop.signal,
       });
--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -11,12 +11,15 @@
 import type {AvailabilityZone, VmId} from '../src/model/ids.js';
 import {FaultLink} from '../src/standins/fault_link.js';
 import {
+  CALLER_HOST,
   CALLER_KEY,
   Callers,
   MAXIMUM_ATTEMPTS,
   WORKER_ACCELERATORS,
 } from './callers.js';
 import type {CallerCounts} from './callers.js';
+import {LOW_HEAP} from './crowd.js';
+import {LOW_CLIENT_LIMITS} from './crowd_series.js';
 import {DaemonProcess} from './daemon_process.js';
 import {EVACUATION_BOUND_MS, FaultInjector} from './faults.js';
 import {UnevenSpeeds} from './uneven_speeds.js';
@@ -57,6 +60,8 @@
   readonly repeatsTakeovers?: boolean;
   /** Cuts with crashes of workers behind them follow one another. */
   readonly repeatsCuts?: boolean;
+  /** Crowds of clients outside all limits follow one another; these are low. */
+  readonly repeatsCrowds?: boolean;
   /** Workers differ in speed. */
   readonly hasUnevenWorkers?: boolean;
   /** Ends the soak early and stops its daemons. */
@@ -130,6 +135,7 @@
       void faults.repeatSeries('takeovers');
     }
     if (options.repeatsCuts === true) void faults.repeatSeries('cuts');
+    if (options.repeatsCrowds === true) void faults.repeatSeries('crowds');
     await scope.sleep(options.faultsMs);
     await faults.stopAndClear();
     const acceptedBefore = callers.counts.accepted;
@@ -204,6 +210,7 @@
 
   private async startDaemons(platform: HttpPlatform): Promise<void> {
     const vmServiceAddress = await platform.openVmService();
+    const hasCrowds = this.options.repeatsCrowds === true;
     for (let number = 1; number <= this.options.daemons; number += 1) {
       this.daemons.push(
         await DaemonProcess.create(
@@ -214,12 +221,14 @@
             workerLeaseMs: WORKER_LEASE_MS,
             stopGraceS: STOP_GRACE_S,
             evacuationBoundMs: EVACUATION_BOUND_MS,
+            ...(hasCrowds ? {clientLimits: LOW_CLIENT_LIMITS} : {}),
           },
           this.scope,
         ),
       );
     }
-    await Promise.all(this.daemons.map((daemon) => daemon.start()));
+    const environment = hasCrowds ? LOW_HEAP : {};
+    await Promise.all(this.daemons.map((daemon) => daemon.start(environment)));
   }
 
   /** Writes the next version; each version has an API key of its own. */
@@ -227,7 +236,7 @@
     this.configurationVersion += 1;
     const route = (name: string, priority: number) => ({
       name,
-      host: 'queues.example',
+      host: CALLER_HOST,
       pathPrefix: `/${name}/`,
       service: 'service',
       priority,
