Count starts whose end is listed before they are confirmed

Its fourth start reached its worker, but the gang broke meanwhile, as another member's worker had restarted. The worker's list showed the end, and the start was never confirmed: an answer confirms no run that is stopping, and one that comes after the list is ignored. Which of the two it was the log does not tell. A run that was neither confirmed nor unanswered counts as one that never started, so that this start was missing from the two that are allowed after the third crash.

A worker lists ends only of runs that it had. Such a run counts as a start now. Weighed: confirming a stopping run by its answer, which covers one order only.

Measured: the new test fails without the change; crash_monitor 27 of 27, leader_crashes 18 of 18, leader_workers 23 of 23, leader_faults 26 of 26. Not shown by a test: the way through the worker's link, as the emulated site answers a start in the moment in which it carries it out.

--- a/src/leader/jobs/runs.ts
+++ b/src/leader/jobs/runs.ts
@@ -117,6 +117,8 @@
   firstSentAt: Instant | undefined;
   /** A start got no answer and may still be carried out. */
   mayStartLate = false;
+  /** Its worker listed its end, so that it had started. */
+  isEndListed = false;
   /** An earlier leader placed the run. */
   wasAdopted = false;
   /** When the run was first known to be on its worker, to any leader. */
@@ -199,7 +201,10 @@
   /** False if it never started, or was at work long enough to prove itself. */
   get countsAsStart(): boolean {
     const mayHaveStarted =
-      this.wasAdopted || this.mayStartLate || this.confirmedAt !== undefined;
+      this.wasAdopted ||
+      this.mayStartLate ||
+      this.isEndListed ||
+      this.confirmedAt !== undefined;
     return mayHaveStarted && this.seenForMs < PROVEN_AFTER_MS;
   }
 
--- a/src/leader/workers/worker_link.ts
+++ b/src/leader/workers/worker_link.ts
@@ -252,6 +252,7 @@
       const run = worker.find(end.task, end.run);
       if (run !== undefined) {
         run.unobservedMs = Math.max(0, unobservedMs);
+        run.isEndListed = true;
         events.runEnded(run, end.ending, end.checkpoint);
       } else this.log.unknownEnd(worker, end);
     }
--- a/test/crash_monitor.test.ts
+++ b/test/crash_monitor.test.ts
@@ -416,12 +416,13 @@
   crashMonitor: CrashMonitor,
   job: Job,
   number: number,
-  {isStarted = true, seenMs = 0} = {},
+  {isStarted = true, isEndListed = false, seenMs = 0} = {},
 ): void {
   const run = startOn(idleWorker('worker', INCARNATION), job, number);
   const seen = {task: run.task, run: number, percent: 5, checkpoint: ''};
   run.updateFromList(seen, instant(NOW + seenMs));
   if (!isStarted) run.confirmedAt = undefined;
+  run.isEndListed = isEndListed;
   job.runEnded(run, 'broken', '', Infinity, NOW);
   crashMonitor.recordEnd(run, NOW);
 }
@@ -438,6 +439,18 @@
   assert.equal(adopted.state, 'failed');
 });
 
+// Guards against a sixth start, as a gang broke before the start was confirmed.
+it('counts a start whose end is listed before it is confirmed', () => {
+  const crashMonitor = monitor();
+  const job = new Job(submission(), NOW);
+  crashThreeTimes(crashMonitor, job);
+  for (const number of [4, 5]) {
+    assert.equal(job.isEnded, false);
+    breakRun(crashMonitor, job, number, {isStarted: false, isEndListed: true});
+  }
+  assert.equal(job.state, 'failed');
+});
+
 // Guards against a job that is given up for starts that prove nothing against it.
 it('counts no starts that were refused or have proven to run', () => {
   const crashMonitor = monitor();
