--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -11,14 +11,18 @@
 import type {AvailabilityZone, VmId} from '../src/model/ids.js';
 import {FaultLink} from '../src/standins/fault_link.js';
 import {
+  CALLER_HOST,
   CALLER_KEY,
   Callers,
   MAXIMUM_ATTEMPTS,
   WORKER_ACCELERATORS,
 } from './callers.js';
 import type {CallerCounts} from './callers.js';
+import {LOW_HEAP} from './crowd.js';
+import {LOW_CLIENT_LIMITS} from './crowd_series.js';
 import {DaemonProcess} from './daemon_process.js';
 import {EVACUATION_BOUND_MS, FaultInjector} from './faults.js';
+import {UnevenSpeeds} from './uneven_speeds.js';
 
 const HOST = '127.0.0.1';
 const WORKER_LEASE_MS = 3_000;
@@ -56,6 +60,10 @@
   readonly repeatsTakeovers?: boolean;
   /** Cuts with crashes of workers behind them follow one another. */
   readonly repeatsCuts?: boolean;
+  /** Crowds of clients outside all limits follow one another; these are low. */
+  readonly repeatsCrowds?: boolean;
+  /** Workers differ in speed. */
+  readonly hasUnevenWorkers?: boolean;
   /** Ends the soak early and stops its daemons. */
   readonly stop?: AbortSignal;
 }
@@ -127,6 +135,7 @@
       void faults.repeatSeries('takeovers');
     }
     if (options.repeatsCuts === true) void faults.repeatSeries('cuts');
+    if (options.repeatsCrowds === true) void faults.repeatSeries('crowds');
     await scope.sleep(options.faultsMs);
     await faults.stopAndClear();
     const acceptedBefore = callers.counts.accepted;
@@ -137,17 +146,7 @@
     callers.stop();
     await this.waitForOpenJobs(callers);
     await this.checkConfiguration(platform, callers);
-    for (const waveId of platform.site.vms.openWaves) {
-      ledger.violations.push(`MIXED: wave ${waveId} did not complete`);
-    }
-    for (const jobId of callers.openJobs.keys()) {
-      ledger.violations.push(`LOST: ${jobId} did not end`);
-    }
-    for (const jobId of callers.startedDespiteRefusal()) {
-      ledger.violations.push(
-        `REFUSED: ${jobId} was refused but a worker started it`,
-      );
-    }
+    this.checkOutcome(platform, callers);
     return {
       violations: ledger.violations,
       counts: callers.counts,
@@ -159,8 +158,28 @@
     };
   }
 
+  /** Checks what must hold once all faults are over. */
+  private checkOutcome({site}: HttpPlatform, callers: Callers): void {
+    const {violations} = site.ledger;
+    for (const {name, unexpectedExits} of this.daemons) {
+      for (const exit of unexpectedExits) {
+        violations.push(`EXIT: ${name} ended by itself with ${exit}`);
+      }
+    }
+    for (const waveId of site.vms.openWaves) {
+      violations.push(`MIXED: wave ${waveId} did not complete`);
+    }
+    for (const jobId of callers.openJobs.keys()) {
+      violations.push(`LOST: ${jobId} did not end`);
+    }
+    for (const jobId of callers.startedDespiteRefusal()) {
+      violations.push(`REFUSED: ${jobId} was refused but a worker started it`);
+    }
+  }
+
   private async startPlatform(): Promise<HttpPlatform> {
-    const {racks, workersPerRack} = this.options;
+    const {racks, workersPerRack, hasUnevenWorkers = false} = this.options;
+    const speeds = new UnevenSpeeds(this.random);
     const platform = await HttpPlatform.start(
       {
         racks,
@@ -170,6 +189,9 @@
         capacityNoticeMs: CAPACITY_NOTICE_MS,
         zones: ZONES,
         evacuationBoundMs: EVACUATION_BOUND_MS,
+        ...(hasUnevenWorkers
+          ? {speedOf: (vmId: VmId) => speeds.speedOf(vmId)}
+          : {}),
       },
       this.random,
       this.scope,
@@ -188,6 +210,7 @@
 
   private async startDaemons(platform: HttpPlatform): Promise<void> {
     const vmServiceAddress = await platform.openVmService();
+    const hasCrowds = this.options.repeatsCrowds === true;
     for (let number = 1; number <= this.options.daemons; number += 1) {
       this.daemons.push(
         await DaemonProcess.create(
@@ -198,12 +221,14 @@
             workerLeaseMs: WORKER_LEASE_MS,
             stopGraceS: STOP_GRACE_S,
             evacuationBoundMs: EVACUATION_BOUND_MS,
+            ...(hasCrowds ? {clientLimits: LOW_CLIENT_LIMITS} : {}),
           },
           this.scope,
         ),
       );
     }
-    await Promise.all(this.daemons.map((daemon) => daemon.start()));
+    const environment = hasCrowds ? LOW_HEAP : {};
+    await Promise.all(this.daemons.map((daemon) => daemon.start(environment)));
   }
 
   /** Writes the next version; each version has an API key of its own. */
@@ -211,7 +236,7 @@
     this.configurationVersion += 1;
     const route = (name: string, priority: number) => ({
       name,
-      host: 'queues.example',
+      host: CALLER_HOST,
       pathPrefix: `/${name}/`,
       service: 'service',
       priority,
