--- a/review/standins-2/site.mjs
+++ b/review/standins-2/site.mjs
@@ -420,6 +420,10 @@
   for (const signal of ['SIGTERM', 'SIGINT']) {
     process.on(signal, () => void finish(2, `ended by ${signal}`));
   }
+  // An error of a stand-in must not leave daemons behind.
+  process.on('uncaughtException', (error) => {
+    void finish(2, `could not run: ${error.stack}`);
+  });
   try {
     const isTroubled = process.env.TROUBLE !== '0';
     const broken = await play(site, isTroubled);
