--- a/review/standins-2/site.mjs
+++ b/review/standins-2/site.mjs
@@ -7,11 +7,10 @@
 import {spawn} from 'node:child_process';
 import fs from 'node:fs';
 import http from 'node:http';
-import net from 'node:net';
 import os from 'node:os';
 import path from 'node:path';
 import {Minion} from './minion.mjs';
-import {Store, listen, sleep} from './store.mjs';
+import {Store, freePorts, listen, sleep} from './store.mjs';
 
 export {sleep};
 
@@ -425,8 +424,7 @@
     void finish(2, `could not run: ${error.stack}`);
   });
   try {
-    const isTroubled = process.env.TROUBLE !== '0';
-    const broken = await play(site, isTroubled);
+    const broken = await play(site);
     await finish(
       broken === undefined ? 0 : 1,
       broken === undefined ? 'the rule held' : `BROKEN ${broken}`,
@@ -491,20 +489,6 @@
   });
 }
 
-async function freePorts(count) {
-  const servers = [];
-  for (let index = 0; index < count; index += 1) {
-    const server = net.createServer();
-    await new Promise((resolve) => server.listen(0, '127.0.0.1', resolve));
-    servers.push(server);
-  }
-  const ports = servers.map((server) => server.address().port);
-  await Promise.all(
-    servers.map((server) => new Promise((resolve) => server.close(resolve))),
-  );
-  return ports;
-}
-
 /** Fills in the template of the settings, as the users' pages say. */
 function render(template, fields) {
   const valueOf = (name) =>
--- a/review/standins-2/store.mjs
+++ b/review/standins-2/store.mjs
@@ -4,6 +4,7 @@
  */
 
 import http from 'node:http';
+import net from 'node:net';
 
 const ANSWER_MS = 4;
 const PAGE_ITEMS = 500;
@@ -233,9 +234,10 @@
     socket.on('error', () => undefined);
     socket.on('close', () => sockets.delete(socket));
   });
+  const [own] = port === 0 ? await freePorts(1) : [port];
   await new Promise((resolve, reject) => {
     server.once('error', reject);
-    server.listen(port, '127.0.0.1', resolve);
+    server.listen(own, '127.0.0.1', resolve);
   });
   return {
     port: server.address().port,
@@ -247,6 +249,30 @@
   };
 }
 
+/**
+ * Free ports below the range that Linux gives to outgoing connections, so that
+ * none of these takes a port before its owner listens, or while it is down.
+ */
+export async function freePorts(count) {
+  const ports = [];
+  while (ports.length < count) {
+    const port = 12_000 + Math.floor(Math.random() * 18_000);
+    if (takenPorts.has(port)) continue;
+    takenPorts.add(port);
+    const server = net.createServer();
+    const isFree = await new Promise((resolve) => {
+      server.once('error', () => resolve(false));
+      server.listen(port, '127.0.0.1', () => resolve(true));
+    });
+    if (!isFree) continue;
+    await new Promise((resolve) => server.close(resolve));
+    ports.push(port);
+  }
+  return ports;
+}
+
+const takenPorts = new Set();
+
 export function sleep(ms) {
   return new Promise((resolve) => setTimeout(resolve, ms));
 }
