Bound the memory of request bodies in progress, and their nesting

Callers saw: the daemon ended by its heap, or grew beyond its VM, while the store was slow and some hundred clients each handed in one whole, valid body. Each of 256 requests in progress kept the text, the decoded steps, the record and the encoded call, up to 50 times what was received; no limit counted them, since only unfinished requests are. The peers' address took 1 MB from each of 1,024. The JSON parser alone took tens of megabytes outside the heap for one body of brackets.

A peer that answers 503 has not handled the message, so the caller is told so rather than 504. Bodies nested more than 32 levels deep are not parsed.

--- a/soak/crowd.ts
+++ b/soak/crowd.ts
@@ -1,6 +1,6 @@
 /**
  * Crowds of clients that keep inside no limit: they send ahead on many
- * connections and read no answer.
+ * connections, and most of them read no answer.
  */
 
 import {connect} from 'node:net';
@@ -28,13 +28,20 @@
     address: string,
     size: number,
     textsOf: (member: number) => Iterable<string>,
+    readsAnswers = false,
   ) {
     this.members = Array.from(
       {length: size},
-      (_unused, index) => new CrowdMember(address, textsOf(index)),
+      (_unused, index) =>
+        new CrowdMember(address, textsOf(index), readsAnswers),
     );
   }
 
+  /** Bytes of answers that the members have read. */
+  get readBytes(): number {
+    return this.members.reduce((bytes, member) => bytes + member.readBytes, 0);
+  }
+
   /** Bytes that the kernel has accepted from all members. */
   get sentBytes(): number {
     return this.members.reduce((bytes, member) => bytes + member.sentBytes, 0);
@@ -49,14 +56,15 @@
   private readonly socket: Socket;
   private readonly texts: Iterator<string>;
 
-  constructor(address: string, texts: Iterable<string>) {
+  constructor(address: string, texts: Iterable<string>, readsAnswers: boolean) {
     this.texts = texts[Symbol.iterator]();
     const separator = address.lastIndexOf(':');
     this.socket = connect({
       host: address.slice(0, separator),
       port: Number(address.slice(separator + 1)),
     });
-    this.socket.pause();
+    if (readsAnswers) this.socket.resume();
+    else this.socket.pause();
     this.socket.on('error', () => undefined);
     this.socket.on('connect', () => this.send());
     this.socket.on('drain', () => this.send());
@@ -66,6 +74,10 @@
     return this.socket.bytesWritten - this.socket.writableLength;
   }
 
+  get readBytes(): number {
+    return this.socket.bytesRead;
+  }
+
   leave(): void {
     this.socket.destroy();
   }
--- a/src/daemon/request_body.ts
+++ b/src/daemon/request_body.ts
@@ -18,6 +18,9 @@
 
 const BLOCK_BYTES = 16_384;
 
+/** The messages of this system have fewer levels. */
+const MAXIMUM_DEPTH = 32;
+
 /** `RefusedError`: the body is too large. */
 export type BodyError = InvalidInputError | RefusedError | UnavailableError;
 
@@ -87,6 +90,34 @@
   }
 }
 
+/**
+ * Returns the parsed body, or undefined if it is not JSON or nested too deep.
+ * The parser takes far more memory for each level than the body for a bracket.
+ */
+export function parseBody(body: string): unknown {
+  if (isDeeperThan(body, MAXIMUM_DEPTH)) return undefined;
+  try {
+    return JSON.parse(body);
+  } catch {
+    return undefined;
+  }
+}
+
+function isDeeperThan(text: string, maximumDepth: number): boolean {
+  let depth = 0;
+  let isInString = false;
+  for (let index = 0; index < text.length; index += 1) {
+    const character = text[index];
+    if (isInString && character === '\\') index += 1;
+    else if (character === '"') isInString = !isInString;
+    else if (isInString) continue;
+    else if (character === '[' || character === '{') depth += 1;
+    else if (character === ']' || character === '}') depth -= 1;
+    if (depth > maximumDepth) return true;
+  }
+  return false;
+}
+
 function decode(bytes: Buffer): Result<string, BodyError> {
   try {
     return Result.ok(new TextDecoder('utf-8', {fatal: true}).decode(bytes));
--- a/src/entry/http_peers.ts
+++ b/src/entry/http_peers.ts
@@ -8,7 +8,7 @@
 import type {ServerResponse} from 'node:http';
 import {Result} from 'true-myth';
 import type {z} from 'zod';
-import {BodyReader} from '../daemon/request_body.js';
+import {BodyReader, parseBody} from '../daemon/request_body.js';
 import {parseJson} from '../transport/http_call.js';
 import type {
   ConnectionsByAddress,
@@ -36,6 +36,7 @@
 import type {HttpHandler} from './http_listener.js';
 import {SITE_PATH} from './site_operators.js';
 import type {SiteOperatorApi} from './site_operators.js';
+import {RequestMemory} from './request_memory.js';
 
 const ASK_PATH = '/peers/ask';
 const FORWARD_PATH = '/peers/calls';
@@ -50,6 +51,12 @@
 
 const CONNECTIONS_PER_PEER = 8;
 
+/** The shortest step of a forwarded job takes more than 100 bytes. */
+const MESSAGE_EXPANSION = 8;
+
+const STATUS_INVALID = 400;
+const STATUS_UNAVAILABLE = 503;
+
 /** Largest message between daemons. */
 export const MAXIMUM_MESSAGE_BYTES = 1_048_576;
 
@@ -121,6 +128,10 @@
         maximumAnswerBytes: MAXIMUM_MESSAGE_BYTES,
       });
     if (answer.isErr) return Result.err(answer.error.kind);
+    // A peer that refuses a message has not handled it.
+    if (answer.value.status === STATUS_UNAVAILABLE) {
+      return Result.err('not-sent');
+    }
     const parsed = schema.safeParse(parseJson(answer.value.body));
     return parsed.success ? Result.ok(parsed.data) : Result.err('malformed');
   }
@@ -137,6 +148,7 @@
 /** Returns the HTTP handler for the peer address, which serves metrics too. */
 export function peerHandler(target: PeerTarget): HttpHandler {
   const bodies = new BodyReader();
+  const memory = new RequestMemory(MESSAGE_EXPANSION);
   return async (request, response) => {
     if (request.url === METRICS_PATH) {
       response.writeHead(200, {'content-type': 'text/plain; version=0.0.4'});
@@ -148,35 +160,50 @@
       return;
     }
     const body = await bodies.read(request, MAXIMUM_MESSAGE_BYTES);
-    // An unread rest would keep the connection from further requests.
-    if (body.isErr) request.resume();
-    const message = body.isOk ? parseJson(Buffer.from(body.value)) : undefined;
-    if (request.url === ASK_PATH) {
-      const query = leaderQuerySchema.safeParse(message);
-      if (query.success) {
-        sendJson(response, target.queryHandler.answer(query.data));
-        return;
-      }
-    }
-    if (request.url === FORWARD_PATH) {
-      const call = callerCallSchema.safeParse(message);
-      if (call.success) {
-        sendJson(response, await target.handleForwarded(call.data));
-        return;
-      }
-    }
-    if (request.url === RELAY_PATH) {
-      const call = relayedStoreCallSchema.safeParse(message);
-      if (call.success) {
-        sendJson(response, await target.runRelayedStoreCall(call.data));
-        return;
-      }
+    if (body.isErr) {
+      // An unread rest would keep the connection from further requests.
+      request.resume();
+      sendStatus(response, STATUS_INVALID);
+      return;
     }
-    response.writeHead(400);
-    response.end();
+    const bytes = Buffer.byteLength(body.value);
+    const answer = await memory.use(bytes, () =>
+      answerMessage(target, request.url, parseBody(body.value)),
+    );
+    if (answer === undefined) sendStatus(response, STATUS_UNAVAILABLE);
+    else if (answer.isErr) sendStatus(response, STATUS_INVALID);
+    else sendJson(response, answer.value);
   };
 }
 
+/** Returns the answer to a peer's message, or an error for an unknown one. */
+async function answerMessage(
+  target: PeerTarget,
+  path: string | undefined,
+  message: unknown,
+): Promise<Result<object, 'invalid'>> {
+  if (path === ASK_PATH) {
+    const query = leaderQuerySchema.safeParse(message);
+    if (query.success) return Result.ok(target.queryHandler.answer(query.data));
+  }
+  if (path === FORWARD_PATH) {
+    const call = callerCallSchema.safeParse(message);
+    if (call.success) return Result.ok(await target.handleForwarded(call.data));
+  }
+  if (path === RELAY_PATH) {
+    const call = relayedStoreCallSchema.safeParse(message);
+    if (call.success) {
+      return Result.ok(await target.runRelayedStoreCall(call.data));
+    }
+  }
+  return Result.err('invalid');
+}
+
+function sendStatus(response: ServerResponse, status: number): void {
+  response.writeHead(status);
+  response.end();
+}
+
 function sendJson(response: ServerResponse, message: object): void {
   const text = JSON.stringify(message);
   response.writeHead(200, {
--- a/src/entry/site_operators.ts
+++ b/src/entry/site_operators.ts
@@ -9,7 +9,7 @@
 import type {Result} from 'true-myth';
 import {z} from 'zod';
 import type {ComponentLog} from '../daemon/log.js';
-import {BodyReader} from '../daemon/request_body.js';
+import {BodyReader, parseBody} from '../daemon/request_body.js';
 import {
   evacuationStatusSchema,
   jobReportSchema,
@@ -25,7 +25,6 @@
 import type {JobId} from '../model/ids.js';
 import type {CoordinationStore} from '../interfaces/coordination_store.js';
 import {NO_REVISION} from '../interfaces/coordination_store.js';
-import {parseJson} from '../transport/http_call.js';
 import type {ConnectionsByAddress} from '../transport/http_connections.js';
 import type {ConfigurationFeed} from './configuration_feed.js';
 import {explainSubmission, submissionQuerySchema} from './explanations.js';
@@ -232,9 +231,7 @@
       await this.forward(request, SUBMISSION_PATH, response, body.value);
       return;
     }
-    const query = submissionQuerySchema.safeParse(
-      parseJson(Buffer.from(body.value)),
-    );
+    const query = submissionQuerySchema.safeParse(parseBody(body.value));
     if (!query.success) {
       sendProblem(response, INVALID_QUERY);
       return;
--- a/test/crowds/crowd.ts
+++ b/test/crowds/crowd.ts
@@ -4,6 +4,7 @@
  */
 
 import assert from 'node:assert/strict';
+import {readFileSync} from 'node:fs';
 import {readFile, readdir, readlink} from 'node:fs/promises';
 import {request} from 'node:http';
 import {setTimeout as delay} from 'node:timers/promises';
@@ -16,12 +17,19 @@
 const MEMORY_MB = 160;
 const MAXIMUM_DESCRIPTORS = 300;
 
+const DEPLOYMENT = new URL('../../../deploy/system.toml', import.meta.url);
+
 /** Descriptors of a VM that are reserved for files. */
 const FILE_DESCRIPTORS = 200;
 
+/** Longest specification that callers may send, in bytes. */
+export const LONGEST_SPECIFICATION = 'a'.repeat(4_000);
+
 export const QUEUE_HOST = 'crowd.example';
 export const QUEUE_PATH = '/jobs/';
 const KNOWN_KEY = 'known-key';
+/** Keys of the customers whose clients form a crowd. */
+export const CROWD_KEYS = ['key-1', 'key-2', 'key-3', 'key-4'];
 const QUEUE_HEADERS = {
   host: QUEUE_HOST,
   'bramleystep-credential': KNOWN_KEY,
@@ -35,9 +43,19 @@
 const ORDINARY_GUARD_MS = 60_000;
 const RETRY_MS = 500;
 
+/** Node's options for the memory of a deployed daemon. */
+export function deployedHeap(): Record<string, string> {
+  const deployment = readFileSync(DEPLOYMENT, 'utf8');
+  const options = deployment.match(/--max-[a-z-]+-size=\d+/g);
+  assert.ok(options !== null, 'the deployed daemon has no limit of its heap');
+  return {NODE_OPTIONS: options.join(' ')};
+}
+
 /** Starts a daemon of a platform with one queue; it is ready. */
 export async function startDaemonOnSmallVm(
   scope: CleanupScope,
+  heap: Record<string, string> = LOW_HEAP,
+  maximumDescriptors = MAXIMUM_DESCRIPTORS,
 ): Promise<DaemonProcess> {
   const platform = await startSmallPlatform(scope);
   platform.configure({
@@ -50,39 +68,43 @@
         service: 'service-1',
       },
     ],
-    tenants: [{name: 'customer-1', apiKeys: [KNOWN_KEY]}],
+    tenants: [
+      {name: 'customer-1', apiKeys: [KNOWN_KEY]},
+      ...CROWD_KEYS.map((key) => ({name: key, apiKeys: [key]})),
+    ],
   });
   const daemon = await createDaemonOf(platform, scope, {
     memoryMb: MEMORY_MB,
-    maximumDescriptors: MAXIMUM_DESCRIPTORS,
+    maximumDescriptors,
   });
-  await daemon.start(LOW_HEAP);
+  await daemon.start(heap);
   // Answered by a leader only.
   await checkOrdinaryRequest(daemon);
   return daemon;
 }
 
 /**
- * Opens `size` connections at once, sends each the whole of `texts` in turn and
- * reads nothing. Resolves when all is sent, refused or blocked; the connections
- * stay open until the scope closes.
+ * Opens `size` connections at once and sends each the whole of `texts` in turn.
+ * Resolves when all is sent and, if the crowd reads, answered, or refused or
+ * blocked; the connections stay open until the scope closes.
  */
 export async function playCrowd(
   scope: CleanupScope,
   address: string,
   size: number,
   textsOf: (member: number) => Iterable<string>,
+  readsAnswers = false,
 ): Promise<void> {
-  const crowd = new Crowd(address, size, textsOf);
+  const crowd = new Crowd(address, size, textsOf, readsAnswers);
   scope.add(() => crowd.leave());
   const endsAt = Date.now() + CROWD_GUARD_MS;
   let movedAt = Date.now();
   let moved = 0;
   while (Date.now() < endsAt && Date.now() - movedAt < QUIET_MS) {
     await delay(100);
-    const {sentBytes} = crowd;
-    if (sentBytes > moved) movedAt = Date.now();
-    moved = sentBytes;
+    const bytes = crowd.sentBytes + crowd.readBytes;
+    if (bytes > moved) movedAt = Date.now();
+    moved = bytes;
   }
 }
 
@@ -93,13 +115,15 @@
   const status = await readFile(`${folder}/status`, 'utf8');
   const peakKb = Number(/^VmHWM:\s+(\d+) kB$/m.exec(status)?.[1]);
   assert.ok(peakKb <= MEMORY_MB * 1_024, `it took ${peakKb} KB of memory`);
+  const {maximumDescriptors = MAXIMUM_DESCRIPTORS} =
+    daemon.settings.clientLimits ?? {};
   const descriptors = await readdir(`${folder}/fd`);
   const targets = await Promise.all(
     descriptors.map((name) => readlink(`${folder}/fd/${name}`).catch(() => '')),
   );
   const sockets = targets.filter((target) => target.startsWith('socket:'));
   assert.ok(
-    sockets.length <= MAXIMUM_DESCRIPTORS - FILE_DESCRIPTORS,
+    sockets.length <= maximumDescriptors - FILE_DESCRIPTORS,
     `it holds ${sockets.length} sockets`,
   );
 }
@@ -115,6 +139,16 @@
   assert.deepEqual(JSON.parse(answer), {pending: 0});
 }
 
+/** One ordinary caller is told how many jobs of the queue wait. */
+export async function checkJobRequest(daemon: DaemonProcess): Promise<void> {
+  const answer = await answerTo(`http://${daemon.settings.callerAddress}`, {
+    path: QUEUE_PATH,
+    headers: QUEUE_HEADERS,
+  });
+  const {pending} = JSON.parse(answer) as {pending?: unknown};
+  assert.equal(typeof pending, 'number');
+}
+
 /** The platform's question whether the daemon is ready is answered with yes. */
 export async function checkReadiness(daemon: DaemonProcess): Promise<void> {
   const answer = await answerTo(`http://${daemon.settings.readinessAddress}`, {
@@ -135,6 +169,29 @@
   return answer.status;
 }
 
+/** A whole submission as it is sent. */
+export function jobRequest(
+  jobId: string,
+  job: object,
+  key = KNOWN_KEY,
+): string {
+  return bodyRequest(jobId, JSON.stringify(job), key);
+}
+
+/** A submission with any body. */
+export function bodyRequest(
+  jobId: string,
+  body: string,
+  key = KNOWN_KEY,
+): string {
+  return (
+    `POST ${QUEUE_PATH}${jobId} HTTP/1.1\r\nHost: ${QUEUE_HOST}\r\n` +
+    `Bramleystep-Credential: ${key}\r\n` +
+    `Content-Type: application/json\r\n` +
+    `Content-Length: ${body.length}\r\n\r\n${body}`
+  );
+}
+
 interface Call {
   readonly method?: string;
   readonly path: string;
