Know which steps wait without a look at all that they name

Callers saw: one accepted job that names an earlier step 100,000 times, with 5,000 tasks behind it, took the leader out of its VM's memory; by reading, each round also looked at every name for every task, and each end of a task at every step of the job, so that a leader restoring such a job looked at each step for each step.

Change: `StepProgress` counts for each step the earlier ones that are open and for a job the open steps, and both change with the end of a step only. A name that is repeated counts once. A leader groups the units of a restored job by step once.

--- a/src/leader/jobs/jobs.ts
+++ b/src/leader/jobs/jobs.ts
@@ -21,6 +21,7 @@
 import {CrashHistory} from '../losses/crash_history.js';
 import type {OpenUnitRecord, ProgressRecord, WorkerLoss} from './records.js';
 import {Run, UNKNOWN_PACE_PERCENT} from './runs.js';
+import {StepProgress} from './step_progress.js';
 
 /** Delay before a failed task is retried, multiplied by its failure count. */
 const RETRY_DELAY_MS = 100;
@@ -124,12 +125,13 @@
   hasSuspects = false;
   /** Units that are not done. An ended job keeps only units with runs. */
   readonly openUnits = new Set<Unit>();
-  private readonly openUnitCounts = new Map<string, number>();
+  private readonly progress: StepProgress;
 
   constructor(
     readonly submission: Submission,
     readonly acceptedAt: Instant,
   ) {
+    this.progress = new StepProgress(submission.steps);
     if (isTooLarge(submission)) {
       this.end('failed', acceptedAt);
       return;
@@ -192,24 +194,18 @@
     if (unit.runs.length > 0) return 'hasRuns';
     if (now < unit.retryAt) return 'retryDelay';
     if (this.isScheduled && now < this.dueAt(unit.occurrence)) return 'notDue';
-    const isFirst = unit.step.after.every(
-      (step) => this.openUnitCount(unit.occurrence, step) === 0,
-    );
-    return isFirst ? undefined : 'earlierSteps';
+    return this.progress.isWaiting(unit.occurrence, unit.stepIndex)
+      ? 'earlierSteps'
+      : undefined;
   }
 
   markDone(unit: Unit, now: Instant): void {
     if (unit.isDone) return;
     unit.isDone = true;
-    const key = stepKey(unit.occurrence, unit.stepIndex);
-    const open = (this.openUnitCounts.get(key) ?? 1) - 1;
-    this.openUnitCounts.set(key, open);
+    this.progress.unitDone(unit.occurrence, unit.stepIndex);
     if (unit.runs.length === 0) this.openUnits.delete(unit);
     this.isChanged = true;
-    const remaining = [...this.openUnitCounts.values()].some(
-      (count) => count > 0,
-    );
-    if (!remaining) this.end('complete', now);
+    if (this.progress.isComplete) this.end('complete', now);
   }
 
   /** Ends the job. Has no effect on a job that has ended. */
@@ -310,14 +306,16 @@
   /** Restores the record of an earlier leader; returns the placed runs. */
   restore(record: ProgressRecord, now: Instant): Run[] {
     const placed: Run[] = [];
+    const unitsByStep = this.unitsByStep();
     for (const {occurrence, step, firstIndexes} of record.done) {
       const indexes = new Set(firstIndexes);
-      for (const unit of this.unitsOfStep(occurrence, step)) {
+      for (const unit of unitsByStep.get(stepKey(occurrence, step)) ?? []) {
         if (indexes.has(unit.firstIndex)) this.markDone(unit, now);
       }
     }
     for (const saved of record.open) {
-      const unit = this.unitsOfStep(saved.occurrence, saved.step).find(
+      const units = unitsByStep.get(stepKey(saved.occurrence, saved.step));
+      const unit = units?.find(
         ({firstIndex}) => firstIndex === saved.firstIndex,
       );
       if (unit !== undefined) {
@@ -378,7 +376,7 @@
   }
 
   private addOccurrence(occurrence: number): void {
-    this.submission.steps.forEach((step, stepIndex) => {
+    const unitCounts = this.submission.steps.map((step, stepIndex) => {
       const width = step.gang === true ? step.taskCount : 1;
       let first = 0;
       for (; first + width <= step.taskCount && width > 0; first += width) {
@@ -386,19 +384,20 @@
         this.units.push(unit);
         this.openUnits.add(unit);
       }
-      const count = width > 0 ? first / width : 0;
-      this.openUnitCounts.set(stepKey(occurrence, stepIndex), count);
+      return width > 0 ? first / width : 0;
     });
+    this.progress.addOccurrence(unitCounts);
   }
 
-  private openUnitCount(occurrence: number, stepIndex: number): number {
-    return this.openUnitCounts.get(stepKey(occurrence, stepIndex)) ?? 0;
-  }
-
-  private unitsOfStep(occurrence: number, stepIndex: number): Unit[] {
-    return this.units.filter(
-      (unit) => unit.occurrence === occurrence && unit.stepIndex === stepIndex,
-    );
+  private unitsByStep(): ReadonlyMap<string, readonly Unit[]> {
+    const byStep = new Map<string, Unit[]>();
+    for (const unit of this.units) {
+      const key = stepKey(unit.occurrence, unit.stepIndex);
+      const units = byStep.get(key);
+      if (units === undefined) byStep.set(key, [unit]);
+      else units.push(unit);
+    }
+    return byStep;
   }
 }
 
