Keep units without losses small

A unit took 782 bytes before its first run, most of them for empty maps of avoided workers and of losses; a leader holds up to 20,000 units of one job.

--- a/src/leader/jobs/avoided_workers.ts
+++ b/src/leader/jobs/avoided_workers.ts
@@ -18,11 +18,13 @@
 }
 
 export class AvoidedWorkers {
-  private readonly avoidedUntil = new Map<WorkerId, Instant>();
+  /** Most units never have one; a map for each would take more than they do. */
+  private avoidedUntil: Map<WorkerId, Instant> | undefined;
 
   constructor(private readonly durationMs: number) {}
 
   add(workerId: WorkerId, now: Instant): void {
+    this.avoidedUntil ??= new Map();
     for (const [other, until] of this.avoidedUntil) {
       if (now >= until) this.avoidedUntil.delete(other);
     }
@@ -30,14 +32,15 @@
   }
 
   clear(): void {
-    this.avoidedUntil.clear();
+    this.avoidedUntil = undefined;
   }
 
   has(workerId: WorkerId, now: Instant): boolean {
-    return now < (this.avoidedUntil.get(workerId) ?? 0);
+    return now < (this.avoidedUntil?.get(workerId) ?? 0);
   }
 
   isEmpty(now: Instant): boolean {
+    if (this.avoidedUntil === undefined) return true;
     return [...this.avoidedUntil.values()].every((until) => now >= until);
   }
 }
--- a/src/leader/losses/crash_history.ts
+++ b/src/leader/losses/crash_history.ts
@@ -72,12 +72,17 @@
   decisiveCrashes: number;
 }
 
+/** Shared by the histories without losses, which nearly all are. */
+const NO_LOSSES: readonly WorkerLoss[] = [];
+const NO_STARTS: readonly TaskStart[] = [];
+const NO_TASKS: ReadonlyMap<number, TaskLosses> = new Map();
+
 export class CrashHistory {
   /** One for each run and worker; a gang may lose several workers in a run. */
-  private losses: readonly WorkerLoss[] = [];
+  private losses = NO_LOSSES;
   /** Starts after the first loss whose runs ended otherwise, and soon. */
-  private startsWithoutLoss: readonly TaskStart[] = [];
-  private readonly byTask = new Map<number, TaskLosses>();
+  private startsWithoutLoss = NO_STARTS;
+  private byTask = NO_TASKS;
 
   /** True if the unit may have crashed a worker. */
   get isSuspect(): boolean {
@@ -223,8 +228,8 @@
   }
 
   clear(): void {
-    this.startsWithoutLoss = [];
-    this.replace([]);
+    this.startsWithoutLoss = NO_STARTS;
+    this.replace(NO_LOSSES);
   }
 
   toRecord(): readonly WorkerLoss[] {
@@ -245,13 +250,18 @@
 
   private replace(losses: readonly WorkerLoss[]): void {
     this.losses = losses;
-    this.byTask.clear();
+    if (losses.length === 0) {
+      this.byTask = NO_TASKS;
+      return;
+    }
+    const byTask = new Map<number, TaskLosses>();
+    this.byTask = byTask;
     for (const loss of losses) {
       const isProbable = loss.isCrash && loss.wasAtWork;
       const isOwn = isProbable && loss.wasAtWorkAtEnd && !loss.isWidespread;
       const isDecisive = isOwn && loss.isAlone && loss.isEarly;
       for (const task of loss.tasks) {
-        const counts = this.byTask.get(task) ?? {
+        const counts = byTask.get(task) ?? {
           losses: 0,
           hasUnanswered: false,
           possibleCrashes: 0,
@@ -263,7 +273,7 @@
         if (isSettled(loss)) counts.possibleCrashes += 1;
         if (isProbable) counts.probableCrashes += 1;
         if (isDecisive) counts.decisiveCrashes += 1;
-        this.byTask.set(task, counts);
+        byTask.set(task, counts);
       }
     }
   }
