Limit what accepted work takes of a leader's memory

Callers saw: the leader ended by its memory within seconds, and each leader after it while it read the records, when 20 connections handed in accepted jobs ahead, each under a new id: jobs of many tasks, steps or occurrences, long specifications, and jobs that end at once. Causes: the sum of what is accepted had no limit; an ended job kept its units and its text until its record was removed; records were removed at two jobs a second; a cancellation of a job that was never stored was kept as well; and the heap limit of the deploy file, 160 MB, is all the memory of the smallest VM in force, while the process takes some 50 MB beside its heap.

Change: the leader counts what each known job takes and admits a submission, or a cancellation of an unknown job, before it is stored (`WorkLimit`). Beyond 35 % of the heap it is refused with 503; a customer who holds as much as is left for all gets 429, so that one customer takes half at most. While no leader answers, all daemons together accept a quarter of the limit, growing by the whole in four minutes (`UnconfirmedWork`). An ended job is archived once its record is durable, and records are removed as fast as they come due.

--- a/src/entry/caller_gateway.ts
+++ b/src/entry/caller_gateway.ts
@@ -15,6 +15,7 @@
 import {isEnded, submissionSchema} from '../model/submissions.js';
 import type {CoordinationStore} from '../interfaces/coordination_store.js';
 import {NO_REVISION} from '../interfaces/coordination_store.js';
+import {CANCELLATION_BYTES, workBytesOf} from '../leader/jobs/work_limit.js';
 import {
   LEADER_KEY,
   cancelledKey,
@@ -23,6 +24,7 @@
   progressSchema,
   submittedKey,
 } from '../leader/jobs/records.js';
+import type {CancellationRecord} from '../leader/jobs/records.js';
 import type {SiteView} from '../leader/site_view.js';
 import type {
   CallerAnswer,
@@ -36,6 +38,8 @@
 import {PeerAvailability} from './peer_availability.js';
 import {StoreHealth} from './store_health.js';
 import {admitCaller, createSubmission, sizeProblem} from './submissions.js';
+import {WorkAdmission} from './work_admission.js';
+import type {Refusal, WorkLimits} from './work_admission.js';
 
 /**
  * An older configuration may lack a change that is in force. A watch returns
@@ -68,6 +72,7 @@
   readonly random: RandomSource;
   readonly log: ComponentLog;
   readonly scope: CleanupScope;
+  readonly limits: WorkLimits;
 }
 
 /** A call with a known queue, an accepted key and a valid path. */
@@ -81,6 +86,7 @@
 export class CallerGateway {
   private readonly health: StoreHealth;
   private readonly availability = new PeerAvailability();
+  private readonly admission: WorkAdmission;
   private readonly pendingCounts = new Map<
     string,
     {count: number; at: SteadyTime}
@@ -90,7 +96,13 @@
     private readonly dependencies: GatewayDependencies,
     private readonly ownAddress: string,
   ) {
-    const {store, scope, log} = dependencies;
+    const {store, scope, log, limits} = dependencies;
+    this.admission = new WorkAdmission(
+      store,
+      (query) => this.askLeader(query),
+      () => dependencies.site.memberAddresses(ownAddress).length + 1,
+      limits,
+    );
     this.health = new StoreHealth(store, LEADER_KEY, scope, log);
   }
 
@@ -199,13 +211,23 @@
       );
     }
     const submission = createSubmission(request, jobId, queue, customer, now);
+    const value = JSON.stringify(submission);
+    const refusal = await this.admission.refusalOf(
+      {
+        jobId,
+        customerId: customer?.customerId,
+        bytes: workBytesOf(submission),
+      },
+      steadyNow(),
+    );
+    if (refusal !== undefined) return this.refuse(call, refusal);
     const key = submittedKey(jobId);
     const outcome = await this.dependencies.store.transact({
       conditions: [
         {key, revision: NO_REVISION},
         {key: cancelledKey(jobId), revision: NO_REVISION},
       ],
-      puts: [{key, value: JSON.stringify(submission)}],
+      puts: [{key, value}],
       removals: [],
     });
     if (outcome.isErr) {
@@ -253,6 +275,13 @@
     if (job !== undefined && !this.isOwner(job.key, job.value, customer)) {
       return {kind: 'noSuchJob'};
     }
+    if (job === undefined) {
+      const refusal = await this.admission.refusalOf(
+        {jobId, customerId: customer?.customerId, bytes: CANCELLATION_BYTES},
+        steadyNow(),
+      );
+      if (refusal !== undefined) return this.refuse(call, refusal);
+    }
     const key = cancelledKey(jobId);
     const jobRevision = job?.revision ?? NO_REVISION;
     const outcome = await store.transact({
@@ -260,7 +289,7 @@
         {key, revision: NO_REVISION},
         {key: submittedKey(jobId), revision: jobRevision},
       ],
-      puts: [{key, value: JSON.stringify({cancelledAt: now})}],
+      puts: [{key, value: encodeCancellation(customer, now)}],
       removals: [],
     });
     if (outcome.isErr) {
@@ -281,6 +310,14 @@
     return {kind: 'cancelled'};
   }
 
+  /** Logs the refusal of a call and returns it. */
+  private refuse(call: CallerCall, refusal: Refusal): Refusal {
+    const path = call.path.slice(0, MAXIMUM_LOGGED_PATH);
+    const {log} = this.dependencies;
+    log.warn(`refused ${call.method} of ${path}: ${refusal.reason}`);
+    return refusal;
+  }
+
   private async readState(
     {call, customer}: AdmittedCall,
     jobId: JobId,
@@ -400,7 +437,7 @@
     isForwarded: boolean,
     reason: string,
   ): Promise<CallerAnswer> {
-    const {peers, log, feed, site, random} = this.dependencies;
+    const {peers, feed, site, random} = this.dependencies;
     const candidates = isForwarded
       ? []
       : this.availability.candidates(
@@ -425,9 +462,11 @@
         return {kind: 'undecided', reason: 'a peer did not answer'};
       }
     }
-    const path = call.path.slice(0, MAXIMUM_LOGGED_PATH);
-    log.warn(`refused ${call.method} of ${path}: ${reason}`);
-    return {kind: 'notAccepted', reason, retryAfterMs: RETRY_AFTER_MS};
+    return this.refuse(call, {
+      kind: 'notAccepted',
+      reason,
+      retryAfterMs: RETRY_AFTER_MS,
+    });
   }
 
   /** Never answers `notAccepted` for a write that may still be applied. */
@@ -449,6 +488,17 @@
   }
 }
 
+function encodeCancellation(
+  customer: HostedCustomer | undefined,
+  now: Instant,
+): string {
+  const record: CancellationRecord = {
+    cancelledAt: now,
+    ...(customer === undefined ? {} : {customerId: customer.customerId}),
+  };
+  return JSON.stringify(record);
+}
+
 function versionOf(feed: ConfigurationFeed): {version?: number} {
   const version = feed.configuration?.version;
   return version === undefined ? {} : {version};
--- a/src/entry/calls.ts
+++ b/src/entry/calls.ts
@@ -5,7 +5,11 @@
  */
 
 import {z} from 'zod';
-import {jobIdSchema, queueIdSchema} from '../model/ids.js';
+import {
+  hostedCustomerIdSchema,
+  jobIdSchema,
+  queueIdSchema,
+} from '../model/ids.js';
 import {stepSchema} from '../model/submissions.js';
 
 /** What a caller sends to submit a job. */
@@ -58,6 +62,8 @@
     kind: z.literal('notAccepted'),
     reason: z.string(),
     retryAfterMs: z.number(),
+    /** True if the customer's own work is the reason. */
+    isOwnShare: z.boolean().optional(),
   }),
   z.object({kind: z.literal('undecided'), reason: z.string()}),
 ]);
@@ -67,6 +73,13 @@
 export const leaderQuerySchema = z.discriminatedUnion('kind', [
   z.object({kind: z.literal('state'), jobId: jobIdSchema}),
   z.object({kind: z.literal('pending'), queueId: queueIdSchema}),
+  /** May work that takes so many bytes of a leader's memory be stored? */
+  z.object({
+    kind: z.literal('admission'),
+    jobId: jobIdSchema,
+    customerId: hostedCustomerIdSchema.optional(),
+    bytes: z.number(),
+  }),
 ]);
 export type LeaderQuery = Readonly<z.infer<typeof leaderQuerySchema>>;
 
@@ -78,6 +91,10 @@
     customerId: z.string().optional(),
   }),
   z.object({kind: z.literal('pending'), count: z.number()}),
+  z.object({
+    kind: z.literal('admission'),
+    verdict: z.enum(['admitted', 'siteFull', 'shareUsed']),
+  }),
   z.object({kind: z.literal('unknown')}),
 ]);
 export type LeaderReply = Readonly<z.infer<typeof leaderReplySchema>>;
--- a/src/entry/entry_daemon.ts
+++ b/src/entry/entry_daemon.ts
@@ -50,7 +50,11 @@
 } from './http_peers.js';
 import {PeerStoreProxy, runRelayedStoreCall} from './relayed_store_calls.js';
 import type {EntrySettings} from './settings.js';
-import {preemptionSettings, usesWorkerSpeeds} from './settings.js';
+import {
+  maximumWorkBytes,
+  preemptionSettings,
+  usesWorkerSpeeds,
+} from './settings.js';
 import {SiteOperatorApi} from './site_operators.js';
 
 /**
@@ -155,6 +159,9 @@
         random,
         log: log.component('entry'),
         scope,
+        limits: {
+          maximumWorkBytes: maximumWorkBytes(settings.clientLimits),
+        },
       },
       this.peerAddress,
     );
@@ -345,6 +352,7 @@
     preemption: preemptionSettings(settings),
     keepsApart: settings.keepApart,
     stateRetentionMs: settings.stateRetentionS * 1_000,
+    maximumWorkBytes: maximumWorkBytes(settings.clientLimits),
   };
 }
 
@@ -392,6 +400,13 @@
     if (query.kind === 'pending') {
       return {kind: 'pending', count: session.pendingJobCount(query.queueId)};
     }
+    if (query.kind === 'admission') {
+      const {jobId, customerId, bytes} = query;
+      const verdict = session.admit(jobId, customerId, bytes, steadyNow());
+      return verdict === undefined
+        ? {kind: 'unknown'}
+        : {kind: 'admission', verdict};
+    }
     const state = session.stateOf(query.jobId);
     if (state === undefined) return {kind: 'unknown'};
     const customerId = session.customerOf(query.jobId);
--- a/src/entry/entry_metrics.ts
+++ b/src/entry/entry_metrics.ts
@@ -42,6 +42,12 @@
     registers: [this.registry],
   });
 
+  private readonly workBytes = new Gauge({
+    name: `${NAME_PREFIX}work_bytes`,
+    help: 'Memory that all known jobs are counted with, on the leader',
+    registers: [this.registry],
+  });
+
   private readonly workerCrashes = new Gauge({
     name: `${NAME_PREFIX}worker_crashes`,
     help: 'Crashes of workers with runs in this term, on the leader',
@@ -135,6 +141,7 @@
   render(session: LeaderSession | undefined): Promise<string> {
     this.leads.set(session === undefined ? 0 : 1);
     this.openJobs.set(session?.openJobCount ?? 0);
+    this.workBytes.set(session?.workBytes ?? 0);
     this.workerCrashes.set(session?.crashCounts.workerCrashes ?? 0);
     this.jobsGivenUp.set(session?.crashCounts.jobsGivenUp ?? 0);
     const evacuation = session?.evacuationStatus;
--- a/src/entry/settings.ts
+++ b/src/entry/settings.ts
@@ -4,11 +4,14 @@
  */
 
 import {readFile} from 'node:fs/promises';
+import {getHeapStatistics} from 'node:v8';
 import {Result} from 'true-myth';
 import {z} from 'zod';
 import type {PreemptionSettings} from '../leader/planning/preemption_policy.js';
 import {InvalidInputError} from '../model/errors.js';
 
+const MEGABYTE = 1_048_576;
+
 const addressSchema = z.string().regex(/^[^:]+:\d+$/, {
   error: 'use host:port',
 });
@@ -111,6 +114,15 @@
       "Requests in progress at the callers' address; beyond, one is refused " +
         'with 503 and Retry-After, and never runs.',
     ),
+  workMb: z
+    .number()
+    .positive()
+    .optional()
+    .describe(
+      'Memory of a leader for all known jobs of the site; 35 % of the heap ' +
+        'if unset; beyond, a submission is refused with 503, or with 429 if ' +
+        "its customer's jobs take as much as is left, and never runs.",
+    ),
 });
 export type ClientLimits = Readonly<z.infer<typeof clientLimitsSchema>>;
 
@@ -186,6 +198,16 @@
 });
 export type EntrySettings = Readonly<z.infer<typeof entrySettingsSchema>>;
 
+/** The rest is for a leader without jobs, for its rounds and for takeovers. */
+const WORK_SHARE_OF_HEAP = 0.35;
+
+/** Memory that all known jobs of the site may take in a leader, in bytes. */
+export function maximumWorkBytes({workMb}: ClientLimits): number {
+  return workMb === undefined
+    ? getHeapStatistics().heap_size_limit * WORK_SHARE_OF_HEAP
+    : workMb * MEGABYTE;
+}
+
 /** True if the leader chooses workers by their speeds. */
 export function usesWorkerSpeeds({
   speedPlacement,
--- a/src/leader/jobs/commit_queue.ts
+++ b/src/leader/jobs/commit_queue.ts
@@ -12,6 +12,7 @@
   StorePut,
   StoreTransaction,
 } from '../../interfaces/coordination_store.js';
+import {archivedSubmission} from './jobs.js';
 import type {Job} from './jobs.js';
 import {LEADER_KEY, progressKey, submittedKey} from './records.js';
 
@@ -236,10 +237,6 @@
   if (!job.isEnded || job.hasRuns) return {job, put, archive: undefined};
   // The key is kept so that a repeated submission is recognized. The content is
   // dropped because the next leader has to list all submissions.
-  const value = JSON.stringify({
-    ...job.submission,
-    specification: '',
-    steps: [],
-  });
+  const value = JSON.stringify(archivedSubmission(job.submission));
   return {job, put, archive: {key: submittedKey(job.id), value}};
 }
--- a/src/leader/jobs/job_registry.ts
+++ b/src/leader/jobs/job_registry.ts
@@ -11,7 +11,9 @@
 import type {Run} from './runs.js';
 import {Job} from './jobs.js';
 import type {LeaderLog} from '../leader_log.js';
+import {CANCELLATION_BYTES, WorkLimit, workBytesOf} from './work_limit.js';
 import {
+  cancellationSchema,
   decodeRecord,
   parseInboxKey,
   progressKey,
@@ -39,7 +41,11 @@
   /** Cancellations without a job, and when the leader first read them. */
   private readonly unmatchedCancellations = new Map<JobId, Instant>();
 
-  constructor(private readonly log: LeaderLog) {}
+  constructor(
+    private readonly log: LeaderLog,
+    /** Counts what the registry holds. */
+    readonly work = new WorkLimit(Infinity),
+  ) {}
 
   get size(): number {
     return this.jobs.size;
@@ -99,6 +105,14 @@
 
   markEndDurable(job: Job): void {
     this.durableEnds.add(job.id);
+    this.archive(job);
+  }
+
+  /** Drops what an ended job without runs no longer needs. */
+  archive(job: Job): void {
+    if (!job.isEnded || job.hasRuns || !this.durableEnds.has(job.id)) return;
+    job.archive();
+    this.work.hold(job.id, job.customerId, workBytesOf(job.submission));
   }
 
   /** Removes a job, or a cancellation without one, whose records were deleted. */
@@ -106,6 +120,7 @@
     this.jobs.delete(jobId);
     this.durableEnds.delete(jobId);
     this.unmatchedCancellations.delete(jobId);
+    this.work.release(jobId);
   }
 
   /**
@@ -120,13 +135,13 @@
   ): InboxEffects {
     const placed: Run[] = [];
     const unrecordedEnds: Job[] = [];
-    const cancelledIds: JobId[] = [];
+    const cancellations: Array<{jobId: JobId; item: StoredItem}> = [];
     for (const item of items) {
       const parsed = parseInboxKey(item.key);
       if (parsed === undefined) continue;
       const {jobId} = parsed;
       if (parsed.kind === 'cancelled') {
-        cancelledIds.push(jobId);
+        cancellations.push({jobId, item});
         continue;
       }
       const job = this.addJob(item, jobId, source, now);
@@ -137,10 +152,13 @@
       else if (record === undefined) unrecordedEnds.push(job);
       else this.markEndDurable(job);
     }
-    const cancelled = cancelledIds.flatMap((jobId) => {
+    const cancelled = cancellations.flatMap(({jobId, item}) => {
       const job = this.jobs.get(jobId);
       if (job === undefined && !this.unmatchedCancellations.has(jobId)) {
         this.unmatchedCancellations.set(jobId, now);
+        const record = decodeRecord(item.key, item.value, cancellationSchema);
+        const {customerId} = record.unwrapOr({customerId: undefined});
+        this.work.hold(jobId, customerId, CANCELLATION_BYTES);
       }
       if (job === undefined || job.isEnded) return [];
       job.end('cancelled', now);
@@ -170,6 +188,7 @@
       source === 'watched' || submittedAt > now ? now : submittedAt;
     const job = new Job(decoded.value, acceptedAt);
     this.jobs.set(jobId, job);
+    this.work.hold(jobId, job.customerId, workBytesOf(decoded.value));
     return job;
   }
 
--- a/src/leader/jobs/jobs.ts
+++ b/src/leader/jobs/jobs.ts
@@ -125,12 +125,17 @@
   hasSuspects = false;
   /** Units that are not done. An ended job keeps only units with runs. */
   readonly openUnits = new Set<Unit>();
-  private readonly progress: StepProgress;
+  private progress: StepProgress;
+
+  private accepted: Submission;
+  /** Units that were done when the job was archived. */
+  private archivedDoneCount = 0;
 
   constructor(
-    readonly submission: Submission,
+    submission: Submission,
     readonly acceptedAt: Instant,
   ) {
+    this.accepted = submission;
     this.progress = new StepProgress(submission.steps);
     if (isTooLarge(submission)) {
       this.end('failed', acceptedAt);
@@ -143,6 +148,17 @@
     if (this.openUnits.size === 0) this.end('complete', acceptedAt);
   }
 
+  /** Without its content once the job is archived. */
+  get submission(): Submission {
+    return this.accepted;
+  }
+
+  get doneUnitCount(): number {
+    return (
+      this.archivedDoneCount + this.units.filter(({isDone}) => isDone).length
+    );
+  }
+
   get id(): JobId {
     return this.submission.jobId;
   }
@@ -219,6 +235,14 @@
     }
   }
 
+  /** Drops the content of an ended job without runs, to save memory. */
+  archive(): void {
+    this.archivedDoneCount = this.doneUnitCount;
+    this.units.length = 0;
+    this.progress = new StepProgress([]);
+    this.accepted = archivedSubmission(this.accepted);
+  }
+
   /** Removes an ended run; returns true if its end counts as a failure. */
   runEnded(
     run: Run,
@@ -401,6 +425,11 @@
   }
 }
 
+/** What is kept of the submission of a job that has ended. */
+export function archivedSubmission(submission: Submission): Submission {
+  return {...submission, specification: '', steps: [], occurrences: 0};
+}
+
 function stepKey(occurrence: number, stepIndex: number): string {
   return `${occurrence}.${stepIndex}`;
 }
--- a/src/leader/jobs/record_cleaner.ts
+++ b/src/leader/jobs/record_cleaner.ts
@@ -17,6 +17,9 @@
 
 const CLEANING_INTERVAL_MS = 5_000;
 
+/** Records end as fast as clients hand in jobs, so one pass may take many. */
+const PAUSE_MS = 50;
+
 /** Added to the retention period because the clocks of daemons differ. */
 const RETENTION_MARGIN_MS = 30_000;
 
@@ -31,7 +34,8 @@
   scope: CleanupScope,
 ): void {
   let isCleaning = false;
-  const clean = async () => {
+  /** Returns true if more records may have to be removed. */
+  const clean = async (): Promise<boolean> => {
     const endedBeforeMs = clock.now() - retentionMs - RETENTION_MARGIN_MS;
     const {jobRegistry} = session;
     const time = instant(endedBeforeMs);
@@ -39,7 +43,7 @@
       ...jobRegistry.endedBefore(time).map(({id}) => id),
       ...jobRegistry.neverStoredBefore(time),
     ].slice(0, JOBS_PER_TRANSACTION);
-    if (jobIds.length === 0) return;
+    if (jobIds.length === 0) return false;
     const outcome = await store.transact({
       conditions: [{key: LEADER_KEY, revision: leaderRevision}],
       puts: [],
@@ -49,15 +53,21 @@
         progressKey(id),
       ]),
     });
-    if (outcome.isErr) log.requestFailed('cleaning', outcome.error.message);
-    else if (outcome.value.kind === 'committed') {
-      for (const jobId of jobIds) jobRegistry.forget(jobId);
+    if (outcome.isErr) {
+      log.requestFailed('cleaning', outcome.error.message);
+      return false;
     }
+    if (outcome.value.kind !== 'committed') return false;
+    for (const jobId of jobIds) jobRegistry.forget(jobId);
+    return jobIds.length === JOBS_PER_TRANSACTION;
+  };
+  const cleanAll = async () => {
+    while (!scope.closed && (await clean())) await scope.sleep(PAUSE_MS);
   };
   scope.every(CLEANING_INTERVAL_MS, () => {
     if (isCleaning) return;
     isCleaning = true;
-    void clean().finally(() => {
+    void cleanAll().finally(() => {
       isCleaning = false;
     });
   });
--- a/src/leader/jobs/records.ts
+++ b/src/leader/jobs/records.ts
@@ -7,7 +7,11 @@
 import {z} from 'zod';
 import {InvalidInputError} from '../../model/errors.js';
 import type {JobId} from '../../model/ids.js';
-import {hostedVmIdSchema, workerIdSchema} from '../../model/ids.js';
+import {
+  hostedCustomerIdSchema,
+  hostedVmIdSchema,
+  workerIdSchema,
+} from '../../model/ids.js';
 
 const ROOT = 'bramleystep/';
 
@@ -64,6 +68,14 @@
   return undefined;
 }
 
+export const cancellationSchema = z.object({
+  /** Unix milliseconds at which a daemon received the cancellation. */
+  cancelledAt: z.number(),
+  /** Absent for operators, public queues and records of earlier versions. */
+  customerId: hostedCustomerIdSchema.optional(),
+});
+export type CancellationRecord = z.infer<typeof cancellationSchema>;
+
 /** Tasks of one run that were lost with a worker. */
 export const workerLossSchema = z.object({
   run: z.number(),
--- a/src/leader/jobs/reports.ts
+++ b/src/leader/jobs/reports.ts
@@ -107,7 +107,7 @@
     state: job.state,
     acceptedAt: job.acceptedAt,
     units: {
-      done: job.units.filter(({isDone}) => isDone).length,
+      done: job.doneUnitCount,
       placed,
       waiting,
     },
--- a/src/leader/planning/job_explanation.ts
+++ b/src/leader/planning/job_explanation.ts
@@ -193,7 +193,7 @@
     for (const {unit, workers} of plan.placements) this.place(unit, workers);
     const queue = view.configuration.queue(job.queueId);
     const placed = this.obstacles.get('hasRuns')?.units ?? 0;
-    const done = job.units.filter(({isDone}) => isDone).length;
+    const done = job.doneUnitCount;
     return {
       jobId: job.id,
       ...(queue === undefined
--- a/src/leader/session.ts
+++ b/src/leader/session.ts
@@ -24,6 +24,8 @@
 import type {InboxSource} from './jobs/job_registry.js';
 import type {Run} from './jobs/runs.js';
 import {planRuns} from './jobs/planned_runs.js';
+import {WorkLimit} from './jobs/work_limit.js';
+import type {AdmissionVerdict} from './jobs/work_limit.js';
 import type {Unit, Job} from './jobs/jobs.js';
 import {createPreemptionPolicy} from './planning/preemption_policy.js';
 import type {PreemptionPolicy} from './planning/preemption_policy.js';
@@ -93,7 +95,10 @@
     this.preemption = createPreemptionPolicy(settings.preemption);
     this.statistics = new RunStatistics(settings, log);
     this.roundTimer = new RoundTimer(scope, () => this.runRound());
-    this.registry = new JobRegistry(log);
+    this.registry = new JobRegistry(
+      log,
+      new WorkLimit(settings.maximumWorkBytes ?? Infinity),
+    );
     this.explainer = new JobExplainer(this.registry, () => this.planningView());
     this.outages = new WorkerOutages(() => this.workerTable.listedCount);
     this.crashMonitor = new CrashMonitor(log, this.outages);
@@ -231,6 +236,22 @@
     return this.registry.get(jobId)?.customerId;
   }
 
+  /** Undefined until the records of earlier leaders have been read. */
+  admit(
+    jobId: JobId,
+    customerId: CustomerId | undefined,
+    bytes: number,
+    now: SteadyTime,
+  ): AdmissionVerdict | undefined {
+    if (!this.isAdopted) return undefined;
+    return this.registry.work.admit(jobId, customerId, bytes, now);
+  }
+
+  /** Memory that all known jobs are counted with, in bytes. */
+  get workBytes(): number {
+    return this.registry.work.usedBytes;
+  }
+
   pendingJobCount(queueId: QueueId): number {
     return this.registry.pendingJobCount(queueId);
   }
@@ -408,7 +429,7 @@
     } else {
       // A gang cannot continue without the member that ended.
       if (!unit.isDone) this.workerTable.stopUnit(run);
-      this.commitQueue.write(job);
+      this.commitQueue.write(job, () => this.registry.archive(job));
     }
     this.scheduleRound();
   }
--- a/src/leader/session_options.ts
+++ b/src/leader/session_options.ts
@@ -19,6 +19,8 @@
   readonly keepsApart?: boolean | undefined;
   /** Workers are chosen by their speeds; false if absent. */
   readonly usesWorkerSpeeds?: boolean | undefined;
+  /** Memory for all known jobs, in bytes; without limit if absent. */
+  readonly maximumWorkBytes?: number | undefined;
 }
 
 export interface SessionDependencies {
