Refuse a job that the store cannot hold, before it is sent

Callers saw: after one body inside the limit of bodies with 15,000 steps, whose record is larger than a value of the store may be, the daemon took the store for unavailable: it was not ready, refused or forwarded all callers, and answered 504 to a job that can never be stored. A specification had no limit but that of the body.

Change: the record is measured before it is sent, against the size that the platform renders into the settings, and a specification against the 4,000 bytes that callers may send; beyond, the answer is 400.

Evidence: "hands in a job that the store cannot hold" failed before, as the log had 'the store does not answer'; it passes now.

--- a/src/entry/caller_gateway.ts
+++ b/src/entry/caller_gateway.ts
@@ -212,6 +212,11 @@
     }
     const submission = createSubmission(request, jobId, queue, customer, now);
     const value = JSON.stringify(submission);
+    const {maximumValueBytes} = this.dependencies.limits;
+    if (Buffer.byteLength(value) > maximumValueBytes) {
+      const reason = `the job takes more than ${maximumValueBytes} bytes`;
+      return {kind: 'invalid', problem: `${reason}, split it up`};
+    }
     const refusal = await this.admission.refusalOf(
       {
         jobId,
--- a/src/entry/entry_daemon.ts
+++ b/src/entry/entry_daemon.ts
@@ -161,6 +161,7 @@
         scope,
         limits: {
           maximumWorkBytes: maximumWorkBytes(settings.clientLimits),
+          maximumValueBytes: settings.storeValueBytes,
         },
       },
       this.peerAddress,
--- a/src/entry/settings.ts
+++ b/src/entry/settings.ts
@@ -143,6 +143,13 @@
     .positive()
     .describe('Port for the other daemons, and for metrics.'),
   storeAddress: addressSchema.describe("Address of the platform's store."),
+  storeValueBytes: z
+    .int()
+    .positive()
+    .default(1_048_576)
+    .describe(
+      'Largest value that the store accepts; a job that takes more is refused.',
+    ),
   advisorAddress: addressSchema
     .optional()
     .describe('Service that decides which workers may run a step.'),
--- a/src/entry/submissions.ts
+++ b/src/entry/submissions.ts
@@ -12,6 +12,7 @@
 } from '../model/queues.js';
 import {
   MAXIMUM_JOB_TASKS,
+  MAXIMUM_SPECIFICATION_BYTES,
   MAXIMUM_STARTED_TASKS,
   isTooLarge,
 } from '../model/submissions.js';
@@ -33,6 +34,10 @@
 
 /** Returns why the job is not accepted, or undefined. */
 export function sizeProblem(request: JobRequest): string | undefined {
+  const bytes = Buffer.byteLength(request.specification);
+  if (bytes > MAXIMUM_SPECIFICATION_BYTES) {
+    return `a specification has at most ${MAXIMUM_SPECIFICATION_BYTES} bytes`;
+  }
   if (!isTooLarge(request)) return undefined;
   return (
     `a job has at most ${MAXIMUM_JOB_TASKS} tasks and a gang at most ` +
--- a/src/entry/work_admission.ts
+++ b/src/entry/work_admission.ts
@@ -21,6 +21,8 @@
 export interface WorkLimits {
   /** Memory of a leader for all jobs of the site. */
   readonly maximumWorkBytes: number;
+  /** Largest value that the store accepts. */
+  readonly maximumValueBytes: number;
 }
 
 /** Work as the leader counts it. */
--- a/src/model/submissions.ts
+++ b/src/model/submissions.ts
@@ -90,6 +90,9 @@
  */
 export const MAXIMUM_STARTED_TASKS = 2_500;
 
+/** Longest text that is passed to a job's tasks, in bytes of UTF-8. */
+export const MAXIMUM_SPECIFICATION_BYTES = 4_000;
+
 type JobSize = Pick<Submission, 'steps' | 'occurrences'>;
 
 /** Number of a job's tasks, over all its occurrences. */
--- a/test/crowds/accepted_work.test.ts
+++ b/test/crowds/accepted_work.test.ts
@@ -112,6 +112,16 @@
     };
     await check((member) => submissionsAhead(member, 1, job));
   });
+
+  checkTarget('hands in a job that the store cannot hold', async () => {
+    const steps = Array.from({length: 15_000}, () => ({count: 1}));
+    const requests = submissionsAhead(0, 1, {steps});
+    await playCrowd(scope, daemon.settings.callerAddress, 1, () => requests);
+    // A store that refuses one record for good is not unavailable.
+    const log = daemon.logLines.join('\n');
+    assert.doesNotMatch(log, /the store does not answer/);
+    await checkServes(daemon);
+  });
 });
 
 async function checkServes(daemon: DaemonProcess): Promise<void> {
--- a/test/entry_gateway.test.ts
+++ b/test/entry_gateway.test.ts
@@ -145,7 +145,7 @@
         random,
         log: log.component('entry'),
         scope,
-        limits: {maximumWorkBytes: 100_000},
+        limits: {maximumWorkBytes: 100_000, maximumValueBytes: 10_000},
       },
       'own:1',
     );
