--- a/src/entry/http_peers.ts
+++ b/src/entry/http_peers.ts
@@ -51,7 +51,7 @@
 
 const CONNECTIONS_PER_PEER = 8;
 
-/** The shortest step of a forwarded job takes more than 100 bytes. */
+/** Memory for each byte of a message; a step takes 100 of them at least. */
 const MESSAGE_EXPANSION = 8;
 
 const STATUS_INVALID = 400;
@@ -148,7 +148,7 @@
 /** Returns the HTTP handler for the peer address, which serves metrics too. */
 export function peerHandler(target: PeerTarget): HttpHandler {
   const bodies = new BodyReader();
-  const memory = new RequestMemory(MESSAGE_EXPANSION);
+  const memory = new RequestMemory();
   return async (request, response) => {
     if (request.url === METRICS_PATH) {
       response.writeHead(200, {'content-type': 'text/plain; version=0.0.4'});
@@ -166,7 +166,7 @@
       sendStatus(response, STATUS_INVALID);
       return;
     }
-    const bytes = Buffer.byteLength(body.value);
+    const bytes = Buffer.byteLength(body.value) * MESSAGE_EXPANSION;
     const answer = await memory.use(bytes, () =>
       answerMessage(target, request.url, parseBody(body.value)),
     );
--- a/src/entry/request_memory.ts
+++ b/src/entry/request_memory.ts
@@ -8,27 +8,28 @@
 
 const SHARE_OF_HEAP = 0.1;
 
+/** Part of the memory that has to be free for a body that takes more. */
+const FREE_SHARE_FOR_LARGE = 0.5;
+
 export class RequestMemory {
   private usedBytes = 0;
 
   constructor(
-    /** Bytes in memory for each byte of a body. */
-    private readonly expansion: number,
     private readonly maximumBytes = getHeapStatistics().heap_size_limit *
       SHARE_OF_HEAP,
   ) {}
 
   /**
-   * Runs `work` on a body; undefined if others take all memory. One body is
-   * worked on at any time, whatever its size.
+   * Does work that takes `bytes` until its end; undefined if others take the
+   * memory. One piece of work is done at any time, whatever its size.
    */
   async use<T extends object>(
-    bodyBytes: number,
+    bytes: number,
     work: () => Promise<T>,
   ): Promise<T | undefined> {
-    const bytes = bodyBytes * this.expansion;
-    const isFull = this.usedBytes + bytes > this.maximumBytes;
-    if (bytes > 0 && this.usedBytes > 0 && isFull) return undefined;
+    const {maximumBytes} = this;
+    const needed = Math.min(bytes, maximumBytes * FREE_SHARE_FOR_LARGE);
+    if (this.usedBytes + needed > maximumBytes) return undefined;
     this.usedBytes += bytes;
     try {
       return await work();
--- a/test/work_limit.test.ts
+++ b/test/work_limit.test.ts
@@ -5,6 +5,7 @@
 
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
+import {RequestMemory} from '../src/entry/request_memory.js';
 import {UnconfirmedWork} from '../src/entry/unconfirmed_work.js';
 import {Job} from '../src/leader/jobs/jobs.js';
 import {WorkLimit, workBytesOf} from '../src/leader/jobs/work_limit.js';
@@ -83,6 +84,21 @@
   });
 });
 
+describe('memory of requests', () => {
+  it('has room for a large body beside small ones, and for few such', async () => {
+    const memory = new RequestMemory(100);
+    const held: Array<() => void> = [];
+    const hold = () => new Promise<object>((end) => held.push(() => end({})));
+    const first = memory.use(40, hold);
+    const large = memory.use(500, hold);
+    assert.equal(await memory.use(1, hold), undefined);
+    for (const end of held) end();
+    assert.deepEqual(await first, {});
+    assert.deepEqual(await large, {});
+    assert.deepEqual(await memory.use(1, () => Promise.resolve({})), {});
+  });
+});
+
 describe('a job', () => {
   const submission = (changes: Partial<Submission> = {}): Submission => ({
     jobId: job('1'),
