Test what callers are told about work without room

The gateway stores nothing that the leader has no room for, tells a customer's own share from a full site, accepts a little without a leader, denies no job that is stored, and stays ready beside a job that the store cannot hold. After each crowd an ordinary caller's job is accepted as well.

--- a/test/crowds/accepted_work.test.ts
+++ b/test/crowds/accepted_work.test.ts
@@ -23,6 +23,7 @@
   checkJobRequest,
   checkProcess,
   checkReadiness,
+  checkSubmission,
   deployedHeap,
   jobRequest,
   playCrowd,
@@ -141,6 +142,7 @@
 async function checkServes(daemon: DaemonProcess): Promise<void> {
   await checkProcess(daemon);
   await checkJobRequest(daemon);
+  await checkSubmission(daemon);
   await checkReadiness(daemon);
   // Rounds and records follow the answers.
   await delay(1_000);
--- a/test/crowds/crowd.ts
+++ b/test/crowds/crowd.ts
@@ -192,6 +192,16 @@
   );
 }
 
+/** One ordinary caller hands in a job, after any number of refusals. */
+export async function checkSubmission(daemon: DaemonProcess): Promise<void> {
+  await answerTo(`http://${daemon.settings.callerAddress}`, {
+    method: 'POST',
+    path: `${QUEUE_PATH}ffffffffffffffff`,
+    headers: QUEUE_HEADERS,
+    body: JSON.stringify({spec: 'text', steps: [{count: 1}]}),
+  });
+}
+
 interface Call {
   readonly method?: string;
   readonly path: string;
--- a/test/entry_gateway.test.ts
+++ b/test/entry_gateway.test.ts
@@ -223,6 +223,43 @@
     assert.equal(isStored(), false);
   });
 
+  it('refuses a job that the store cannot hold', async () => {
+    const steps = Array.from({length: 200}, () => step());
+    const request = {...call().request, steps} as CallerCall['request'];
+    assert.equal((await handle({request})).kind, 'invalid');
+    assert.equal(isStored(), false);
+    assert.ok(gateway.isReady(steadyNow()));
+  });
+
+  it('stores nothing that the leader has no room for', async () => {
+    for (const verdict of ['siteFull', 'shareUsed'] as const) {
+      queryHandler.reply = {kind: 'admission', verdict};
+      const answers = [await handle(), await handle({method: 'cancel'})];
+      for (const answer of answers) {
+        assert.equal(answer.kind, 'notAccepted');
+        const isOwnShare =
+          answer.kind === 'notAccepted' && answer.isOwnShare === true;
+        assert.equal(isOwnShare, verdict === 'shareUsed');
+      }
+    }
+    assert.equal(isStored(), false);
+    assert.equal(site.store.get(cancelledKey(JOB_ID)), undefined);
+    queryHandler.reply = {kind: 'admission', verdict: 'admitted'};
+    assert.deepEqual(await handle(), {kind: 'accepted'});
+  });
+
+  it('accepts little without a leader, and denies nothing stored', async () => {
+    await handle();
+    const path = (index: number) => `/jobs/00000000000000${10 + index}`;
+    const kinds: string[] = [];
+    for (let index = 0; index < 5; index += 1) {
+      kinds.push((await handle({path: path(index)})).kind);
+    }
+    assert.ok(kinds.includes('accepted'));
+    assert.equal(kinds.at(-1), 'notAccepted');
+    assert.deepEqual(await handle(), {kind: 'accepted'});
+  });
+
   it('shows a job to its own customer only', async () => {
     await handle();
     const own = await handle({method: 'read'});
