--- a/src/leader/jobs/jobs.ts
+++ b/src/leader/jobs/jobs.ts
@@ -127,7 +127,7 @@
   readonly openUnits = new Set<Unit>();
   private progress: StepProgress;
 
-  private accepted: Submission;
+  private currentSubmission: Submission;
   /** Units that were done when the job was archived. */
   private archivedDoneCount = 0;
 
@@ -135,7 +135,7 @@
     submission: Submission,
     readonly acceptedAt: Instant,
   ) {
-    this.accepted = submission;
+    this.currentSubmission = submission;
     this.progress = new StepProgress(submission.steps);
     if (isTooLarge(submission)) {
       this.end('failed', acceptedAt);
@@ -150,7 +150,7 @@
 
   /** Without its content once the job is archived. */
   get submission(): Submission {
-    return this.accepted;
+    return this.currentSubmission;
   }
 
   get doneUnitCount(): number {
@@ -240,7 +240,7 @@
     this.archivedDoneCount = this.doneUnitCount;
     this.units.length = 0;
     this.progress = new StepProgress([]);
-    this.accepted = archivedSubmission(this.accepted);
+    this.currentSubmission = archivedSubmission(this.currentSubmission);
   }
 
   /** Removes an ended run; returns true if its end counts as a failure. */
