--- a/soak/crowd.ts
+++ b/soak/crowd.ts
@@ -17,6 +17,18 @@
   NODE_OPTIONS: '--max-old-space-size=64 --max-semi-space-size=4',
 };
 
+/** How the members of a crowd behave. */
+export interface CrowdPlay {
+  /** They read the answers. */
+  readonly reads: boolean;
+  /** Sent again and again after the texts, or empty. */
+  readonly trickle: string;
+}
+
+const DEFAULT_PLAY: CrowdPlay = {reads: false, trickle: ''};
+
+const TRICKLE_INTERVAL_MS = 100;
+
 export class Crowd {
   private readonly members: readonly CrowdMember[];
 
@@ -28,12 +40,11 @@
     address: string,
     size: number,
     textsOf: (member: number) => Iterable<string>,
-    readsAnswers = false,
+    play: CrowdPlay = DEFAULT_PLAY,
   ) {
     this.members = Array.from(
       {length: size},
-      (_unused, index) =>
-        new CrowdMember(address, textsOf(index), readsAnswers),
+      (_unused, index) => new CrowdMember(address, textsOf(index), play),
     );
   }
 
@@ -42,7 +53,7 @@
     return this.members.reduce((bytes, member) => bytes + member.readBytes, 0);
   }
 
-  /** Bytes that the kernel has accepted from all members. */
+  /** Bytes that the kernel has accepted from all members, trickled ones apart. */
   get sentBytes(): number {
     return this.members.reduce((bytes, member) => bytes + member.sentBytes, 0);
   }
@@ -55,15 +66,21 @@
 class CrowdMember {
   private readonly socket: Socket;
   private readonly texts: Iterator<string>;
+  private timer: NodeJS.Timeout | undefined;
+  private trickledBytes = 0;
 
-  constructor(address: string, texts: Iterable<string>, readsAnswers: boolean) {
+  constructor(
+    address: string,
+    texts: Iterable<string>,
+    private readonly play: CrowdPlay,
+  ) {
     this.texts = texts[Symbol.iterator]();
     const separator = address.lastIndexOf(':');
     this.socket = connect({
       host: address.slice(0, separator),
       port: Number(address.slice(separator + 1)),
     });
-    if (readsAnswers) this.socket.resume();
+    if (play.reads) this.socket.resume();
     else this.socket.pause();
     this.socket.on('error', () => undefined);
     this.socket.on('connect', () => this.send());
@@ -71,7 +88,8 @@
   }
 
   get sentBytes(): number {
-    return this.socket.bytesWritten - this.socket.writableLength;
+    const {bytesWritten, writableLength} = this.socket;
+    return bytesWritten - writableLength - this.trickledBytes;
   }
 
   get readBytes(): number {
@@ -79,15 +97,30 @@
   }
 
   leave(): void {
+    clearInterval(this.timer);
     this.socket.destroy();
   }
 
   private send(): void {
     while (this.socket.writable) {
       const text = this.texts.next();
-      if (text.done === true || !this.socket.write(text.value)) return;
+      if (text.done === true) {
+        this.startTrickle();
+        return;
+      }
+      if (!this.socket.write(text.value)) return;
     }
   }
+
+  private startTrickle(): void {
+    const {trickle} = this.play;
+    if (trickle === '' || this.timer !== undefined) return;
+    this.timer = setInterval(() => {
+      if (!this.socket.writable || this.socket.writableLength > 0) return;
+      this.socket.write(trickle);
+      this.trickledBytes += trickle.length;
+    }, TRICKLE_INTERVAL_MS);
+  }
 }
 
 export function* readinessAhead(): Iterable<string> {
@@ -96,6 +129,11 @@
   for (let sent = 0; sent < 4 * MEGABYTE; sent += block.length) yield block;
 }
 
+/** The head of a submission without its end, near the limit of a head. */
+export function* unfinishedHead(host: string, path: string): Iterable<string> {
+  yield `POST ${path} HTTP/1.1\r\nHost: ${host}\r\nX-Long: ${'a'.repeat(15_000)}`;
+}
+
 /** A submission in chunks of `chunkBytes` that stops short of its end. */
 export function* unfinishedBody(
   host: string,
--- a/test/crowds/accepted_work.test.ts
+++ b/test/crowds/accepted_work.test.ts
@@ -32,6 +32,8 @@
 
 const MEMBERS = 20;
 
+const READING = {reads: true, trickle: ''};
+
 /** Descriptors of a deployed VM, so that connections are not the limit. */
 const MAXIMUM_DESCRIPTORS = 4_100;
 
@@ -41,11 +43,9 @@
 
   beforeEach(async () => {
     scope = new CleanupScope();
-    daemon = await startDaemonOnSmallVm(
-      scope,
-      deployedHeap(),
-      MAXIMUM_DESCRIPTORS,
-    );
+    daemon = await startDaemonOnSmallVm(scope, deployedHeap(), {
+      maximumDescriptors: MAXIMUM_DESCRIPTORS,
+    });
   });
 
   afterEach(() => scope.close());
@@ -53,7 +53,7 @@
   /** Plays the crowd, then replaces the leader by one with an empty memory. */
   const check = async (textsOf: (member: number) => Iterable<string>) => {
     const {callerAddress} = daemon.settings;
-    await playCrowd(scope, callerAddress, MEMBERS, textsOf, true);
+    await playCrowd(scope, callerAddress, MEMBERS, textsOf, READING);
     await checkServes(daemon);
     await daemon.restart('SIGKILL', 0);
     await checkServes(daemon);
--- a/test/crowds/clients.test.ts
+++ b/test/crowds/clients.test.ts
@@ -15,6 +15,7 @@
 import {CleanupScope} from '../../src/lifecycle/cleanup_scope.js';
 import {checkTarget} from '../known_red.js';
 import {
+  ADDRESSES,
   QUEUE_HOST,
   QUEUE_PATH,
   checkOrdinaryRequest,
@@ -25,12 +26,6 @@
   submitJob,
 } from './crowd.js';
 
-const ADDRESSES = {
-  callers: ({settings}: DaemonProcess) => settings.callerAddress,
-  readiness: ({settings}: DaemonProcess) => settings.readinessAddress,
-  peers: ({peerAddress}: DaemonProcess) => peerAddress,
-} as const;
-
 describe('a crowd', () => {
   let scope: CleanupScope;
   let daemon: DaemonProcess;
--- a/test/crowds/crowd.ts
+++ b/test/crowds/crowd.ts
@@ -9,7 +9,9 @@
 import {request} from 'node:http';
 import {setTimeout as delay} from 'node:timers/promises';
 import {Crowd, LOW_HEAP} from '../../soak/crowd.js';
+import type {CrowdPlay} from '../../soak/crowd.js';
 import type {DaemonProcess} from '../../soak/daemon_process.js';
+import type {EntrySettingsFile} from '../../src/entry/settings.js';
 import type {CleanupScope} from '../../src/lifecycle/cleanup_scope.js';
 import {createDaemonOf, startSmallPlatform} from '../entry_process.js';
 
@@ -25,6 +27,13 @@
 /** Longest specification that callers may send, in bytes. */
 export const LONGEST_SPECIFICATION = 'a'.repeat(4_000);
 
+/** The addresses of a daemon, each with clients of its own. */
+export const ADDRESSES = {
+  callers: ({settings}: DaemonProcess) => settings.callerAddress,
+  readiness: ({settings}: DaemonProcess) => settings.readinessAddress,
+  peers: ({peerAddress}: DaemonProcess) => peerAddress,
+} as const;
+
 export const QUEUE_HOST = 'crowd.example';
 export const QUEUE_PATH = '/jobs/';
 const KNOWN_KEY = 'known-key';
@@ -55,7 +64,7 @@
 export async function startDaemonOnSmallVm(
   scope: CleanupScope,
   heap: Record<string, string> = LOW_HEAP,
-  maximumDescriptors = MAXIMUM_DESCRIPTORS,
+  clientLimits: EntrySettingsFile['clientLimits'] = {},
 ): Promise<DaemonProcess> {
   const platform = await startSmallPlatform(scope);
   platform.configure({
@@ -75,7 +84,8 @@
   });
   const daemon = await createDaemonOf(platform, scope, {
     memoryMb: MEMORY_MB,
-    maximumDescriptors,
+    maximumDescriptors: MAXIMUM_DESCRIPTORS,
+    ...clientLimits,
   });
   await daemon.start(heap);
   // Answered by a leader only.
@@ -86,16 +96,16 @@
 /**
  * Opens `size` connections at once and sends each the whole of `texts` in turn.
  * Resolves when all is sent and, if the crowd reads, answered, or refused or
- * blocked; the connections stay open until the scope closes.
+ * blocked, apart from what trickles on; the connections stay open until the scope closes.
  */
 export async function playCrowd(
   scope: CleanupScope,
   address: string,
   size: number,
   textsOf: (member: number) => Iterable<string>,
-  readsAnswers = false,
+  play: CrowdPlay = {reads: false, trickle: ''},
 ): Promise<void> {
-  const crowd = new Crowd(address, size, textsOf, readsAnswers);
+  const crowd = new Crowd(address, size, textsOf, play);
   scope.add(() => crowd.leave());
   const endsAt = Date.now() + CROWD_GUARD_MS;
   let movedAt = Date.now();
@@ -192,6 +202,27 @@
   );
 }
 
+/** A whole call that another daemon forwards. */
+export function forwardedCall(specification: string): string {
+  const body = JSON.stringify({
+    method: 'submit',
+    host: QUEUE_HOST,
+    path: `${QUEUE_PATH}00000000000000aa`,
+    key: KNOWN_KEY,
+    request: {
+      specification,
+      steps: [],
+      occurrences: 0,
+      firstDueAt: 0,
+      intervalMs: 0,
+    },
+  });
+  return (
+    `POST /peers/calls HTTP/1.1\r\nHost: ${QUEUE_HOST}\r\n` +
+    `Content-Length: ${body.length}\r\n\r\n${body}`
+  );
+}
+
 /** One ordinary caller hands in a job, after any number of refusals. */
 export async function checkSubmission(daemon: DaemonProcess): Promise<void> {
   await answerTo(`http://${daemon.settings.callerAddress}`, {
--- a/test/crowds/requests_in_progress.test.ts
+++ b/test/crowds/requests_in_progress.test.ts
@@ -9,12 +9,11 @@
 import {CleanupScope} from '../../src/lifecycle/cleanup_scope.js';
 import {checkTarget} from '../known_red.js';
 import {
-  QUEUE_HOST,
-  QUEUE_PATH,
   bodyRequest,
   checkJobRequest,
   checkProcess,
   checkReadiness,
+  forwardedCall,
   jobRequest,
   playCrowd,
   startDaemonOnSmallVm,
@@ -30,7 +29,9 @@
 
   beforeEach(async () => {
     scope = new CleanupScope();
-    daemon = await startDaemonOnSmallVm(scope, LOW_HEAP, MAXIMUM_DESCRIPTORS);
+    daemon = await startDaemonOnSmallVm(scope, LOW_HEAP, {
+      maximumDescriptors: MAXIMUM_DESCRIPTORS,
+    });
     held = [];
     daemon.store.faults.heldTransactions = held;
   });
@@ -78,23 +79,3 @@
     await check();
   });
 });
-
-function forwardedCall(specification: string): string {
-  const body = JSON.stringify({
-    method: 'submit',
-    host: QUEUE_HOST,
-    path: `${QUEUE_PATH}00000000000000aa`,
-    key: 'known-key',
-    request: {
-      specification,
-      steps: [],
-      occurrences: 0,
-      firstDueAt: 0,
-      intervalMs: 0,
-    },
-  });
-  return (
-    `POST /peers/calls HTTP/1.1\r\nHost: ${QUEUE_HOST}\r\n` +
-    `Content-Length: ${body.length}\r\n\r\n${body}`
-  );
-}
