--- a/review/standins-3/minion.mjs
+++ b/review/standins-3/minion.mjs
@@ -13,12 +13,15 @@
 
 const HEARTBEAT_MS = 1_500;
 const STOP_MS = 100;
+const TICK_MS = 10;
 const STARTUP_MS = 300;
 const ENDS_PER_ANSWER = 500;
 
 /** How long connections of a former life stay silent after a cut. */
 const SILENT_MS = 5_000;
 
+const NO_RESPONSE = {writeHead() {}, end() {}};
+
 export class Minion {
   constructor({port, ...given}) {
     Object.assign(this, given);
@@ -29,6 +32,8 @@
     this.isCut = false;
     /** Called with each start, after it was carried out. */
     this.onStart = () => {};
+    /** How late a start is carried out, without an answer; usually unset. */
+    this.lateMs = () => undefined;
     this.state = 'ready';
   }
 
@@ -52,7 +57,7 @@
     this.sequence = 0;
     this.beat();
     this.beatTimer = setInterval(() => this.beat(), HEARTBEAT_MS);
-    this.tickTimer = setInterval(() => this.tick(), 10);
+    this.tickTimer = setInterval(() => this.tick(), TICK_MS);
     this.log('up', {born: this.born, labels: this.labels});
   }
 
@@ -198,6 +203,11 @@
       return;
     }
     const path = request.url.split('?')[0];
+    const lateMs = path === '/v1/run-start' ? this.lateMs(body) : undefined;
+    if (lateMs !== undefined) {
+      setTimeout(() => this.carryOutLate(body, this.born), lateMs);
+      return;
+    }
     if (this.isOutdated(body, response)) return;
     if (path === '/v1/run-start') this.runStart(body, response);
     else if (path === '/v1/run-stop') this.runStop(body, response);
@@ -249,6 +259,16 @@
     this.onStart(run);
   }
 
+  /** A life that has ended carries out nothing. */
+  carryOutLate(body, born) {
+    if (!this.isUp || this.born !== born) return;
+    this.log('carries out a late start', {task: body.task, run: body.runId});
+    if (this.isOutdated(body, NO_RESPONSE)) return;
+    this.isLate = true;
+    this.runStart(body, NO_RESPONSE);
+    this.isLate = false;
+  }
+
   runStop({task, runId}, response) {
     const present = this.runs.get(task);
     if (present !== undefined && present.run <= runId) {
--- a/review/standins-3/site.mjs
+++ b/review/standins-3/site.mjs
@@ -32,8 +32,9 @@
 };
 
 export class Site {
-  static async start({directory, daemons, minions, deployment}) {
+  static async start({directory, daemons, minions, deployment, restartMs}) {
     const site = new Site(directory, BOUNDS[deployment]);
+    site.restartMs = restartMs;
     await site.open(daemons, minions);
     return site;
   }
@@ -104,16 +105,27 @@
       stdio: ['ignore', 'pipe', 'pipe'],
     });
     daemon.hasEnded = false;
+    daemon.isKilled = false;
     for (const stream of [daemon.process.stdout, daemon.process.stderr]) {
       stream.on('data', (text) => this.recordOutput(daemon, `${text}`));
     }
     daemon.process.on('exit', (code, signal) => {
       daemon.hasEnded = true;
       this.record(daemon.name, 'process ended', {code, signal});
+      if (!daemon.isKilled) this.restartEnded(daemon);
     });
     this.record(daemon.name, 'process started', {pid: daemon.process.pid});
   }
 
+  /** The platform starts a process again that has ended by itself. */
+  restartEnded(daemon) {
+    daemon.ownEnds = (daemon.ownEnds ?? 0) + 1;
+    if (this.restartMs === undefined) return;
+    setTimeout(() => {
+      if (!this.isClosing) this.startDaemon(daemon);
+    }, this.restartMs);
+  }
+
   recordOutput(daemon, text) {
     for (const line of text.split('\n')) {
       if (line === '') continue;
@@ -235,13 +247,13 @@
 
   kill(daemon) {
     this.record(daemon.name, 'SIGKILL by the test');
+    daemon.isKilled = true;
     daemon.process.kill('SIGKILL');
   }
 
   async close() {
-    for (const {process: child, hasEnded} of this.daemons) {
-      if (!hasEnded) child.kill('SIGKILL');
-    }
+    this.isClosing = true;
+    for (const daemon of this.running()) this.kill(daemon);
     await until(() => this.running().length === 0, 5_000);
     for (const minion of this.minions) minion.close();
     this.cloud.close();
--- a/review/standins-3/store.mjs
+++ b/review/standins-3/store.mjs
@@ -7,6 +7,8 @@
 import {readBody, reply} from './http.mjs';
 
 const PAGE_ITEMS = 500;
+const PAGE_BYTES = 1_048_576;
+const VALUE_BYTES = 1_048_576;
 const HISTORY_MS = 20_000;
 const MAXIMUM_WAIT_MS = 30_000;
 const PROTECTED = ['op/', 'servers/'];
@@ -159,11 +161,17 @@
     const keys = [...this.items.keys()]
       .filter((key) => key.startsWith(prefix) && key > after)
       .sort();
-    reply(response, 200, {
-      items: keys.slice(0, PAGE_ITEMS).map((key) => this.items.get(key)),
-      truncated: keys.length > PAGE_ITEMS,
-      asOf: this.revision,
-    });
+    const items = [];
+    let bytes = 0;
+    for (const key of keys) {
+      const item = this.items.get(key);
+      bytes += item.value.length;
+      const isFull = items.length === PAGE_ITEMS || bytes > PAGE_BYTES;
+      if (isFull && items.length > 0) break;
+      items.push(item);
+    }
+    const truncated = items.length < keys.length;
+    reply(response, 200, {items, truncated, asOf: this.revision});
   }
 
   watch(query, response) {
@@ -186,6 +194,9 @@
     if (changed.some((k) => PROTECTED.some((p) => k.startsWith(p)))) {
       return reply(response, 403, {});
     }
+    const isTooLong = ({value}) =>
+      Buffer.byteLength(value, 'base64') > VALUE_BYTES;
+    if (puts.some(isTooLong)) return reply(response, 400, {});
     const lease = puts.find((put) => put.lease)?.lease;
     if (lease !== undefined && !this.leases.has(lease)) {
       return reply(response, 404, {});
