--- a/review/15/main.mjs
+++ b/review/15/main.mjs
@@ -16,6 +16,8 @@
 /** One start in this many gets no answer and is carried out late. */
 const LATE_EVERY = 19;
 const LATE_MS = 4_000;
+/** How long orders get no answer, from the first one on. */
+const LATE_PERIOD_MS = 5_500;
 /** From the first start to the report that the minion is draining. */
 const BEFORE_DRAIN_MS = 300;
 const STAYS_MS = 10_000;
@@ -25,16 +27,21 @@
 const STEPS = [{count: TASKS, cpu: 100, memMb: 100, estimateMs: WORK_MS}];
 
 const directory = fileURLToPath(new URL('.', import.meta.url));
-const options = {daemons: 3, minions: 8, deployment: 'kettleby-fraser'};
+const options = {daemons: 3, minions: 16, deployment: 'kettleby-fraser'};
 
 await runCase(directory, options, async (site, trouble) => {
   let drainedAt;
   let orders = 0;
+  let firstOrderAt;
   const lateBy = [];
   for (const minion of site.minions) {
     minion.lateMs = () => {
+      const now = performance.now();
+      firstOrderAt ??= now;
       orders += 1;
-      return trouble && orders % LATE_EVERY === 0 ? LATE_MS : undefined;
+      const isLate =
+        now - firstOrderAt < LATE_PERIOD_MS && orders % LATE_EVERY === 0;
+      return trouble && isLate ? LATE_MS : undefined;
     };
     minion.onStart = () => {
       if (drainedAt === undefined && trouble) {
