Count started tasks with what a leader takes for them

Cause: a task counted for 768 bytes, whatever became of it.

Change: a task counts for 512 bytes, and the 2,500 of a job that may be started at a time for 2,560 more. At the limit of the deployed heap that is 9,079 tasks of wide jobs, before 34,600.

--- a/src/leader/jobs/work_limit.ts
+++ b/src/leader/jobs/work_limit.ts
@@ -13,15 +13,21 @@
 import {steadyTime} from '../../lifecycle/clock.js';
 import type {CustomerId, JobId} from '../../model/ids.js';
 import type {Submission} from '../../model/submissions.js';
-import {taskCountOf} from '../../model/submissions.js';
+import {MAXIMUM_STARTED_TASKS, taskCountOf} from '../../model/submissions.js';
 
 /** A job without tasks, with its records and its entries in tables. */
-const JOB_BYTES = 2_048;
+const JOB_BYTES = 2_560;
 
 const STEP_BYTES = 512;
 
-/** A task, with its run and its part of the job's record. */
-const TASK_BYTES = 768;
+/** A task that waits or is done. */
+const TASK_BYTES = 512;
+
+/**
+ * A run, with the order that waits for its worker, the loss of an earlier run
+ * and its part of the job's record. Only some of a job's tasks have runs.
+ */
+const RUN_BYTES = 2_560;
 
 /** Each text is held as a part of the job and, while it is read, of a record. */
 const BYTES_PER_CHARACTER = 3;
@@ -39,6 +45,7 @@
   submission: Pick<Submission, 'specification' | 'steps' | 'occurrences'>,
 ): number {
   const {specification, steps, occurrences} = submission;
+  const taskCount = taskCountOf(submission);
   let characters = specification.length;
   let predecessors = 0;
   for (const {image, requiredLabel, dataRack, after} of steps) {
@@ -52,7 +59,8 @@
     characters * BYTES_PER_CHARACTER +
     predecessors * BYTES_PER_PREDECESSOR +
     steps.length * Math.max(1, occurrences) * STEP_BYTES +
-    taskCountOf(submission) * TASK_BYTES
+    taskCount * TASK_BYTES +
+    Math.min(taskCount, MAXIMUM_STARTED_TASKS) * RUN_BYTES
   );
 }
 
