Check each order to a worker before each attempt to send it

Callers saw: 300 tasks wait for their turn at one minion, some orders to it get no answer, and it says that it is draining.

Cause: the check before a start looked at the term, the room and evacuations, not at the worker's entry. A start that waited, or was repeated, was sent although its worker was draining, had restarted, had lost the label, had left the directory or was closed for maintenance.

Change: OrderValidity decides for starts, stops and paces alike, before each attempt. Waiting starts are also reviewed when a worker's entry changes and go back to be placed elsewhere at once; a start without an answer is voided by a stop.

--- a/src/leader/workers/order_queue.ts
+++ b/src/leader/workers/order_queue.ts
@@ -18,6 +18,11 @@
   /** `send` sends what the run needs when its turn comes. */
   constructor(private readonly send: (run: Run) => Promise<void>) {}
 
+  /** Runs whose order has not been sent, in the order of their turns. */
+  get waiting(): Iterable<Run> {
+    return this.waitingRuns;
+  }
+
   /** Has no effect if an order for the run waits already. */
   add(run: Run): void {
     this.waitingRuns.add(run);
--- a/src/leader/workers/worker_link.ts
+++ b/src/leader/workers/worker_link.ts
@@ -20,8 +20,10 @@
 import type {Authority} from '../authority.js';
 import type {WorkerLinkEvents} from './worker_events.js';
 import {OrderQueue} from './order_queue.js';
+import {OrderValidity} from './order_validity.js';
 import type {WorkerFences} from './worker_fences.js';
-import {RENEWAL_RETRY_MS, runsByIncarnation} from './worker_state.js';
+import {reportMissing} from './missing_runs.js';
+import {RENEWAL_RETRY_MS} from './worker_state.js';
 import type {WorkerState} from './worker_state.js';
 
 /**
@@ -56,6 +58,7 @@
 
 export class WorkerLink {
   private readonly orders = new OrderQueue((run) => this.sendOrder(run));
+  private readonly validity: OrderValidity;
   private isRenewing = false;
   private isClosed = false;
   private pendingClockRefresh: Promise<boolean> | undefined;
@@ -70,7 +73,9 @@
     private readonly scope: CleanupScope,
     private readonly events: WorkerLinkEvents,
     private readonly log: LeaderLog,
-  ) {}
+  ) {
+    this.validity = new OrderValidity(worker, authority, events);
+  }
 
   close(): void {
     this.isClosed = true;
@@ -104,6 +109,18 @@
     this.orders.withdraw(run);
   }
 
+  /** Gives up starts that wait and are no longer right, so that they move. */
+  reviewWaitingStarts(now: SteadyTime): void {
+    const {orders, validity} = this;
+    for (const {run, obstacle} of validity.outdatedStarts(
+      orders.waiting,
+      now,
+    )) {
+      orders.withdraw(run);
+      this.abandonStart(run, obstacle);
+    }
+  }
+
   stop(run: Run): void {
     run.phase = 'stopping';
     this.startRenewing();
@@ -293,22 +310,12 @@
         run.presenceDecidedAt !== undefined &&
         run.presenceDecidedAt < sentAt,
     );
-    for (const run of missing) worker.remove(run);
-    const earlier = missing.filter(
-      ({incarnation}) => incarnation !== outcome.incarnation,
-    );
-    for (const run of missing) {
-      if (earlier.includes(run)) continue;
-      events.runLost(run, 'its worker no longer lists it');
-    }
-    for (const [incarnation, runs] of runsByIncarnation(earlier)) {
-      const fate = worker.fateOfEnded(incarnation);
-      events.runsLostWithWorker(worker, runs, fate);
-    }
+    reportMissing(worker, missing, outcome.incarnation, events);
   }
 
   /** Stops a run without a record, so that the free capacity is known. */
   private async stopUnknownRun(task: string, run: number): Promise<void> {
+    if (!this.validity.mayOrder(steadyNow())) return;
     this.log.unknownRun(this.worker, task, run);
     await this.client.stop(this.worker.entry, {task, run}, this.fence);
   }
@@ -344,10 +351,6 @@
     else await this.sendPace(run, run.pacePercent);
   }
 
-  private isAssigned(run: Run): boolean {
-    return this.worker.find(run.task, run.runNumber) === run;
-  }
-
   private async sendStart(run: Run): Promise<void> {
     const {worker} = this;
     if (!(await this.refreshClock())) {
@@ -355,9 +358,9 @@
       return;
     }
     for (let attempt = 0; attempt < START_ATTEMPTS; attempt += 1) {
-      if (!this.isAssigned(run) || run.phase !== 'ordered') return;
+      if (!this.validity.isStartNeeded(run)) return;
       const now = steadyNow();
-      const obstacle = this.startObstacle(run, now);
+      const obstacle = this.validity.startObstacle(run, now);
       if (obstacle !== undefined) {
         this.abandonStart(run, obstacle);
         return;
@@ -380,7 +383,7 @@
         fence,
         ticket: this.events.ticketFor(run),
       });
-      if (this.scope.closed || !this.isAssigned(run)) return;
+      if (this.scope.closed || !this.validity.isAssigned(run)) return;
       if (outcome.kind === 'started') run.atWorkAt = this.timeOf(sentAt);
       // A later call of this term voided the attempt, which did nothing.
       if (outcome.kind === 'superseded' && fence < this.fence) continue;
@@ -388,14 +391,7 @@
     }
     worker.failedRenewals += 1;
     this.log.startUnanswered(run);
-    if (this.isAssigned(run)) this.stop(run);
-  }
-
-  private startObstacle(run: Run, now: SteadyTime): string | undefined {
-    if (!this.authority.mayAct(now)) return 'leadership is uncertain';
-    return this.worker.hasRoomFor(run)
-      ? this.events.withholdStart(this.worker)
-      : 'the capacity of its worker was reduced';
+    if (this.validity.isAssigned(run)) this.stop(run);
   }
 
   /** Returns false if the order has to be repeated. */
@@ -488,15 +484,19 @@
 
   /** Removes a run that never started, so that its unit is placed again. */
   private removeUnstarted(run: Run, reason: string): void {
-    if (!this.isAssigned(run)) return;
+    if (!this.validity.isAssigned(run)) return;
     this.worker.remove(run);
     this.events.runLost(run, reason);
   }
 
   private async sendStop(run: Run): Promise<void> {
-    const {worker, authority} = this;
-    while (this.isAssigned(run) && !this.scope.closed && !this.isClosed) {
-      if (authority.mayAct(steadyNow())) {
+    const {worker, validity} = this;
+    while (
+      this.validity.isAssigned(run) &&
+      !this.scope.closed &&
+      !this.isClosed
+    ) {
+      if (validity.mayOrder(steadyNow())) {
         const {fence} = this;
         const outcome = await this.client.stop(
           worker.entry,
@@ -516,8 +516,7 @@
   }
 
   private async sendPace(run: Run, percent: number): Promise<void> {
-    if (!this.isAssigned(run) || run.phase !== 'running') return;
-    if (!this.authority.mayAct(steadyNow())) return;
+    if (!this.validity.maySendPace(run, steadyNow())) return;
     const {fence} = this;
     const outcome = await this.client.pace(this.worker.entry, {
       task: run.task,
--- a/src/leader/workers/worker_table.ts
+++ b/src/leader/workers/worker_table.ts
@@ -96,14 +96,21 @@
     this.closedVmsByReason.set(reason, vmIds);
     for (const worker of this.workerStates.values()) {
       worker.isClosedToNewRuns = this.isClosedToNewRuns(worker.entry);
+      this.reviewWaitingStarts(worker);
     }
   }
 
+  /** Called after what is known of a worker has changed. */
+  private reviewWaitingStarts({workerId}: WorkerState): void {
+    this.links.get(workerId)?.reviewWaitingStarts(steadyNow());
+  }
+
   /** Replaces the set of zones whose workers get no new runs. */
   setEvacuatedZones(zones: ReadonlySet<AvailabilityZone>): void {
     this.evacuatedZones = new Set(zones);
     for (const worker of this.workerStates.values()) {
       worker.isEvacuated = zones.has(worker.entry.zone);
+      this.reviewWaitingStarts(worker);
     }
   }
 
@@ -194,6 +201,7 @@
     const link = this.linkFor(worker);
     // The new incarnation may have received orders; its list decides.
     if (hasRestarted) this.assumeLeases(worker);
+    this.reviewWaitingStarts(worker);
     link.startRenewing();
   }
 
@@ -202,6 +210,7 @@
     if (worker === undefined) return;
     if (worker.isListed) this.options.log.workerUnlisted(worker);
     worker.isListed = false;
+    this.reviewWaitingStarts(worker);
     if (worker.runs.size > 0) return;
     this.workerStates.delete(workerId);
     this.links.get(workerId)?.close();
