Limit the texts of records that are on their way to the store

Cause: a change of 26,000 started tasks in wide jobs put all their records under way at once, up to eight transactions of ten. Each text is held as a string, as an encoded value and as the body of a call until the store answers, so a slow store kept over three times the records in memory. Each answer of a worker with ends pushed a callback to every job with changes that were not durable, so that pending jobs times answers piled up in a leader that fell behind.

Change: a transaction takes no further record beyond 128 KB, and none starts while 1 MB is under way; the records left over are written next. Those who wait for earlier changes are one entry each, in the order of the changes, and are called when the oldest change that is pending is a later one.

A second test holds the order of the callbacks.

--- a/src/leader/jobs/commit_queue.ts
+++ b/src/leader/jobs/commit_queue.ts
@@ -26,6 +26,16 @@
 /** Transactions under way at a time. */
 const MAXIMUM_TRANSACTIONS = 8;
 
+/**
+ * Text of records after which a transaction takes no more of them. A record is
+ * held as text, as an encoded value and as the body of a call until the store
+ * answers.
+ */
+const TRANSACTION_BYTES = 131_072;
+
+/** Text of records under way after which no further transaction starts. */
+const BYTES_UNDER_WAY = 1_048_576;
+
 /**
  * A transaction that takes longer is no reason for further changes to wait. Up
  * to then they are collected, as each call to the store has a price.
@@ -52,11 +62,28 @@
 /** Called when a record is durable, or all records that were changed before. */
 type Callback = () => void;
 
+/** Changes of one job since its record was last written. */
+interface PendingChanges {
+  /** Number of the first of them, in the order of all changes. */
+  readonly first: number;
+  readonly callbacks: Callback[];
+}
+
+/** Waits until all changes up to a number are durable. */
+interface Waiter {
+  readonly through: number;
+  readonly then: Callback;
+}
+
 export class CommitQueue {
   /** Changed jobs whose records no transaction under way contains. */
-  private readonly changed = new Map<Job, Callback[]>();
-  private readonly underWay = new Map<Job, Callback[]>();
+  private readonly changed = new Map<Job, PendingChanges>();
+  private readonly underWay = new Map<Job, PendingChanges>();
+  private changeCount = 0;
+  /** In the order of the changes that they wait for. */
+  private readonly waiters: Waiter[] = [];
   private transactionCount = 0;
+  private bytesUnderWay = 0;
   private isScheduled = false;
   private isDelayed = false;
   private isEnded = false;
@@ -73,26 +100,23 @@
 
   /** Queues the job's record and calls `then` once it is durable. */
   write(job: Job, then?: Callback): void {
-    const callbacks = this.changed.get(job) ?? [];
-    if (then !== undefined) callbacks.push(then);
-    this.changed.set(job, callbacks);
+    let changes = this.changed.get(job);
+    if (changes === undefined) {
+      this.changeCount += 1;
+      changes = {first: this.changeCount, callbacks: []};
+      this.changed.set(job, changes);
+    }
+    if (then !== undefined) changes.callbacks.push(then);
     this.schedule();
   }
 
   /** Calls `then` once everything queued so far is durable. */
   afterPending(then: Callback): void {
-    const pending = [...this.changed.values(), ...this.underWay.values()];
-    let remaining = pending.length;
-    if (remaining === 0) {
+    if (this.changed.size === 0 && this.underWay.size === 0) {
       setImmediate(then);
       return;
     }
-    for (const callbacks of pending) {
-      callbacks.push(() => {
-        remaining -= 1;
-        if (remaining === 0) then();
-      });
-    }
+    this.waiters.push({through: this.changeCount, then});
   }
 
   /** Changes of one event loop turn share a transaction. */
@@ -110,13 +134,15 @@
     while (
       !this.scope.closed &&
       !this.isEnded &&
-      this.transactionCount < MAXIMUM_TRANSACTIONS
+      this.transactionCount < MAXIMUM_TRANSACTIONS &&
+      this.bytesUnderWay < BYTES_UNDER_WAY
     ) {
       const jobs = this.writableJobs();
       const isFull = jobs.length === RECORDS_PER_TRANSACTION;
       if (jobs.length === 0 || !(isFull || mayStart)) break;
-      mayStart = false;
-      void this.writeJobs(jobs);
+      const records = this.takeRecords(jobs);
+      mayStart = records.length < jobs.length;
+      void this.writeRecords(records);
     }
     clearTimeout(this.collectionTimer);
     const isOver = this.scope.closed || this.isEnded;
@@ -137,24 +163,57 @@
     return jobs;
   }
 
-  private async writeJobs(jobs: readonly Job[]): Promise<void> {
-    this.transactionCount += 1;
+  /** Takes as many of the jobs as one transaction has room for. */
+  private takeRecords(jobs: readonly Job[]): PendingRecord[] {
+    const records: PendingRecord[] = [];
+    let bytes = 0;
     for (const job of jobs) {
-      this.underWay.set(job, this.changed.get(job) ?? []);
+      if (bytes >= TRANSACTION_BYTES) break;
+      const changes = this.changed.get(job);
+      if (changes !== undefined) this.underWay.set(job, changes);
       this.changed.delete(job);
+      const record = pendingRecord(job);
+      bytes += bytesOf(record);
+      records.push(record);
     }
-    const isDurable = await this.commit(jobs.map((job) => pendingRecord(job)));
+    return records;
+  }
+
+  private async writeRecords(records: PendingRecord[]): Promise<void> {
+    const bytes = records.reduce((sum, record) => sum + bytesOf(record), 0);
+    this.transactionCount += 1;
+    this.bytesUnderWay += bytes;
+    const isDurable = await this.commit(records);
     this.transactionCount -= 1;
+    this.bytesUnderWay -= bytes;
     if (!isDurable) {
       this.isEnded = true;
       return;
     }
-    const callbacks = jobs.flatMap((job) => this.underWay.get(job) ?? []);
-    for (const job of jobs) this.underWay.delete(job);
+    const callbacks = records.flatMap(
+      ({job}) => this.underWay.get(job)?.callbacks ?? [],
+    );
+    for (const {job} of records) this.underWay.delete(job);
     for (const callback of callbacks) callback();
+    this.callWaiters();
     this.startTransactions(false);
   }
 
+  private callWaiters(): void {
+    // A map keeps the order of its entries, here that of the changes.
+    const [oldestChanged] = this.changed.values();
+    let oldest = oldestChanged?.first ?? Infinity;
+    for (const {first} of this.underWay.values()) {
+      oldest = Math.min(oldest, first);
+    }
+    for (;;) {
+      const [waiter] = this.waiters;
+      if (waiter === undefined || waiter.through >= oldest) return;
+      this.waiters.shift();
+      waiter.then();
+    }
+  }
+
   /** Returns false if leadership was lost or the scope has closed. */
   private async commit(records: PendingRecord[]): Promise<boolean> {
     let remaining = records;
@@ -228,6 +287,11 @@
   }
 }
 
+/** Length of the texts, whose characters take a byte each as a rule. */
+function bytesOf({put, archive}: PendingRecord): number {
+  return put.value.length + (archive?.value.length ?? 0);
+}
+
 function pendingRecord(job: Job): PendingRecord {
   job.isChanged = false;
   const put = {
--- a/test/commit_queue.test.ts
+++ b/test/commit_queue.test.ts
@@ -9,6 +9,7 @@
 import {Result} from 'true-myth';
 import {CommitQueue} from '../src/leader/jobs/commit_queue.js';
 import {Job} from '../src/leader/jobs/jobs.js';
+import {planRuns} from '../src/leader/jobs/planned_runs.js';
 import {CleanupScope} from '../src/lifecycle/cleanup_scope.js';
 import {CoordinationStore} from '../src/interfaces/coordination_store.js';
 import type {
@@ -17,7 +18,7 @@
 } from '../src/interfaces/coordination_store.js';
 import type {UnknownEffectError} from '../src/model/errors.js';
 import {instant} from '../src/model/ids.js';
-import {submission} from './leader_fixture.js';
+import {idleWorker, step, submission} from './leader_fixture.js';
 
 type Answer = Result<TransactionOutcome, UnknownEffectError>;
 
@@ -160,4 +161,68 @@
       }
     }),
   );
+
+  // Guards against a leader that ends at its heap limit beside a slow store.
+  it(
+    'holds the texts of a few wide records at a time, and writes all',
+    withQueue(async (queue, store) => {
+      const wide = Array.from({length: 20}, () => wideJob());
+      let durable = 0;
+      for (const job of wide) queue.write(job, () => (durable += 1));
+      let most = 0;
+      while (durable < wide.length) {
+        await delay(40);
+        const texts = store.held.flatMap(({transaction}) => transaction.puts);
+        const bytes = texts.reduce((sum, {value}) => sum + value.length, 0);
+        most = Math.max(most, bytes);
+        if (durable === wide.length) break;
+        assert.ok(store.held.length > 0, 'a transaction is under way');
+        while (store.held.length > 0) store.commitNext();
+      }
+      const [record] = wide.map((job) => JSON.stringify(job.toRecord()).length);
+      assert.ok(most < 1_048_576 + (record ?? 0) * 2, `${most} bytes`);
+    }),
+  );
+
+  it(
+    'calls those who wait when all earlier changes are durable, and no later',
+    withQueue(async (queue, store) => {
+      const [first, second, third] = jobs(3);
+      assert.ok(first && second && third);
+      const calls: string[] = [];
+      queue.write(first);
+      await setImmediate();
+      queue.write(second);
+      queue.write(first);
+      queue.afterPending(() => calls.push('both'));
+      await delay(100);
+      assert.equal(store.held.length, 2);
+      queue.write(third);
+      await delay(100);
+      assert.equal(store.held.length, 3);
+      // The second one's record and the third one's; the first one's is older.
+      store.held.push(...store.held.splice(0, 1));
+      store.commitNext();
+      store.commitNext();
+      await delay(100);
+      assert.deepEqual(calls, []);
+      store.commitNext();
+      await delay(100);
+      assert.deepEqual(calls, []);
+      store.commitNext();
+      await delay(100);
+      assert.deepEqual(calls, ['both']);
+    }),
+  );
 });
+
+/** A job whose record takes about 400 KB. */
+function wideJob(): Job {
+  const steps = [step({taskCount: 2_500})];
+  const job = new Job(submission({steps}), instant(0));
+  const worker = idleWorker('worker-1', 1);
+  for (const unit of job.units) {
+    planRuns({unit, workers: [worker], isIsolated: false}, 1_001, instant(0));
+  }
+  return job;
+}
