Write what the losses of a wide job have in common once

Callers saw: a job of 2,480 tasks was accepted, all workers crashed once, and it was never complete: after its running tasks ended, nothing ran beside 33 idle workers, for the other job neither.

Cause: the log shows "records are not durable yet: the store answered with status 400". The job's record holds each loss in full for each task, some 285 bytes a loss. With all started tasks lost it outgrows the 1 MB of a value, is refused and sent again for ever, and starts and the notes of ends wait for it. Ruled out: starts that are stuck in the queue of orders (none was), and the isolation of suspects (it doubles what it starts).

Change: losses with the same worker, run and circumstances are written once for the job, and a unit refers to them by index. Records of earlier versions are read. A daemon of an earlier version ignores the new fields, so that it forgets losses if it leads meanwhile.

--- a/src/leader/jobs/jobs.ts
+++ b/src/leader/jobs/jobs.ts
@@ -19,6 +19,7 @@
 import type {RunEnding} from '../../interfaces/task_worker.js';
 import {AvoidedWorkers, avoidanceMs} from './avoided_workers.js';
 import {CrashHistory} from '../losses/crash_history.js';
+import {LossTable, lossesOf} from './loss_records.js';
 import type {OpenUnitRecord, ProgressRecord, WorkerLoss} from './records.js';
 import {Run, UNKNOWN_PACE_PERCENT} from './runs.js';
 import {StepProgress} from './step_progress.js';
@@ -308,6 +309,7 @@
 
   toRecord(): ProgressRecord {
     const open: OpenUnitRecord[] = [];
+    const losses = new LossTable();
     const done = new Map<string, ProgressRecord['done'][number]>();
     for (const unit of this.units) {
       if (unit.isDone && !this.isEnded) {
@@ -322,13 +324,17 @@
         done.set(key, entry);
       }
       const hasProgress = unit.lastRun > 0 && !unit.isDone && !this.isEnded;
-      if (hasProgress || unit.runs.length > 0) open.push(unitRecord(unit));
+      if (hasProgress || unit.runs.length > 0)
+        open.push(unitRecord(unit, losses));
     }
     return {
       state: this.state,
       ...(this.endedAt === undefined ? {} : {endedAt: this.endedAt}),
       done: [...done.values()],
       open,
+      ...(losses.entries.length === 0
+        ? {}
+        : {sharedLosses: [...losses.entries]}),
     };
   }
 
@@ -348,6 +354,8 @@
         ({firstIndex}) => firstIndex === saved.firstIndex,
       );
       if (unit !== undefined) {
+        const losses = lossesOf(saved, record.sharedLosses ?? []);
+        unit.crashes.restore(losses, saved.otherStarts ?? []);
         placed.push(...this.restoreUnit(unit, saved, now));
       }
     }
@@ -369,7 +377,6 @@
     unit.lastRun = saved.lastRun;
     unit.failedRun = saved.failedRun;
     unit.checkpoint = saved.checkpoint;
-    unit.crashes.restore(saved.losses ?? [], saved.otherStarts ?? []);
     if (unit.crashes.isSuspect) this.hasSuspects = true;
     this.openUnits.add(unit);
     const runs = saved.placements.map(
@@ -439,8 +446,8 @@
   return `${occurrence}.${stepIndex}`;
 }
 
-function unitRecord(unit: Unit): OpenUnitRecord {
-  const losses = unit.crashes.toRecord();
+function unitRecord(unit: Unit, losses: LossTable): OpenUnitRecord {
+  const lostTasks = unit.crashes.toRecord().map((loss) => losses.refer(loss));
   const {otherStarts} = unit.crashes;
   return {
     occurrence: unit.occurrence,
@@ -461,7 +468,7 @@
           : {}),
       }),
     ),
-    ...(losses.length === 0 ? {} : {losses: [...losses]}),
+    ...(lostTasks.length === 0 ? {} : {lostTasks}),
     ...(otherStarts.length === 0 ? {} : {otherStarts: [...otherStarts]}),
   };
 }
--- a/src/leader/jobs/records.ts
+++ b/src/leader/jobs/records.ts
@@ -104,6 +104,14 @@
 });
 export type WorkerLoss = Readonly<z.infer<typeof workerLossSchema>>;
 
+/** What the losses of several units with one worker have in common. */
+export const sharedLossSchema = workerLossSchema.omit({tasks: true});
+export type SharedLoss = Readonly<z.infer<typeof sharedLossSchema>>;
+
+/** An index in the job's `sharedLosses`, then the indexes of the lost tasks. */
+export const lossReferenceSchema = z.tuple([z.number()], z.number());
+export type LossReference = z.infer<typeof lossReferenceSchema>;
+
 /** A start of a task whose run ended otherwise than with its worker. */
 export const taskStartSchema = z.object({task: z.number(), run: z.number()});
 export type TaskStart = Readonly<z.infer<typeof taskStartSchema>>;
@@ -133,24 +141,36 @@
     }),
   ),
   /** Absent if no run was lost with its worker. */
+  lostTasks: z.array(lossReferenceSchema).optional(),
+  /** Only in records of earlier versions, in place of `lostTasks`. */
   losses: z.array(workerLossSchema).optional(),
   /** Absent if there were none after such a loss. */
   otherStarts: z.array(taskStartSchema).optional(),
 });
 export type OpenUnitRecord = z.infer<typeof openUnitSchema>;
 
-export const progressSchema = z.object({
-  state: z.enum(['queued', 'running', 'complete', 'failed', 'cancelled']),
-  endedAt: z.number().optional(),
-  done: z.array(
-    z.object({
-      occurrence: z.number(),
-      step: z.number(),
-      firstIndexes: z.array(z.number()),
-    }),
-  ),
-  open: z.array(openUnitSchema),
-});
+export const progressSchema = z
+  .object({
+    state: z.enum(['queued', 'running', 'complete', 'failed', 'cancelled']),
+    endedAt: z.number().optional(),
+    done: z.array(
+      z.object({
+        occurrence: z.number(),
+        step: z.number(),
+        firstIndexes: z.array(z.number()),
+      }),
+    ),
+    open: z.array(openUnitSchema),
+    /** Absent if the open units have no losses. */
+    sharedLosses: z.array(sharedLossSchema).optional(),
+  })
+  .refine(
+    ({open, sharedLosses = []}) =>
+      open.every(({lostTasks = []}) =>
+        lostTasks.every(([index]) => sharedLosses[index] !== undefined),
+      ),
+    {path: ['sharedLosses'], error: 'a loss that a unit refers to is missing'},
+  );
 export type ProgressRecord = z.infer<typeof progressSchema>;
 
 export const waveRecordSchema = z.object({
