Plan repeated maintenance orders anew, and close their VMs at a takeover

Callers saw: a new leader placed a service's tasks on a VM whose order for maintenance had no answer, and repeated the order under them.

Cause: VMs that are ordered were closed to new runs by the first step of the control loop only, which waits for the handover, and a repeated order was sent without a look at the runs on its VM.

Change: the VMs are closed when the wave's record is read. Repeated orders are part of the plan: with runs on its VM an order waits, and the runs are stopped within what their step may miss. Each order looks at the runs again right before it is sent.

--- a/src/leader/vms/maintenance.ts
+++ b/src/leader/vms/maintenance.ts
@@ -141,10 +141,10 @@
       revision: item.revision,
       confirmedAt: new Map(),
     });
-    // An earlier leader's order may still be carried out.
-    for (const vmId of vmsInState({wave, record}, 'ordered')) {
-      this.table.expectEnd(vmId);
-    }
+    // An earlier leader's order may still be carried out, and is repeated.
+    const ordered = vmsInState({wave, record}, 'ordered');
+    for (const vmId of ordered) this.table.expectEnd(vmId);
+    this.setClosedVms(new Set([...this.closedSince.keys(), ...ordered]));
     this.dependencies.log.waveStarted(wave);
     void this.runLoop();
   }
@@ -196,13 +196,7 @@
       );
       this.table.stopUnit(run, 'maintenance');
     }
-    const repeated = [...this.waves.values()].flatMap((open) =>
-      vmsInState(open, 'ordered').map((vmId) => ({
-        waveId: open.wave.waveId,
-        vmId,
-      })),
-    );
-    for (const order of [...repeated, ...plan.orders]) await this.order(order);
+    for (const order of plan.orders) await this.order(order);
   }
 
   /**
@@ -248,7 +242,7 @@
     if (progressOf(open.record, vmId) === 'waiting') {
       if (!(await this.write(open, [vmId], 'ordered'))) return;
     }
-    if (!this.authority.mayAct(steadyNow())) return;
+    if (!this.maySend(vmId, steadyNow())) return;
     this.table.expectEnd(vmId);
     const outcome = await this.dependencies.vmService.maintain(vmId, waveId, {
       holder: this.settings.holder,
@@ -260,6 +254,12 @@
     await this.recordOutcome(open, vmId, outcome);
   }
 
+  /** False if the order is no longer right; it is then planned again. */
+  private maySend(vmId: VmId, now: SteadyTime): boolean {
+    const worker = this.table.workersByVm().get(vmId);
+    return this.authority.mayAct(now) && (worker?.runs.size ?? 0) === 0;
+  }
+
   private async recordOutcome(
     open: OpenWave,
     vmId: VmId,
--- a/src/leader/vms/maintenance_plan.ts
+++ b/src/leader/vms/maintenance_plan.ts
@@ -60,7 +60,7 @@
   /** VMs on which no new runs may start. */
   readonly closedVms: ReadonlySet<VmId>;
   readonly stops: readonly Run[];
-  /** VMs without runs whose maintenance may begin now. */
+  /** VMs without runs whose maintenance may begin now, or is ordered again. */
   readonly orders: readonly MaintenanceOrder[];
 }
 
@@ -73,12 +73,13 @@
     const waiting = vmsIn(state, 'waiting').filter((vmId) =>
       isUp(view.vms.get(vmId)),
     );
-    const down = vmsIn(state, 'ordered').length + vmsIn(state, 'begun').length;
-    for (const vmId of vmsIn(state, 'ordered')) closed.add(vmId);
+    const ordered = vmsIn(state, 'ordered');
+    const down = ordered.length + vmsIn(state, 'begun').length;
     const openSlots = Math.max(0, state.wave.maximumDown - down);
     const next = chooseNextVms(view, waiting, openSlots);
     const maximumWaitMs = maximumWaitForRuns(view, state, waiting.length);
-    for (const vmId of next) {
+    // Runs may have started on an ordered VM before this leader closed it.
+    for (const vmId of [...ordered, ...next]) {
       closed.add(vmId);
       const runs = runsOn(view, vmId);
       if (runs.length === 0) {
--- a/test/leader_fixture.ts
+++ b/test/leader_fixture.ts
@@ -156,7 +156,7 @@
     });
   }
 
-  addDaemon(name: string, noticeMs = 0): EmulatedDaemon {
+  addDaemon(name: string, noticeMs = 0, handoverMs = 0): EmulatedDaemon {
     const seed = this.daemons.length + 1;
     const daemon = new EmulatedDaemon(this.site, {
       name,
@@ -164,6 +164,7 @@
       holdMaximumMs: HOLD_MAXIMUM_MS,
       configuration: configuration(),
       noticeMs,
+      handoverMs,
       evacuationBoundMs: this.evacuation?.evacuationBoundMs,
       logLevel: (process.env['TEST_LOG_LEVEL'] ?? 'fatal') as 'fatal',
     });
--- a/test/leader_maintenance.test.ts
+++ b/test/leader_maintenance.test.ts
@@ -11,6 +11,8 @@
 import {planMaintenance} from '../src/leader/vms/maintenance_plan.js';
 import {planPoolMoves} from '../src/leader/vms/pool_plan.js';
 import type {PoolView} from '../src/leader/vms/pool_plan.js';
+import {maintenanceKey} from '../src/leader/jobs/records.js';
+import type {WaveRecord} from '../src/leader/jobs/records.js';
 import {Run} from '../src/leader/jobs/runs.js';
 import type {WorkerState} from '../src/leader/workers/worker_state.js';
 import {instant, trustedId} from '../src/model/ids.js';
@@ -156,10 +158,34 @@
     await untilComplete();
     assert.equal(fixture.site.vms.maintained.length, VM_IDS.length);
   });
+
+  // Guards against AVAIL, as below: until its first step the new leader kept
+  // no tasks from the VM.
+  it('starts nothing on a VM that an earlier leader has ordered down', async () => {
+    const [vmId] = VM_IDS;
+    assert.ok(vmId !== undefined);
+    const vms = [{vmId, progress: 'ordered'}];
+    const record = {startedAt: Date.now(), isComplete: false, vms};
+    fixture.site.store.put(maintenanceKey(1), JSON.stringify(record));
+    const leader = fixture.addDaemon('first', 0, 60_000);
+    request(1, 60_000);
+    await until('it leads', () => leader.isLeader);
+    const shape = {
+      processorMillicores: 1_000,
+      memoryMegabytes: 1_000,
+      accelerators: 8,
+    };
+    const steps = [step({shape, taskCount: 4, longRunning: true})];
+    fixture.submit(submission({steps}), 60_000);
+    await until('three tasks run', () => fixture.runCount === 3);
+    await delay(1_000);
+    assert.equal(fixture.runCount, 3);
+    assert.equal(fixture.site.vms.maintained.length, 0);
+  });
 });
 
-// Guards against AVAIL: an end that was not read counts as none.
-it('stops no task while another one of its step is not seen at work', () => {
+/** A long-running step that may miss one task, with a task on each of two VMs. */
+function twoTasksAtWork() {
   const steps = [step({taskCount: 2, longRunning: true, maximumAway: 1})];
   const job = new Job(submission({steps}), instant(0));
   const workers = new Map<VmId, WorkerState>();
@@ -174,26 +200,46 @@
     workers.set(trustedId(`vm-${index}`), worker);
     return run;
   });
-  const [stopped, other] = runs;
+  const [first, second] = runs;
   const [vmId] = workers.keys();
-  assert.ok(stopped && other && vmId !== undefined);
+  assert.ok(first && second && vmId !== undefined);
   const now = instant(20_000);
-  const stopsIfSeenAt = (seenAt: number) => {
-    stopped.atWorkAt = now;
-    other.atWorkAt = instant(seenAt);
+  const planIfSeenAt = (seenAt: number, vms: WaveRecord['vms'] = []) => {
+    first.atWorkAt = now;
+    second.atWorkAt = instant(seenAt);
     const wave = {waveId: 1, vmIds: [vmId], durationMs: 1, maximumDown: 1};
     return planMaintenance({
-      waves: [{wave, record: {startedAt: 0, isComplete: false, vms: []}}],
+      waves: [{wave, record: {startedAt: 0, isComplete: false, vms}}],
       vms: new Map([[vmId, {state: 'up'} as WorkerVm]]),
       workers,
       now,
       maintenanceMs: 2_000,
       noticeMs: 4_500,
       closedSince: new Map(),
-    }).stops;
+    });
   };
-  assert.deepEqual(stopsIfSeenAt(now - 1_700), [stopped]);
-  assert.deepEqual(stopsIfSeenAt(now - 5_000), []);
+  return {first, vmId, workers, now, planIfSeenAt};
+}
+
+// Guards against AVAIL: an end that was not read counts as none.
+it('stops no task while another one of its step is not seen at work', () => {
+  const {first, now, planIfSeenAt} = twoTasksAtWork();
+  assert.deepEqual(planIfSeenAt(now - 1_700).stops, [first]);
+  assert.deepEqual(planIfSeenAt(now - 5_000).stops, []);
+});
+
+// Guards against AVAIL: a new leader placed tasks on a VM whose order had no
+// answer, and repeated the order under them.
+it('does not repeat an order for a VM on which tasks work', () => {
+  const {first, vmId, workers, now, planIfSeenAt} = twoTasksAtWork();
+  const ordered = [{vmId, progress: 'ordered' as const}];
+  const busy = planIfSeenAt(now - 5_000, ordered);
+  assert.deepEqual([busy.orders, busy.stops], [[], []]);
+  assert.ok(busy.closedVms.has(vmId));
+  assert.deepEqual(planIfSeenAt(now - 1_700, ordered).stops, [first]);
+  workers.get(vmId)?.remove(first);
+  const empty = planIfSeenAt(now - 1_700, ordered);
+  assert.deepEqual(empty.orders, [{waveId: 1, vmId}]);
 });
 
 describe('moves between pools', () => {
