--- a/src/leader/jobs/jobs.ts
+++ b/src/leader/jobs/jobs.ts
@@ -324,8 +324,9 @@
         done.set(key, entry);
       }
       const hasProgress = unit.lastRun > 0 && !unit.isDone && !this.isEnded;
-      if (hasProgress || unit.runs.length > 0)
+      if (hasProgress || unit.runs.length > 0) {
         open.push(unitRecord(unit, losses));
+      }
     }
     return {
       state: this.state,
